--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,4 @@
+//! Load and experiments, and the demo.
+
+pub mod client;
+pub mod demo;
--- /dev/null
+++ b/src/admin/action.rs
@@ -0,0 +1,91 @@
+/// What an operator asks for, as read from method and path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Action<'a> {
+    /// Whether the process runs.
+    Live,
+    /// Whether the process is ready.
+    Ready,
+    /// The description of this API.
+    OpenApi,
+    /// The schema of a team's settings.
+    Schema,
+    /// The counters.
+    Metrics,
+    /// Settings in force, and upstreams.
+    Status,
+    /// Read a team's settings.
+    Read { team: &'a str },
+    /// Replace them.
+    Replace { team: &'a str },
+    /// Change them by a merge patch.
+    Patch { team: &'a str },
+    /// Check settings without accepting them.
+    Check { team: &'a str },
+    /// List the accepted changes.
+    Revisions { team: &'a str },
+    /// Look an idempotency key up.
+    Lookup {
+        team: &'a str,
+        account: &'a str,
+        service: &'a str,
+        key: &'a str,
+    },
+    /// Stop new work at an upstream, or allow it again.
+    Drain { name: &'a str, drain: bool },
+}
+
+impl<'a> Action<'a> {
+    /// Reads method and path; nothing if there is no such operation.
+    ///
+    /// ```
+    /// # use ebonyusher::admin::Action;
+    /// let action = Action::read("GET", "/v1/teams/petrov/settings");
+    /// assert_eq!(action, Some(Action::Read { team: "petrov" }));
+    /// ```
+    pub fn read(method: &str, path: &'a str) -> Option<Self> {
+        let parts: smallvec::SmallVec<[&str; 8]> = path.trim_matches('/').split('/').collect();
+        Some(match (method, parts.as_slice()) {
+            ("GET", ["livez"]) => Self::Live,
+            ("GET", ["readyz"]) => Self::Ready,
+            ("GET", ["v1", "openapi.json"]) => Self::OpenApi,
+            ("GET", ["v1", "schema"]) => Self::Schema,
+            ("GET", ["v1", "metrics"]) => Self::Metrics,
+            ("GET", ["v1", "status"]) => Self::Status,
+            ("GET", ["v1", "teams", team, "settings"]) => Self::Read { team },
+            ("PUT", ["v1", "teams", team, "settings"]) => Self::Replace { team },
+            ("PATCH", ["v1", "teams", team, "settings"]) => Self::Patch { team },
+            ("POST", ["v1", "teams", team, "settings", "check"]) => Self::Check { team },
+            ("GET", ["v1", "teams", team, "revisions"]) => Self::Revisions { team },
+            ("GET", ["v1", "teams", team, "requests", account, service, key]) => Self::Lookup {
+                team,
+                account,
+                service,
+                key,
+            },
+            ("POST", ["v1", "upstreams", name, "drain"]) => Self::Drain { name, drain: true },
+            ("POST", ["v1", "upstreams", name, "undrain"]) => Self::Drain { name, drain: false },
+            _ => return None,
+        })
+    }
+
+    /// Whether anybody may ask for it.
+    pub const fn is_open(&self) -> bool {
+        matches!(
+            self,
+            Self::Live | Self::Ready | Self::OpenApi | Self::Schema
+        )
+    }
+
+    /// Team whose operators alone may ask for it.
+    pub const fn team(&self) -> Option<&'a str> {
+        match self {
+            Self::Read { team }
+            | Self::Replace { team }
+            | Self::Patch { team }
+            | Self::Check { team }
+            | Self::Revisions { team }
+            | Self::Lookup { team, .. } => Some(team),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/admin/documents.rs
@@ -0,0 +1,40 @@
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::settings::Team;
+
+/// Body of a request that replaces a team's settings.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Replacement {
+    /// Version that the operator read, 0 if the team has none.
+    pub version: u64,
+    /// The new settings, whole.
+    pub settings: Team,
+}
+
+/// Body of a request that changes a team's settings by a merge patch (RFC 7396).
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Patch {
+    /// Version that the operator read.
+    pub version: u64,
+    /// The merge patch.
+    pub patch: Value,
+}
+
+/// Answer to an accepted change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// New revision of the whole tree.
+    pub revision: u64,
+    /// New version of the team's settings.
+    pub version: u64,
+}
+
+/// Answer to a check that found no fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CheckReport {
+    /// Always true; a fault is told as an error.
+    pub ok: bool,
+}
--- /dev/null
+++ b/src/bin/ebonyusher-ctl.rs
@@ -0,0 +1,23 @@
+//! The operator's client of the administration API.
+
+use std::process::ExitCode;
+
+use ebonyusher::admin::ClientError;
+use ebonyusher::cli::{EXIT_INPUT, EXIT_REFUSED, EXIT_UNREACHABLE, exit_with};
+use ebonyusher::ctl::{CtlError, options, run};
+
+const NAME: &str = "ebonyusher-ctl";
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let args = options().fallback_to_usage().run();
+    let Err(err) = run(args).await else {
+        return ExitCode::SUCCESS;
+    };
+    let code = match &err {
+        CtlError::Input(_) | CtlError::Check(_) | CtlError::NoKey => EXIT_INPUT,
+        CtlError::Client(ClientError::Refused(_)) | CtlError::Differs => EXIT_REFUSED,
+        CtlError::Client(_) => EXIT_UNREACHABLE,
+    };
+    exit_with(NAME, &err, code)
+}
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,9 @@
+//! What the binaries share: logs, signals and the way they end.
+
+mod exit;
+mod logs;
+mod stop;
+
+pub use exit::{EXIT_INPUT, EXIT_REFUSED, EXIT_UNREACHABLE, exit_with};
+pub use logs::{LogFormat, Logs, logs_options};
+pub use stop::stop_signal;
--- /dev/null
+++ b/src/ctl/error.rs
@@ -0,0 +1,20 @@
+use displaydoc::Display;
+use thiserror::Error;
+
+use crate::admin::ClientError;
+use crate::settings::{CheckError, ParseError};
+
+/// Why a command failed.
+#[derive(Clone, Debug, PartialEq, Display, Error)]
+pub enum CtlError {
+    /// {0}
+    Input(#[from] ParseError),
+    /// {0}
+    Check(#[from] CheckError),
+    /// the environment variable EBONYUSHER_KEY must hold the operator's key
+    NoKey,
+    /// {0}
+    Client(#[from] ClientError),
+    /// the settings differ
+    Differs,
+}
--- /dev/null
+++ b/src/ctl/mod.rs
@@ -0,0 +1,10 @@
+//! The operator's command line.
+
+mod args;
+mod error;
+mod run;
+mod show;
+
+pub use args::{Args, Command, Target, options};
+pub use error::CtlError;
+pub use run::run;
--- /dev/null
+++ b/src/entry/handler.rs
@@ -0,0 +1,220 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use smallvec::SmallVec;
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+
+use super::chat::Chat;
+use super::dispatch::Sent;
+use super::pass::Pass;
+use super::share::Share;
+use super::splice::Splice;
+use super::{Dispatcher, EntryBody, Limiter, LimiterGuard, Order, Policy, fingerprint, lookup};
+use crate::id::Attempt;
+use crate::metrics::{Event, Meter};
+use crate::net::{
+    ChannelBody, CollectError, DEADLINE_MS, Handler, IDEMPOTENCY_KEY, collect, header_millis,
+    header_str, json_answer, refusal_answer,
+};
+use crate::outcome::{Reason, Refusal};
+use crate::platform::Table;
+use crate::settings::{Caller, Current, Kind, Repeat, Snapshot};
+
+/// Where callers look up what became of a key: followed by service and key.
+const LOOKUP_PATH: &str = "/ebonyusher/requests/";
+/// Longest time that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
+/// Longest time for a request body to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_KEY_BYTES: usize = 256;
+const BEARER: &str = "Bearer ";
+const API_KEY: &str = "x-api-key";
+
+/// Answers callers.
+#[derive(Debug)]
+pub struct EntryHandler<P, C> {
+    pub(super) current: Current,
+    pub(super) platform: Arc<P>,
+    pub(super) dispatcher: Arc<Dispatcher<C>>,
+    pub(super) limiter: Limiter,
+    pub(super) share: Arc<Share>,
+    pub(super) meter: Arc<Meter>,
+    pub(super) tasks: TaskTracker,
+}
+
+impl<P: Table, C: Policy> Handler for EntryHandler<P, C> {
+    type Body = EntryBody;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<EntryBody> {
+        self.meter.count(Event::Request);
+        match self.answer(request).await {
+            Ok(answer) => answer,
+            Err(refusal) => {
+                self.meter.refuse(refusal.reason);
+                refusal_answer(&refusal)
+            }
+        }
+    }
+}
+
+impl<P: Table, C: Policy> EntryHandler<P, C> {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<EntryBody>, Refusal> {
+        let arrived = Instant::now();
+        let (head, body) = request.into_parts();
+        let current = self.current.get();
+        let caller = find_caller(&current, &head.headers)?;
+        if let Some(rest) = head.uri.path().strip_prefix(LOOKUP_PATH) {
+            return self.look_up(&caller, &head.method, rest).await;
+        }
+        let account = format!("{}/{}", caller.team, caller.name);
+        let limit = self
+            .limiter
+            .admit(&account, caller.account, self.share.get())?;
+        let order = read_order(head, body, &caller, account, arrived).await?;
+        self.forward(order, limit).await
+    }
+
+    async fn forward(
+        &self,
+        mut order: Order,
+        limit: LimiterGuard,
+    ) -> Result<Response<EntryBody>, Refusal> {
+        let key = order.key.clone();
+        let sent = self.dispatcher.dispatch(&mut order).await?;
+        self.meter.count(Event::Ran);
+        let mut answer = if order.service.resume && is_event_stream(&sent.answer) {
+            self.splice(order, sent, limit)
+        } else {
+            let (parts, body) = sent.answer.into_parts();
+            let pass = Pass::new(body, sent.in_flight, limit);
+            Response::from_parts(parts, EntryBody::Pass(Box::new(pass)))
+        };
+        if let Some(key) = key.and_then(|key| HeaderValue::from_str(&key).ok()) {
+            answer.headers_mut().insert(IDEMPOTENCY_KEY, key);
+        }
+        Ok(answer)
+    }
+
+    fn splice(&self, order: Order, sent: Sent, limit: LimiterGuard) -> Response<EntryBody> {
+        let (sender, body) = ChannelBody::new();
+        let mut answer = Response::new(EntryBody::Spliced(body));
+        *answer.status_mut() = sent.answer.status();
+        *answer.headers_mut() = sent.answer.headers().clone();
+        let splice = Splice {
+            dispatcher: Arc::clone(&self.dispatcher),
+            order,
+            meter: Arc::clone(&self.meter),
+            _limit: limit,
+            partial: BytesMut::new(),
+            last: None,
+        };
+        self.tasks.spawn(splice.run(sent, sender));
+        answer
+    }
+
+    async fn look_up(
+        &self,
+        caller: &Caller<'_>,
+        method: &Method,
+        rest: &str,
+    ) -> Result<Response<EntryBody>, Refusal> {
+        let not_found = Refusal::not_run(Reason::NoRoute);
+        let (service, key) = rest.split_once('/').ok_or(not_found)?;
+        if method != Method::GET || !caller.doc.settings.services.contains_key(service) {
+            return Err(not_found);
+        }
+        let account = format!("{}/{}", caller.team, caller.name);
+        let service = format!("{}/{service}", caller.team);
+        let state = lookup(self.platform.as_ref(), &account, &service, key).await;
+        let state = state.map_err(|_| Refusal::not_run(Reason::StoreDown))?;
+        Ok(json_answer(StatusCode::OK, &state))
+    }
+}
+
+fn find_caller<'a>(current: &'a Snapshot, headers: &HeaderMap) -> Result<Caller<'a>, Refusal> {
+    let bearer = header_str(headers, &AUTHORIZATION).and_then(|text| text.strip_prefix(BEARER));
+    let key = bearer.or_else(|| headers.get(API_KEY)?.to_str().ok());
+    key.and_then(|key| current.caller(key))
+        .ok_or(Refusal::not_run(Reason::BadKey))
+}
+
+async fn read_order(
+    head: Parts,
+    body: Incoming,
+    caller: &Caller<'_>,
+    account: String,
+    arrived: Instant,
+) -> Result<Order, Refusal> {
+    let host = header_str(&head.headers, &HOST)
+        .or(head.uri.host())
+        .unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let route = caller.route(host, head.uri.path(), head.method.as_str());
+    let route = route.ok_or(Refusal::not_run(Reason::NoRoute))?;
+    let service = caller.doc.settings.services.get(&route.service);
+    let service = service.ok_or(Refusal::not_run(Reason::NoRoute))?.clone();
+    let left = read_deadline(&head.headers)?.unwrap_or(service.deadline.get());
+    let key = read_key(&head.headers, route.repeat)?;
+    let body = collect(body, service.max_body.bytes(), BODY_TIMEOUT.min(left)).await;
+    let body = body.map_err(|err| {
+        Refusal::not_run(match err {
+            CollectError::TooLarge => Reason::BodyTooLarge,
+            CollectError::Broken | CollectError::Slow => Reason::BodyBroken,
+        })
+    })?;
+    let chat = if service.kind == Kind::Engine {
+        Chat::of(&body)
+    } else {
+        Chat::plain()
+    };
+    Ok(Order {
+        print: fingerprint(&account, head.uri.path(), &body),
+        head,
+        body,
+        account,
+        name: format!("{}/{}", caller.team, route.service),
+        service,
+        repeat: route.repeat,
+        weight: caller.account.weight,
+        priority: caller.account.priority,
+        cost: chat.cost,
+        prefix: chat.prefix,
+        deadline: arrived + left,
+        key,
+        tried: SmallVec::new(),
+    })
+}
+
+fn read_deadline(headers: &HeaderMap) -> Result<Option<Duration>, Refusal> {
+    if !headers.contains_key(DEADLINE_MS) {
+        return Ok(None);
+    }
+    let left = header_millis(headers, &DEADLINE_MS);
+    let left = left.filter(|left| !left.is_zero() && *left <= MAX_DEADLINE);
+    left.map(Some).ok_or(Refusal::not_run(Reason::BadHeader))
+}
+
+/// The caller's idempotency key; a request that must not run twice gets one if it has none.
+fn read_key(headers: &HeaderMap, repeat: Repeat) -> Result<Option<String>, Refusal> {
+    if let Some(value) = headers.get(IDEMPOTENCY_KEY) {
+        let key = value
+            .to_str()
+            .ok()
+            .filter(|key| (1..=MAX_KEY_BYTES).contains(&key.len()));
+        return key
+            .map(|key| Some(key.to_owned()))
+            .ok_or(Refusal::not_run(Reason::BadHeader));
+    }
+    Ok((repeat == Repeat::Never).then(|| format!("auto-{}", Attempt::random())))
+}
+
+fn is_event_stream(answer: &Response<Incoming>) -> bool {
+    header_str(answer.headers(), &CONTENT_TYPE)
+        .is_some_and(|media| media.starts_with("text/event-stream"))
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,45 @@
+//! The process that callers reach: it knows nothing that lasts.
+
+mod budget;
+mod chat;
+mod choice;
+mod dispatch;
+mod entry_body;
+mod failure;
+mod fingerprint;
+mod handler;
+mod hedge;
+mod latency;
+mod limiter;
+mod link;
+mod lookup;
+mod member;
+mod members;
+mod node;
+mod order;
+mod pass;
+mod policies;
+mod roster;
+mod share;
+mod splice;
+mod subset;
+mod suspects;
+mod suspects_row;
+
+pub use budget::Budget;
+pub use choice::{Policy, View};
+pub use dispatch::Dispatcher;
+pub use entry_body::EntryBody;
+pub use failure::Failure;
+pub use fingerprint::fingerprint;
+pub use handler::EntryHandler;
+pub use latency::Latency;
+pub use limiter::{Limiter, LimiterGuard};
+pub use lookup::{KeyState, lookup};
+pub use member::{Member, MemberStatus};
+pub use members::Members;
+pub use node::EntryNode;
+pub use order::Order;
+pub use policies::{LeastInFlight, RandomChoice, RoundRobin, Weighed};
+pub use subset::pick_subset;
+pub use suspects::{Suspects, Verdict};
--- /dev/null
+++ b/src/entry/pass.rs
@@ -0,0 +1,77 @@
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+
+use super::{LimiterGuard, Member};
+use crate::id::Attempt;
+use crate::net::BodyError;
+
+/// Counts a request as in flight at a member until dropped.
+#[derive(Debug)]
+pub(super) struct InFlight {
+    member: Arc<Member>,
+    attempt: Attempt,
+}
+
+impl InFlight {
+    pub(super) fn enter(
+        member: Arc<Member>,
+        attempt: Attempt,
+        print: u64,
+        prefix: Option<u64>,
+    ) -> Self {
+        member.enter(attempt, print, prefix);
+        Self { member, attempt }
+    }
+
+    /// The member.
+    pub(super) const fn member(&self) -> &Arc<Member> {
+        &self.member
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.member.leave(self.attempt);
+    }
+}
+
+/// A sidecar's answer on its way to the caller.
+#[derive(Debug)]
+pub struct Pass {
+    body: Incoming,
+    _in_flight: InFlight,
+    _limit: LimiterGuard,
+}
+
+impl Pass {
+    pub(super) const fn new(body: Incoming, in_flight: InFlight, limit: LimiterGuard) -> Self {
+        Self {
+            body,
+            _in_flight: in_flight,
+            _limit: limit,
+        }
+    }
+}
+
+impl Body for Pass {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body)
+            .poll_frame(cx)
+            .map_err(BodyError::from)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/src/entry/roster.rs
@@ -0,0 +1,138 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use spdlog::{info, warn};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+use tokio_util::sync::CancellationToken;
+
+use super::link::Link;
+use super::share::Share;
+use super::suspects_row::SuspectsShare;
+use super::{Member, Members, Suspects, pick_subset};
+use crate::metrics::Meter;
+use crate::peer::{CrashNote, Hello};
+use crate::platform::{Instance, InstanceList, Phase, Table};
+use crate::settings::Current;
+
+/// Service name under which the platform lists entries.
+const ENTRY_SERVICE: &str = "entry";
+
+/// Follows the platform's list and keeps one link for each picked sidecar.
+#[derive(Debug)]
+pub(super) struct Roster<P> {
+    pub(super) platform: Arc<P>,
+    pub(super) members: Arc<Members>,
+    pub(super) share: Arc<Share>,
+    pub(super) suspects: Arc<Suspects>,
+    pub(super) crashes: mpsc::Sender<CrashNote>,
+    pub(super) current: Current,
+    pub(super) meter: Arc<Meter>,
+    pub(super) hello: Hello,
+    /// Failure domains by distance, the entry's own first.
+    pub(super) domains: Vec<String>,
+    pub(super) subset: usize,
+    pub(super) poll: Duration,
+    pub(super) ends: CancellationToken,
+    pub(super) links: HashMap<String, (Arc<Member>, CancellationToken)>,
+}
+
+impl<P: Table + InstanceList> Roster<P> {
+    /// Follows until the process ends.
+    pub(super) async fn run(mut self) {
+        let share = SuspectsShare {
+            platform: Arc::clone(&self.platform),
+            suspects: Arc::clone(&self.suspects),
+            meter: Arc::clone(&self.meter),
+        };
+        loop {
+            match self.platform.list().await {
+                Ok(list) => self.take(&list),
+                Err(err) => warn!("roster: {err}"),
+            }
+            share.pull().await;
+            sleep(self.poll.mul_f64(rand::random_range(0.8..1.2))).await;
+        }
+    }
+
+    /// A platform that is down takes nobody off the list: links decide who is alive.
+    fn take(&mut self, list: &[Instance]) {
+        let live = |inst: &&Instance| inst.phase == Phase::Live;
+        self.share.set(
+            list.iter()
+                .filter(|inst| inst.service == ENTRY_SERVICE)
+                .filter(live)
+                .count(),
+        );
+        let mut by_service: HashMap<&str, Vec<&Instance>> = HashMap::new();
+        for inst in list.iter().filter(|inst| inst.service != ENTRY_SERVICE) {
+            by_service.entry(&inst.service).or_default().push(inst);
+        }
+        let wanted: Vec<&Instance> = by_service
+            .values()
+            .flat_map(|instances| {
+                let distance = |domain: &str| self.distance(domain);
+                pick_subset(self.hello.from, instances, distance, self.subset)
+            })
+            .collect();
+        self.drop_unwanted(&wanted);
+        for inst in wanted {
+            self.keep(inst);
+        }
+        self.members.replace(
+            self.links
+                .values()
+                .map(|(member, _)| Arc::clone(member))
+                .collect(),
+        );
+    }
+
+    fn distance(&self, domain: &str) -> usize {
+        let known = self.domains.iter().position(|near| near == domain);
+        known.unwrap_or(self.domains.len())
+    }
+
+    /// The list lags: an instance that is no longer on it is kept for as long as its link is.
+    fn drop_unwanted(&mut self, wanted: &[&Instance]) {
+        let is_wanted = |member: &Member| {
+            wanted
+                .iter()
+                .any(|inst| inst.name == member.instance.name && inst.peer == member.instance.peer)
+        };
+        self.links.retain(|name, (member, stop)| {
+            let keep = is_wanted(member) || member.is_linked() && !wanted_name(wanted, name);
+            if !keep {
+                info!("roster: {name} is gone");
+                stop.cancel();
+            }
+            keep
+        });
+    }
+
+    fn keep(&mut self, inst: &Instance) {
+        if !self.links.contains_key(&inst.name) {
+            let member = Arc::new(Member::new(inst.clone(), self.distance(&inst.domain)));
+            let stop = self.ends.child_token();
+            let link = Link {
+                member: Arc::clone(&member),
+                hello: self.hello.clone(),
+                suspects: Arc::clone(&self.suspects),
+                crashes: self.crashes.clone(),
+                current: self.current.clone(),
+                meter: Arc::clone(&self.meter),
+            };
+            tokio::spawn(stop.clone().run_until_cancelled_owned(link.run()));
+            self.links.insert(inst.name.clone(), (member, stop));
+        }
+        if inst.phase == Phase::Leaving
+            && let Some((member, _)) = self.links.get(&inst.name)
+        {
+            member.list_leaving();
+        }
+    }
+}
+
+fn wanted_name(wanted: &[&Instance], name: &str) -> bool {
+    wanted.iter().any(|inst| inst.name == name)
+}
--- /dev/null
+++ b/src/entry/subset.rs
@@ -0,0 +1,38 @@
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::id::Incarnation;
+use crate::platform::Instance;
+
+/// Picks the upstreams of one service that an entry keeps links to: all while they are few, else
+/// half of them from the nearest failure domains and the rest by hash alone, so that the loss of a
+/// domain leaves enough, and entries spread evenly over the upstreams.
+///
+/// ```
+/// # use ebonyusher::{entry::pick_subset, id::Incarnation};
+/// assert!(pick_subset(Incarnation::from_raw(1), &[], |_| 0, 16).is_empty());
+/// ```
+pub fn pick_subset<'a>(
+    entry: Incarnation,
+    instances: &[&'a Instance],
+    distance: impl Fn(&str) -> usize,
+    most: usize,
+) -> Vec<&'a Instance> {
+    if instances.len() <= most {
+        return instances.to_vec();
+    }
+    let rank = |inst: &Instance| xxh3_64_with_seed(inst.name.as_bytes(), entry.raw());
+    let mut by_hash = instances.to_vec();
+    by_hash.sort_by_key(|inst| rank(inst));
+    let mut by_distance = by_hash.clone();
+    by_distance.sort_by_key(|inst| distance(&inst.domain));
+    let mut picked: Vec<&Instance> = by_distance.into_iter().take(most / 2).collect();
+    for inst in by_hash {
+        if picked.len() == most {
+            break;
+        }
+        if !picked.iter().any(|known| known.name == inst.name) {
+            picked.push(inst);
+        }
+    }
+    picked
+}
--- /dev/null
+++ b/src/entry/suspects_row.rs
@@ -0,0 +1,99 @@
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+use spdlog::warn;
+use tokio::time::sleep;
+
+use super::Suspects;
+use crate::metrics::{Event, Meter};
+use crate::peer::CrashNote;
+use crate::platform::{Table, Txn};
+
+const SUSPECTS_KEY: &str = "suspects";
+/// Crashes that the row holds.
+const MAX_CRASHES: usize = 32;
+/// How long the row holds a crash.
+const MEMORY_SECONDS: u64 = 600;
+/// Entries that learn of the same crash write at different moments, so that one write serves.
+const SPREAD: Duration = Duration::from_millis(200);
+const TRIES: usize = 4;
+
+/// The crashes of the last minutes, for all entries.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct SuspectsRow {
+    crashes: Vec<Entry>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Entry {
+    note: CrashNote,
+    at: u64,
+}
+
+/// Shares crashes with all entries through the platform's table.
+#[derive(Debug)]
+pub(super) struct SuspectsShare<P> {
+    pub(super) platform: Arc<P>,
+    pub(super) suspects: Arc<Suspects>,
+    pub(super) meter: Arc<Meter>,
+}
+
+impl<P: Table> SuspectsShare<P> {
+    /// Takes in what other entries have shared.
+    pub(super) async fn pull(&self) {
+        self.meter.count(Event::TableRead);
+        let Ok(Some(row)) = self.platform.get(SUSPECTS_KEY).await else {
+            return;
+        };
+        let Ok(row) = row.read::<SuspectsRow>() else {
+            return;
+        };
+        row.crashes
+            .iter()
+            .for_each(|entry| self.suspects.note(&entry.note));
+    }
+
+    /// Shares a crash, unless another entry has.
+    pub(super) async fn push(&self, note: CrashNote) {
+        for _ in 0..TRIES {
+            let pause = rand::random_range(Duration::ZERO..SPREAD);
+            sleep(pause).await;
+            if self.try_push(&note).await {
+                return;
+            }
+        }
+        warn!("suspects: a crash could not be shared with the other entries");
+    }
+
+    async fn try_push(&self, note: &CrashNote) -> bool {
+        let Ok(present) = self.platform.get(SUSPECTS_KEY).await else {
+            return false;
+        };
+        let version = present.as_ref().map(|row| row.version);
+        let read = present.as_ref().map(|row| row.read::<SuspectsRow>());
+        let mut row = read.and_then(Result::ok).unwrap_or_default();
+        if row
+            .crashes
+            .iter()
+            .any(|entry| entry.note.event == note.event)
+        {
+            return true;
+        }
+        let now = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |time| time.as_secs());
+        row.crashes.retain(|entry| entry.at + MEMORY_SECONDS > now);
+        row.crashes.push(Entry {
+            note: note.clone(),
+            at: now,
+        });
+        let surplus = row.crashes.len().saturating_sub(MAX_CRASHES);
+        row.crashes.drain(..surplus);
+        self.meter.count(Event::TableWrite);
+        let txn = Txn::new()
+            .check(SUSPECTS_KEY, version)
+            .put(SUSPECTS_KEY, &row);
+        self.platform.commit(&txn).await.is_ok()
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,21 @@
+//! ebonyusher is a load balancer for expert-parallel model groups and the plain services beside
+//! them.
+//!
+//! An *entry* accepts requests from callers, an upstream is reached only through the *sidecar*
+//! beside it, and what has to last lives in the platform's table. `docs/ARCHITECTURE.md` gives the
+//! whole picture.
+
+pub mod admin;
+pub mod cli;
+pub mod ctl;
+pub mod entry;
+pub mod group;
+pub mod id;
+pub mod metrics;
+pub mod net;
+pub mod outcome;
+pub mod peer;
+pub mod platform;
+pub mod settings;
+pub mod sidecar;
+pub mod units;
--- /dev/null
+++ b/src/net/body_error.rs
@@ -0,0 +1,15 @@
+use displaydoc::Display;
+use thiserror::Error;
+
+/// Why a body broke off.
+#[derive(Debug, Display, Error)]
+pub enum BodyError {
+    /// the peer broke off: {0}
+    Peer(#[from] hyper::Error),
+    /// the answer is not whole
+    Short,
+    /// the deadline has passed
+    Deadline,
+    /// the writer of the body is gone
+    Abandoned,
+}
--- /dev/null
+++ b/src/net/channel_body.rs
@@ -0,0 +1,78 @@
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body::{Body, Frame};
+use tokio::sync::mpsc;
+
+use super::BodyError;
+
+/// Pieces that may wait for a slow reader.
+const BACKLOG: usize = 8;
+
+enum Piece {
+    Data(Bytes),
+    End,
+    Fail(BodyError),
+}
+
+/// A body that another task writes. It ends in an error unless the writer says that it is whole.
+#[derive(Debug)]
+pub struct ChannelBody(mpsc::Receiver<Piece>);
+
+/// The writing end of a [`ChannelBody`].
+#[derive(Debug)]
+pub struct BodySender(mpsc::Sender<Piece>);
+
+impl std::fmt::Debug for Piece {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        out.write_str("Piece")
+    }
+}
+
+impl ChannelBody {
+    /// Makes a body and its writing end.
+    pub fn new() -> (BodySender, Self) {
+        let (sender, receiver) = mpsc::channel(BACKLOG);
+        (BodySender(sender), Self(receiver))
+    }
+}
+
+impl BodySender {
+    /// Writes a piece, and tells whether anybody still reads.
+    pub async fn send(&self, data: Bytes) -> bool {
+        self.0.send(Piece::Data(data)).await.is_ok()
+    }
+
+    /// Waits until nobody reads any more.
+    pub async fn closed(&self) {
+        self.0.closed().await;
+    }
+
+    /// Ends the body: it is whole.
+    pub async fn close(self) {
+        self.0.send(Piece::End).await.ok();
+    }
+
+    /// Breaks the body off, so that the reader sees that it is not whole.
+    pub async fn fail(self, err: BodyError) {
+        self.0.send(Piece::Fail(err)).await.ok();
+    }
+}
+
+impl Body for ChannelBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Poll::Ready(match ready!(self.0.poll_recv(cx)) {
+            Some(Piece::Data(data)) => Some(Ok(Frame::data(data))),
+            Some(Piece::End) => None,
+            Some(Piece::Fail(err)) => Some(Err(err)),
+            None => Some(Err(BodyError::Abandoned)),
+        })
+    }
+}
--- /dev/null
+++ b/src/net/client.rs
@@ -0,0 +1,69 @@
+use std::error::Error;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{Client, Error as ClientError};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
+const IDLE_TIME: Duration = Duration::from_secs(30);
+const STREAM_WINDOW_BYTES: u32 = 256 << 10;
+const CONNECTION_WINDOW_BYTES: u32 = 4 << 20;
+
+/// A client that sends whole request bodies.
+pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Makes a client that keeps HTTP/2 connections to sidecars.
+pub fn h2_client() -> HttpClient {
+    Client::builder(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .http2_only(true)
+        .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .http2_keep_alive_interval(KEEP_ALIVE)
+        .http2_keep_alive_timeout(KEEP_ALIVE)
+        .retry_canceled_requests(false)
+        .build(connector())
+}
+
+/// Makes a client that keeps HTTP/1.1 connections to an upstream.
+pub fn h1_client() -> HttpClient {
+    Client::builder(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIME)
+        .retry_canceled_requests(false)
+        .build(connector())
+}
+
+fn connector() -> HttpConnector {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector
+}
+
+/// Whether a request certainly did not reach the peer's handler.
+///
+/// True if no connection could be made, if the connection closed before the request was written,
+/// or if the peer refused the stream before reading it, as HTTP/2 defines for `REFUSED_STREAM`.
+pub fn is_not_sent(err: &ClientError) -> bool {
+    let canceled = cause::<hyper::Error>(err).is_some_and(hyper::Error::is_canceled);
+    let refused = cause::<h2::Error>(err)
+        .is_some_and(|h2| h2.is_remote() && h2.reason() == Some(h2::Reason::REFUSED_STREAM));
+    err.is_connect() || canceled || refused
+}
+
+fn cause<E: Error + 'static>(err: &ClientError) -> Option<&E> {
+    let mut inner = err.source();
+    while let Some(err) = inner {
+        if let Some(found) = err.downcast_ref() {
+            return Some(found);
+        }
+        inner = err.source();
+    }
+    None
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,21 @@
+//! HTTP plumbing that the processes share.
+
+mod answer;
+mod body_error;
+mod channel_body;
+mod client;
+mod collect;
+mod header_value;
+mod headers;
+mod serve;
+mod whole_body;
+
+pub use answer::{json_answer, refusal_answer, text_answer};
+pub use body_error::BodyError;
+pub use channel_body::{BodySender, ChannelBody};
+pub use client::{HttpClient, h1_client, h2_client, is_not_sent};
+pub use collect::{CollectError, collect};
+pub use header_value::{header_millis, header_str};
+pub use headers::*;
+pub use serve::{Handler, Shutdown, serve};
+pub use whole_body::WholeBody;
--- /dev/null
+++ b/src/net/serve.rs
@@ -0,0 +1,118 @@
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body::Body;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use hyper_util::server::conn::auto::Builder;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::BodyError;
+
+/// Longest wait for the first byte and for whole headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+const MAX_HEADER_BYTES: u32 = 16 << 10;
+const READ_BUFFER_BYTES: usize = 64 << 10;
+const MAX_STREAMS: u32 = 4_096;
+const STREAM_WINDOW_BYTES: u32 = 256 << 10;
+const CONNECTION_WINDOW_BYTES: u32 = 4 << 20;
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Body of the answers.
+    type Body: Body<Data = Bytes, Error = BodyError> + Send + 'static;
+
+    /// Answers one request.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+    ) -> impl Future<Output = Response<Self::Body>> + Send;
+}
+
+/// The ways in which a listener is told to stop.
+#[derive(Clone, Debug, Default)]
+pub struct Shutdown {
+    /// The listener closes at once, and each connection ends after the requests that it carries.
+    pub graceful: CancellationToken,
+    /// Listener and connections close at once.
+    pub abrupt: CancellationToken,
+}
+
+/// Accepts connections until told to stop, one task each.
+pub async fn serve<H: Handler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    stop: Shutdown,
+    tasks: TaskTracker,
+) {
+    let builder = Arc::new(builder());
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.graceful.cancelled() => return,
+            () = stop.abrupt.cancelled() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let graceful = stop.graceful.clone();
+        let task = connection(stream, Arc::clone(&builder), Arc::clone(&handler), graceful);
+        tasks.spawn(stop.abrupt.clone().run_until_cancelled_owned(task));
+    }
+}
+
+fn builder() -> Builder<TokioExecutor> {
+    let mut builder = Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(READ_BUFFER_BYTES);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(MAX_HEADER_BYTES)
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .keep_alive_interval(HEADER_TIMEOUT);
+    builder
+}
+
+async fn connection<H: Handler>(
+    stream: TcpStream,
+    builder: Arc<Builder<TokioExecutor>>,
+    handler: Arc<H>,
+    stop: CancellationToken,
+) {
+    stream.set_nodelay(true).ok();
+    let mut first = [0];
+    let ready = tokio::select! {
+        peeked = timeout(HEADER_TIMEOUT, stream.peek(&mut first)) => matches!(peeked, Ok(Ok(1))),
+        () = stop.cancelled() => false,
+    };
+    if !ready {
+        return;
+    }
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let mut conn = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        () = stop.cancelled() => conn.as_mut().graceful_shutdown(),
+    }
+    conn.await.ok();
+}
--- /dev/null
+++ b/src/outcome/kind.rs
@@ -0,0 +1,37 @@
+use serde::{Deserialize, Serialize};
+
+/// What became of a request. Said in the header `ebonyusher-outcome`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Outcome {
+    /// It ran, and this is its answer.
+    Ran,
+    /// It did not run and will not.
+    NotRun,
+    /// It may or may not have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// The word used in headers.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Ran => "ran",
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+
+    /// Reads the word used in headers.
+    ///
+    /// ```
+    /// # use ebonyusher::outcome::Outcome;
+    /// assert_eq!(Outcome::from_word("not-run"), Some(Outcome::NotRun));
+    /// assert_eq!(Outcome::from_word("maybe"), None);
+    /// ```
+    pub fn from_word(word: &str) -> Option<Self> {
+        [Self::Ran, Self::NotRun, Self::Unknown]
+            .into_iter()
+            .find(|kind| kind.as_str() == word)
+    }
+}
--- /dev/null
+++ b/src/outcome/mod.rs
@@ -0,0 +1,9 @@
+//! What became of a request, and why one was refused.
+
+mod kind;
+mod reason;
+mod refusal;
+
+pub use kind::Outcome;
+pub use reason::Reason;
+pub use refusal::{PROBLEM_JSON, Problem, Refusal};
--- /dev/null
+++ b/src/peer/crash_note.rs
@@ -0,0 +1,11 @@
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+/// Requests that were in flight when an upstream crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNote {
+    /// Number of the crash, the same from all that tell of it.
+    pub event: u64,
+    /// Fingerprints of the requests.
+    pub prints: SmallVec<[u64; 8]>,
+}
--- /dev/null
+++ b/src/peer/load.rs
@@ -0,0 +1,60 @@
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+/// How busy an upstream is, as its sidecar sees it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests that the upstream runs at a time.
+    pub slots: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Estimated time until a new request gets a slot, in milliseconds.
+    pub wait_ms: u32,
+    /// Number of the report, greater in each later one of the same incarnation.
+    pub seq: u64,
+}
+
+/// A load header can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadError;
+
+impl fmt::Display for Load {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            slots,
+            running,
+            waiting,
+            wait_ms,
+            seq,
+        } = self;
+        write!(out, "{slots},{running},{waiting},{wait_ms},{seq}")
+    }
+}
+
+impl FromStr for Load {
+    type Err = LoadError;
+
+    /// Reads a load as it is written in a header.
+    ///
+    /// ```
+    /// # use ebonyusher::peer::Load;
+    /// let load = Load { slots: 8, running: 3, waiting: 0, wait_ms: 0, seq: 9 };
+    /// assert_eq!(load.to_string().parse(), Ok(load));
+    /// ```
+    fn from_str(text: &str) -> Result<Self, LoadError> {
+        let mut fields = text.split(',');
+        let mut next = || fields.next().ok_or(LoadError);
+        let load = Self {
+            slots: next()?.parse().map_err(|_| LoadError)?,
+            running: next()?.parse().map_err(|_| LoadError)?,
+            waiting: next()?.parse().map_err(|_| LoadError)?,
+            wait_ms: next()?.parse().map_err(|_| LoadError)?,
+            seq: next()?.parse().map_err(|_| LoadError)?,
+        };
+        Ok(load)
+    }
+}
--- /dev/null
+++ b/src/settings/diff.rs
@@ -0,0 +1,50 @@
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// One place where two documents differ.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// JSON path of the place.
+    pub place: String,
+    /// Value in the first document, nothing if absent.
+    pub old: Option<Value>,
+    /// Value in the second document, nothing if absent.
+    pub new: Option<Value>,
+}
+
+/// Lists the places where two documents differ, objects compared field by field.
+///
+/// ```
+/// # use ebonyusher::settings::diff;
+/// let changes = diff(&serde_json::json!({"a": 1, "b": 2}), &serde_json::json!({"a": 1, "b": 3}));
+/// assert_eq!(changes[0].place, "b");
+/// ```
+pub fn diff(old: &Value, new: &Value) -> Vec<Change> {
+    let mut changes = Vec::new();
+    walk("", Some(old), Some(new), &mut changes);
+    changes
+}
+
+fn walk(place: &str, old: Option<&Value>, new: Option<&Value>, out: &mut Vec<Change>) {
+    if old == new {
+        return;
+    }
+    let (Some(Value::Object(left)), Some(Value::Object(right))) = (old, new) else {
+        let change = Change {
+            place: place.to_owned(),
+            old: old.cloned(),
+            new: new.cloned(),
+        };
+        out.push(change);
+        return;
+    };
+    let added = right.keys().filter(|name| !left.contains_key(*name));
+    for name in left.keys().chain(added) {
+        let inner = if place.is_empty() {
+            name.clone()
+        } else {
+            format!("{place}.{name}")
+        };
+        walk(&inner, left.get(name), right.get(name), out);
+    }
+}
--- /dev/null
+++ b/src/settings/log_line.rs
@@ -0,0 +1,16 @@
+use serde::{Deserialize, Serialize};
+
+/// Record of one accepted change.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogLine {
+    /// Revision that the change made.
+    pub revision: u64,
+    /// Team whose subtree changed.
+    pub team: String,
+    /// Version of the subtree that the change made.
+    pub version: u64,
+    /// Operator who made it.
+    pub operator: String,
+    /// Id of the change, to tell one's own after a lost answer.
+    pub change: String,
+}
--- /dev/null
+++ b/src/settings/operator.rs
@@ -0,0 +1,15 @@
+use serde::{Deserialize, Serialize};
+
+use super::KeyDigest;
+
+/// A person or script that may change one team's subtree.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Operator {
+    /// Name, for the list of revisions.
+    pub name: String,
+    /// Team whose subtree the operator may change.
+    pub team: String,
+    /// Digest of the operator's key.
+    pub key: KeyDigest,
+}
--- /dev/null
+++ b/src/settings/priority.rs
@@ -0,0 +1,59 @@
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Order between classes of requests: a higher class is served first.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    JsonSchema,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Priority {
+    /// Served when nothing else waits.
+    Low,
+    /// The ordinary class.
+    #[default]
+    Normal,
+    /// Served first.
+    High,
+}
+
+impl Priority {
+    /// Number of classes.
+    pub const COUNT: usize = 3;
+
+    /// The class as an index, lowest class first.
+    pub const fn index(self) -> usize {
+        self as usize
+    }
+
+    /// The word used in headers.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Low => "low",
+            Self::Normal => "normal",
+            Self::High => "high",
+        }
+    }
+
+    /// Reads the word used in headers.
+    ///
+    /// ```
+    /// # use ebonyusher::settings::Priority;
+    /// assert_eq!(Priority::from_word("high"), Some(Priority::High));
+    /// ```
+    pub fn from_word(word: &str) -> Option<Self> {
+        [Self::Low, Self::Normal, Self::High]
+            .into_iter()
+            .find(|class| class.as_str() == word)
+    }
+}
--- /dev/null
+++ b/src/settings/repeat.rs
@@ -0,0 +1,38 @@
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// Whether a request of a route may run again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeat {
+    /// Idempotent: may run any number of times.
+    Free,
+    /// The upstream itself honours idempotency keys: may be sent again with the same key.
+    Keyed,
+    /// Runs at most once for each idempotency key.
+    #[default]
+    Never,
+}
+
+impl Repeat {
+    /// The word used in headers.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Free => "free",
+            Self::Keyed => "keyed",
+            Self::Never => "never",
+        }
+    }
+
+    /// Reads the word used in headers.
+    ///
+    /// ```
+    /// # use ebonyusher::settings::Repeat;
+    /// assert_eq!(Repeat::from_word("never"), Some(Repeat::Never));
+    /// ```
+    pub fn from_word(word: &str) -> Option<Self> {
+        [Self::Free, Self::Keyed, Self::Never]
+            .into_iter()
+            .find(|kind| kind.as_str() == word)
+    }
+}
--- /dev/null
+++ b/src/settings/team.rs
@@ -0,0 +1,18 @@
+use std::collections::BTreeMap;
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::{Account, Route, Service};
+
+/// The subtree of settings that one team owns.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Team {
+    /// Services by name.
+    pub services: BTreeMap<String, Service>,
+    /// Which requests go to which service.
+    pub routes: Vec<Route>,
+    /// Client accounts by name.
+    pub accounts: BTreeMap<String, Account>,
+}
--- /dev/null
+++ b/src/sidecar/answer_store.rs
@@ -0,0 +1,58 @@
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+/// Largest body that is kept with a claim; of a larger one only the status is.
+const MAX_KEPT_BYTES: usize = 16 << 10;
+
+/// The answer of a request that must not run twice, kept for repeats of its key.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredAnswer {
+    /// Status of the answer.
+    pub status: u16,
+    /// Media type of the body.
+    pub media: Option<String>,
+    /// The body in base 64, nothing if it was too large to keep.
+    pub body: Option<String>,
+}
+
+impl StoredAnswer {
+    /// Keeps an answer.
+    ///
+    /// ```
+    /// # use ebonyusher::sidecar::StoredAnswer;
+    /// let answer = http::Response::new(bytes::Bytes::from("done"));
+    /// let kept = StoredAnswer::of(&answer);
+    /// assert_eq!(kept.restore().unwrap().body(), "done");
+    /// ```
+    pub fn of(answer: &Response<Bytes>) -> Self {
+        let media = answer
+            .headers()
+            .get(CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok());
+        let kept = answer.body().len() <= MAX_KEPT_BYTES;
+        Self {
+            status: answer.status().as_u16(),
+            media: media.map(str::to_owned),
+            body: kept.then(|| STANDARD.encode(answer.body())),
+        }
+    }
+
+    /// Makes the answer again, nothing if its body was not kept.
+    pub fn restore(&self) -> Option<Response<Bytes>> {
+        let body = STANDARD.decode(self.body.as_deref()?).ok()?;
+        let mut answer = Response::new(Bytes::from(body));
+        *answer.status_mut() = StatusCode::from_u16(self.status).ok()?;
+        if let Some(value) = self
+            .media
+            .as_deref()
+            .and_then(|media| HeaderValue::from_str(media).ok())
+        {
+            answer.headers_mut().insert(CONTENT_TYPE, value);
+        }
+        Some(answer)
+    }
+}
--- /dev/null
+++ b/src/sidecar/in_flight.rs
@@ -0,0 +1,51 @@
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use smallvec::SmallVec;
+
+use crate::id::Attempt;
+
+/// Fingerprints of the requests that an upstream is running.
+#[derive(Clone, Debug, Default)]
+pub struct InFlight(Arc<Mutex<HashMap<Attempt, u64>>>);
+
+/// Keeps a request on the list until dropped.
+#[derive(Debug)]
+pub struct InFlightGuard {
+    list: InFlight,
+    attempt: Attempt,
+}
+
+impl InFlight {
+    fn lock(&self) -> MutexGuard<'_, HashMap<Attempt, u64>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts a request on the list.
+    pub fn enter(&self, attempt: Attempt, print: u64) -> InFlightGuard {
+        self.lock().insert(attempt, print);
+        InFlightGuard {
+            list: self.clone(),
+            attempt,
+        }
+    }
+
+    /// The fingerprints, each once.
+    pub fn prints(&self) -> SmallVec<[u64; 8]> {
+        let mut prints: SmallVec<[u64; 8]> = self.lock().values().copied().collect();
+        prints.sort_unstable();
+        prints.dedup();
+        prints
+    }
+
+    /// Number of requests on the list.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+}
+
+impl Drop for InFlightGuard {
+    fn drop(&mut self) {
+        self.list.lock().remove(&self.attempt);
+    }
+}
--- /dev/null
+++ b/src/sidecar/link_server.rs
@@ -0,0 +1,155 @@
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use jsonrpsee::core::{SubscriptionResult, async_trait};
+use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::{PendingSubscriptionSink, SubscriptionMessage, SubscriptionSink};
+use smallvec::SmallVec;
+use spdlog::{debug, info};
+use tokio::sync::{broadcast, mpsc};
+use tokio::time::sleep;
+
+use super::Queue;
+use super::signals::Signals;
+use crate::id::Incarnation;
+use crate::metrics::{Event, Meter};
+use crate::peer::Hint;
+use crate::peer::{CrashNote, Hello, LinkNote, LinkRpcServer, SettingsServer};
+use crate::settings::Current;
+
+/// Shortest pause between two notes on one link.
+const NOTE_PAUSE: Duration = Duration::from_millis(5);
+
+/// Answers entries that open links.
+#[derive(Clone, Debug)]
+pub struct LinkServer {
+    pub(super) door: SettingsServer,
+    pub(super) signals: Signals,
+    pub(super) queue: Arc<Queue>,
+    pub(super) current: Current,
+    pub(super) hints: mpsc::Sender<Hint>,
+    pub(super) report: Duration,
+    pub(super) meter: Arc<Meter>,
+    pub(super) links: Links,
+}
+
+/// Entries that have a link open.
+#[derive(Clone, Debug, Default)]
+pub struct Links(Arc<Mutex<HashMap<Incarnation, u32>>>);
+
+impl Links {
+    fn enter(&self, from: Incarnation) {
+        *self
+            .0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .entry(from)
+            .or_default() += 1;
+    }
+
+    fn leave(&self, from: Incarnation) {
+        let mut links = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(count) = links.get_mut(&from) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            links.remove(&from);
+        }
+    }
+
+    /// Number of linked entries.
+    pub fn len(&self) -> usize {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+}
+
+#[async_trait]
+impl LinkRpcServer for LinkServer {
+    async fn open(&self, pending: PendingSubscriptionSink, hello: Hello) -> SubscriptionResult {
+        if let Err(err) = self.door.admit(&hello.key) {
+            pending.reject(err).await;
+            return Ok(());
+        }
+        let sink = pending.accept().await?;
+        debug!("link: entry {} opened a link", hello.from);
+        self.links.enter(hello.from);
+        self.tell(&sink).await;
+        self.links.leave(hello.from);
+        Ok(())
+    }
+
+    async fn revision(&self, hello: Hello, revision: u64) -> Result<(), ErrorObjectOwned> {
+        self.door.admit(&hello.key)?;
+        self.meter.count(Event::Control);
+        if revision > self.current.get().revision {
+            self.hints
+                .try_send(Hint {
+                    revision,
+                    peer: hello.peer,
+                })
+                .ok();
+        }
+        Ok(())
+    }
+
+    async fn drain(&self, hello: Hello, drain: bool) -> Result<(), ErrorObjectOwned> {
+        self.door.admit(&hello.key)?;
+        info!("sidecar: drain set to {drain} by an operator");
+        self.signals.set_leaving(drain);
+        Ok(())
+    }
+}
+
+impl LinkServer {
+    /// Sends a note on every change and at the report interval, until the link closes.
+    async fn tell(&self, sink: &SubscriptionSink) {
+        let mut leaving = self.signals.leaving();
+        let mut up = self.signals.up();
+        let mut crashes = self.signals.crashes();
+        let mut current = self.current.clone();
+        let mut news = SmallVec::new();
+        loop {
+            if !self.send(sink, std::mem::take(&mut news)).await {
+                return;
+            }
+            sleep(NOTE_PAUSE).await;
+            tokio::select! {
+                () = sleep(self.report) => {}
+                _ = leaving.changed() => {}
+                _ = up.changed() => {}
+                () = current.changed() => {}
+                crash = crashes.recv() => push(&mut news, crash),
+                () = sink.closed() => return,
+            }
+        }
+    }
+
+    async fn send(&self, sink: &SubscriptionSink, crashes: SmallVec<[CrashNote; 1]>) -> bool {
+        self.meter.count(Event::Control);
+        let note = LinkNote {
+            from: self.signals.incarnation,
+            leaving: self.signals.is_leaving(),
+            up: self.signals.is_up(),
+            load: self.queue.load(),
+            revision: self.current.get().revision,
+            crashes,
+            cached: SmallVec::new(),
+            evicted: SmallVec::new(),
+        };
+        let Ok(text) = serde_json::value::to_raw_value(&note) else {
+            return false;
+        };
+        sink.send(SubscriptionMessage::from(text)).await.is_ok()
+    }
+}
+
+fn push(
+    news: &mut SmallVec<[CrashNote; 1]>,
+    crash: Result<CrashNote, broadcast::error::RecvError>,
+) {
+    if let Ok(note) = crash {
+        news.push(note);
+    }
+}
--- /dev/null
+++ b/src/sidecar/relay.rs
@@ -0,0 +1,118 @@
+use std::future::Future;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use super::in_flight::InFlightGuard;
+use super::{Permit, Upstream};
+use crate::net::BodyError;
+
+/// Last event of a whole stream in the chat format.
+const DONE_EVENT: &[u8] = b"data: [DONE]";
+/// Bytes kept from the end of a stream: the last event with its line ends.
+const TAIL_BYTES: usize = DONE_EVENT.len() + 4;
+
+/// The upstream's answer on its way to the entry. It holds the slot, and ends in an error if the
+/// upstream breaks off, ends a stream without its last event, or passes the deadline.
+#[derive(Debug)]
+pub struct Relay {
+    body: Incoming,
+    permit: Option<Permit>,
+    upstream: Upstream,
+    _guard: InFlightGuard,
+    deadline: Pin<Box<Sleep>>,
+    stream: bool,
+    tail: Vec<u8>,
+    tokens: u64,
+}
+
+impl Relay {
+    /// Relays a body; `stream` says that it must end with the chat format's last event.
+    pub fn new(
+        body: Incoming,
+        permit: Permit,
+        upstream: Upstream,
+        guard: InFlightGuard,
+        deadline: Instant,
+        stream: bool,
+    ) -> Self {
+        Self {
+            body,
+            permit: Some(permit),
+            upstream,
+            _guard: guard,
+            deadline: Box::pin(sleep_until(deadline)),
+            stream,
+            tail: Vec::new(),
+            tokens: 0,
+        }
+    }
+
+    fn note(&mut self, data: &[u8]) {
+        self.tokens += 1;
+        if !self.stream {
+            return;
+        }
+        if data.len() >= TAIL_BYTES {
+            self.tail.clear();
+            self.tail
+                .extend_from_slice(&data[data.len() - TAIL_BYTES..]);
+            return;
+        }
+        self.tail.extend_from_slice(data);
+        let surplus = self.tail.len().saturating_sub(TAIL_BYTES);
+        self.tail.drain(..surplus);
+    }
+
+    fn is_whole(&self) -> bool {
+        !self.stream || self.tail.trim_ascii_end().ends_with(DONE_EVENT)
+    }
+
+    fn end(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+        if !self.is_whole() {
+            self.upstream.broke();
+            return Some(Err(BodyError::Short));
+        }
+        if let Some(permit) = self.permit.take() {
+            permit.close(self.tokens as f64);
+        }
+        None
+    }
+}
+
+impl Body for Relay {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(cx);
+        if polled.is_pending() {
+            ready!(self.deadline.as_mut().poll(cx));
+            return Poll::Ready(Some(Err(BodyError::Deadline)));
+        }
+        Poll::Ready(match ready!(polled) {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    self.note(data);
+                }
+                Some(Ok(frame))
+            }
+            Some(Err(err)) => {
+                self.upstream.broke();
+                Some(Err(err.into()))
+            }
+            None => self.end(),
+        })
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/src/sidecar/run.rs
@@ -0,0 +1,147 @@
+use bytes::Bytes;
+use http::Response;
+use http::header::CONTENT_TYPE;
+use http::request::Parts;
+use http_body::Body;
+use tokio::time::Instant;
+
+use super::claim::{Claimed, Claims, Held};
+use super::relay::Relay;
+use super::{Call, ClaimKey, ClaimRow, Permit, SendError, SidecarBody, StoredAnswer, Upstream};
+use crate::metrics::{Event, Meter};
+use crate::net::{REPLAYED, collect};
+use crate::outcome::{Reason, Refusal};
+use crate::platform::Table;
+
+/// Largest answer of a request that must not run twice.
+const MAX_ANSWER_BYTES: u64 = 4 << 20;
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// One request that has its slot and is about to start.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) call: Call,
+    pub(super) head: Parts,
+    pub(super) body: Bytes,
+    pub(super) deadline: Instant,
+    pub(super) permit: Permit,
+    pub(super) upstream: Upstream,
+    /// Whether the service is a model engine, whose streams end with a known event.
+    pub(super) engine: bool,
+}
+
+impl Run {
+    /// Runs a request that may run again, and relays the answer as it comes.
+    pub(super) async fn relay(self) -> Result<Response<SidecarBody>, Refusal> {
+        let guard = self.upstream.enter(&self.call);
+        let answer = self
+            .upstream
+            .send(&self.head, self.body, self.deadline)
+            .await?;
+        let stream = self.engine && is_event_stream(&answer);
+        let (parts, body) = answer.into_parts();
+        let relay = Relay::new(
+            body,
+            self.permit,
+            self.upstream,
+            guard,
+            self.deadline,
+            stream,
+        );
+        Ok(Response::from_parts(
+            parts,
+            SidecarBody::Relay(Box::new(relay)),
+        ))
+    }
+
+    /// Runs a request that must not run twice, under a claim on its key.
+    pub(super) async fn once<P: Table>(
+        self,
+        claims: &Claims<P>,
+        meter: &Meter,
+    ) -> Result<Response<SidecarBody>, Refusal> {
+        let Some(key) = self.call.key.as_deref() else {
+            return Err(Refusal::not_run(Reason::BadHeader));
+        };
+        let key = ClaimKey::new(&self.call.account, &self.call.service, key);
+        let path = self
+            .head
+            .uri
+            .path_and_query()
+            .map_or("/", |path| path.as_str());
+        let digest = ClaimRow::digest_of(self.head.method.as_str(), path, &self.body);
+        let claimed = claims
+            .claim(&key, self.call.attempt, &digest, self.deadline)
+            .await;
+        match claimed.map_err(|_| Refusal::not_run(Reason::StoreDown))? {
+            Claimed::Won(held) => self.start(claims, held).await,
+            Claimed::Ended(answer) => replay(&answer, meter),
+            Claimed::InProgress => Err(Refusal::unknown(Reason::InProgress)),
+            Claimed::Unsettled => Err(Refusal::unknown(Reason::Unsettled)),
+            Claimed::KeyReused => Err(Refusal::not_run(Reason::KeyReused)),
+        }
+    }
+
+    async fn start<P: Table>(
+        self,
+        claims: &Claims<P>,
+        held: Held,
+    ) -> Result<Response<SidecarBody>, Refusal> {
+        // The process may have been paused since the claim was made.
+        if Instant::now() >= self.deadline {
+            claims.release(held);
+            return Err(Refusal::not_run(Reason::Deadline));
+        }
+        let guard = self.upstream.enter(&self.call);
+        let answer = self.exchange().await;
+        drop(guard);
+        match answer {
+            Ok(answer) => {
+                self.permit.close(1.0);
+                claims.finish(held, StoredAnswer::of(&answer)).await;
+                Ok(answer.map(SidecarBody::from))
+            }
+            Err(SendError::NotSent) => {
+                claims.release(held);
+                Err(SendError::NotSent.into())
+            }
+            Err(err) => {
+                claims.unsettle(held).await;
+                Err(err.into())
+            }
+        }
+    }
+
+    async fn exchange(&self) -> Result<Response<Bytes>, SendError> {
+        let answer = self
+            .upstream
+            .send(&self.head, self.body.clone(), self.deadline)
+            .await?;
+        let (parts, body) = answer.into_parts();
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let body = collect(body, MAX_ANSWER_BYTES, left).await.map_err(|_| {
+            self.upstream.broke();
+            SendError::Broken
+        })?;
+        Ok(Response::from_parts(parts, body))
+    }
+}
+
+fn replay(answer: &StoredAnswer, meter: &Meter) -> Result<Response<SidecarBody>, Refusal> {
+    let mut answer = answer
+        .restore()
+        .ok_or_else(|| Refusal::unknown(Reason::Unsettled))?;
+    answer
+        .headers_mut()
+        .insert(REPLAYED, http::HeaderValue::from_static("true"));
+    meter.count(Event::Replay);
+    Ok(answer.map(SidecarBody::from))
+}
+
+fn is_event_stream<B: Body>(answer: &Response<B>) -> bool {
+    let media = answer
+        .headers()
+        .get(CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok());
+    media.is_some_and(|media| media.starts_with(EVENT_STREAM))
+}
--- /dev/null
+++ b/src/sidecar/upstream.rs
@@ -0,0 +1,118 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HOST, TRANSFER_ENCODING};
+use http::request::Parts;
+use http::{HeaderMap, Request, Response, Uri, Version};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+
+use super::crash_watch::CrashWatch;
+use super::in_flight::{InFlight, InFlightGuard};
+use super::signals::Signals;
+use super::{Call, SendError};
+use crate::metrics::Meter;
+use crate::net::{
+    ACCOUNT, ATTEMPT, COST, DEADLINE_MS, FINGERPRINT, HttpClient, LINK_KEY, REPEAT, SERVICE,
+    SUSPECT, WEIGHT, h1_client, is_not_sent,
+};
+
+/// The upstream beside a sidecar.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    client: HttpClient,
+    addr: SocketAddr,
+    running: InFlight,
+    watch: Arc<CrashWatch>,
+}
+
+impl Upstream {
+    /// Makes a client of the upstream at an address.
+    pub fn new(addr: SocketAddr, signals: &Signals, meter: Arc<Meter>) -> Self {
+        let running = InFlight::default();
+        let watch = CrashWatch::new(addr, running.clone(), signals.clone(), meter);
+        Self {
+            client: h1_client(),
+            addr,
+            running,
+            watch: Arc::new(watch),
+        }
+    }
+
+    /// Watches the upstream's health until the process ends.
+    pub async fn watch(self) {
+        self.watch.run().await;
+    }
+
+    /// Puts a request on the list of those in flight.
+    pub fn enter(&self, call: &Call) -> InFlightGuard {
+        self.running.enter(call.attempt, call.print)
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    ///
+    /// # Errors
+    /// [`SendError::NotSent`] if the upstream certainly has not seen the request.
+    pub async fn send(
+        &self,
+        head: &Parts,
+        body: Bytes,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, SendError> {
+        let request = self.request(head, body).ok_or(SendError::NotSent)?;
+        match timeout_at(deadline, self.client.request(request)).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(err)) if is_not_sent(&err) => {
+                self.watch.refused();
+                Err(SendError::NotSent)
+            }
+            Ok(Err(_)) => {
+                self.broke();
+                Err(SendError::Broken)
+            }
+            Err(_) => Err(SendError::Timeout),
+        }
+    }
+
+    /// Tells that an answer broke off.
+    pub fn broke(&self) {
+        self.watch.broke();
+    }
+
+    fn request(&self, head: &Parts, body: Bytes) -> Option<Request<Full<Bytes>>> {
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let uri: Uri = format!("http://{}{path}", self.addr).parse().ok()?;
+        let mut request = Request::new(Full::new(body));
+        *request.method_mut() = head.method.clone();
+        *request.uri_mut() = uri;
+        *request.version_mut() = Version::HTTP_11;
+        *request.headers_mut() = upstream_headers(&head.headers);
+        Some(request)
+    }
+}
+
+/// Headers for the upstream: the caller's, without those of the link.
+fn upstream_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut headers = headers.clone();
+    let own = [
+        LINK_KEY,
+        ACCOUNT,
+        SERVICE,
+        REPEAT,
+        COST,
+        WEIGHT,
+        FINGERPRINT,
+        SUSPECT,
+        ATTEMPT,
+        DEADLINE_MS,
+    ];
+    for name in own {
+        headers.remove(name);
+    }
+    for name in [HOST, CONNECTION, TRANSFER_ENCODING] {
+        headers.remove(name);
+    }
+    headers
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,30 @@
+//! Stand-ins for what the system meets: the platform, a model engine and a plain service.
+//!
+//! They are for tests, the demo and the bench, and are not shipped.
+
+mod cache;
+mod engine;
+mod engine_options;
+mod faults;
+mod fleet;
+mod group_orders;
+mod lag;
+mod mem_platform;
+mod plain;
+mod platform_node;
+mod platform_server;
+mod rate;
+mod tokens;
+mod upstream_node;
+
+pub use engine::Engine;
+pub use engine_options::EngineOptions;
+pub use faults::Faults;
+pub use fleet::{Fleet, FleetError, LINK_KEY, loopback};
+pub use group_orders::OrderLog;
+pub use mem_platform::MemPlatform;
+pub use plain::{Plain, PlainOptions};
+pub use platform_node::PlatformNode;
+pub use platform_server::{ControlServer, PlatformServer};
+pub use tokens::token;
+pub use upstream_node::{Crash, Faulty, UpstreamNode};
--- /dev/null
+++ b/standin/src/mem_platform.rs
@@ -0,0 +1,219 @@
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyusher::platform::{
+    Instance, InstanceList, ListError, ObjectError, ObjectStore, Phase, Row, Table, TableError, Txn,
+};
+use tokio::time::sleep;
+
+use crate::Faults;
+use crate::lag::Lagging;
+use crate::rate::Rate;
+
+/// Reads that the platform allows, per second.
+const READS_PER_SECOND: f64 = 2_000.0;
+/// Writes that the platform allows, per second.
+const WRITES_PER_SECOND: f64 = 400.0;
+
+/// The platform in memory, with faults that can be switched on.
+#[derive(Debug)]
+pub struct MemPlatform {
+    rows: Mutex<Rows>,
+    objects: Mutex<HashMap<String, Bytes>>,
+    list: Mutex<Lagging<Vec<Instance>>>,
+    faults: Mutex<Faults>,
+    reads: Rate,
+    writes: Rate,
+    read_count: AtomicU64,
+    write_count: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    rows: BTreeMap<String, Row>,
+    version: u64,
+}
+
+impl Default for MemPlatform {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl MemPlatform {
+    /// An empty platform without faults.
+    pub fn new() -> Self {
+        Self {
+            rows: Mutex::default(),
+            objects: Mutex::default(),
+            list: Mutex::new(Lagging::new(Vec::new())),
+            faults: Mutex::default(),
+            reads: Rate::new(READS_PER_SECOND),
+            writes: Rate::new(WRITES_PER_SECOND),
+            read_count: AtomicU64::new(0),
+            write_count: AtomicU64::new(0),
+        }
+    }
+
+    /// Switches faults.
+    pub fn set_faults(&self, faults: Faults) {
+        *lock(&self.faults) = faults;
+    }
+
+    /// The faults that are switched on.
+    pub fn faults(&self) -> Faults {
+        *lock(&self.faults)
+    }
+
+    /// Adds an instance, or puts it in place of the one of the same name.
+    pub fn add_instance(&self, inst: Instance) {
+        self.change_list(|list| {
+            list.retain(|known| known.name != inst.name);
+            list.push(inst);
+        });
+    }
+
+    /// Takes an instance off the list.
+    pub fn remove_instance(&self, name: &str) {
+        self.change_list(|list| list.retain(|known| known.name != name));
+    }
+
+    /// Marks an instance as leaving.
+    pub fn mark_leaving(&self, name: &str) {
+        self.change_list(|list| {
+            for inst in list.iter_mut().filter(|inst| inst.name == name) {
+                inst.phase = Phase::Leaving;
+            }
+        });
+    }
+
+    /// Reads and writes that were asked for since the start.
+    pub fn counts(&self) -> (u64, u64) {
+        (
+            self.read_count.load(Ordering::Relaxed),
+            self.write_count.load(Ordering::Relaxed),
+        )
+    }
+
+    fn change_list(&self, change: impl FnOnce(&mut Vec<Instance>)) {
+        let mut list = lock(&self.list);
+        let mut next = list.get(Duration::ZERO).clone();
+        change(&mut next);
+        list.set(next);
+    }
+
+    async fn read_gate(&self) -> Result<(), TableError> {
+        self.read_count.fetch_add(1, Ordering::Relaxed);
+        self.gate(&self.reads).await
+    }
+
+    async fn gate(&self, rate: &Rate) -> Result<(), TableError> {
+        let faults = self.faults();
+        if faults.slow_ms > 0 {
+            sleep(Duration::from_millis(faults.slow_ms)).await;
+        }
+        if faults.down {
+            return Err(TableError::Unavailable("down".to_owned()));
+        }
+        if !rate.take() {
+            return Err(TableError::Unavailable("over the rate".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Rows {
+    fn apply(&mut self, txn: &Txn) -> Result<u64, TableError> {
+        let holds = txn
+            .checks
+            .iter()
+            .all(|check| self.rows.get(&check.key).map(|row| row.version) == check.version);
+        if !holds {
+            return Err(TableError::Conflict);
+        }
+        self.version += 1;
+        for write in &txn.writes {
+            match &write.value {
+                Some(value) => {
+                    let (key, version) = (write.key.clone(), self.version);
+                    let row = Row {
+                        key: key.clone(),
+                        version,
+                        value: value.clone(),
+                    };
+                    self.rows.insert(key, row);
+                }
+                None => {
+                    self.rows.remove(&write.key);
+                }
+            }
+        }
+        Ok(self.version)
+    }
+}
+
+impl Table for MemPlatform {
+    async fn get(&self, key: &str) -> Result<Option<Row>, TableError> {
+        self.read_gate().await?;
+        Ok(lock(&self.rows).rows.get(key).cloned())
+    }
+
+    async fn scan(&self, prefix: &str) -> Result<Vec<Row>, TableError> {
+        self.read_gate().await?;
+        let rows = lock(&self.rows);
+        let from = rows.rows.range(prefix.to_owned()..);
+        Ok(from
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .map(|(_, row)| row.clone())
+            .collect())
+    }
+
+    async fn commit(&self, txn: &Txn) -> Result<u64, TableError> {
+        self.write_count.fetch_add(1, Ordering::Relaxed);
+        self.gate(&self.writes).await?;
+        let faults = self.faults();
+        if rand::random_bool(faults.lost_writes) {
+            return Err(TableError::Unknown("the write was lost".to_owned()));
+        }
+        let applied = lock(&self.rows).apply(txn);
+        if rand::random_bool(faults.lost_answers) {
+            return Err(TableError::Unknown("the answer was lost".to_owned()));
+        }
+        applied
+    }
+}
+
+impl ObjectStore for MemPlatform {
+    async fn read(&self, name: &str) -> Result<Option<Bytes>, ObjectError> {
+        let gate = self.read_gate().await;
+        gate.map_err(|err| ObjectError::Unavailable(err.to_string()))?;
+        Ok(lock(&self.objects).get(name).cloned())
+    }
+
+    async fn write(&self, name: &str, body: Bytes) -> Result<(), ObjectError> {
+        self.write_count.fetch_add(1, Ordering::Relaxed);
+        let gate = self.gate(&self.writes).await;
+        gate.map_err(|err| ObjectError::Unavailable(err.to_string()))?;
+        lock(&self.objects).insert(name.to_owned(), body);
+        Ok(())
+    }
+}
+
+impl InstanceList for MemPlatform {
+    async fn list(&self) -> Result<Vec<Instance>, ListError> {
+        let faults = self.faults();
+        if faults.list_down {
+            return Err(ListError::Unavailable("down".to_owned()));
+        }
+        let lag = Duration::from_millis(faults.list_lag_ms);
+        Ok(lock(&self.list).get(lag).clone())
+    }
+}
--- /dev/null
+++ b/standin/src/plain.rs
@@ -0,0 +1,121 @@
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyusher::net::{Handler, IDEMPOTENCY_KEY, WholeBody, collect, header_str, json_answer};
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::{Crash, Faulty};
+
+const MAX_BODY_BYTES: u64 = 4 << 20;
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// A body that holds this word crashes the service.
+const POISON: &[u8] = b"poison";
+
+/// How a plain service stand-in behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlainOptions {
+    /// Time that a request takes.
+    pub work: Duration,
+}
+
+/// A ledger of orders that records every run. Several stand-ins may share one ledger.
+#[derive(Debug)]
+pub struct Plain {
+    options: PlainOptions,
+    crash: Crash,
+    stall: Mutex<Duration>,
+    runs: Mutex<HashMap<String, u32>>,
+    receipts: AtomicU64,
+    starts: AtomicU64,
+}
+
+impl Plain {
+    /// A service with an empty record.
+    pub fn new(options: PlainOptions, crash: Crash) -> Self {
+        Self {
+            options,
+            crash,
+            stall: Mutex::default(),
+            runs: Mutex::default(),
+            receipts: AtomicU64::new(0),
+            starts: AtomicU64::new(0),
+        }
+    }
+
+    /// How often the request with an idempotency key has run.
+    pub fn runs(&self, key: &str) -> u32 {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.get(key).copied().unwrap_or_default()
+    }
+
+    /// How often each idempotency key has run.
+    pub fn all_runs(&self) -> HashMap<String, u32> {
+        self.runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Requests that have started.
+    pub fn starts(&self) -> u64 {
+        self.starts.load(Ordering::Relaxed)
+    }
+
+    /// Makes requests take longer.
+    pub fn set_stall(&self, stall: Duration) {
+        *self.stall.lock().unwrap_or_else(PoisonError::into_inner) = stall;
+    }
+
+    /// Crashes it now.
+    pub fn crash(&self) {
+        self.crash.now();
+    }
+
+    async fn run(&self, key: Option<&str>, body: &Bytes) -> Response<WholeBody> {
+        let stall = *self.stall.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(key) = key {
+            let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+            *runs.entry(key.to_owned()).or_default() += 1;
+        }
+        sleep(self.options.work + stall).await;
+        let receipt = self.receipts.fetch_add(1, Ordering::Relaxed) + 1;
+        let echo = String::from_utf8_lossy(body);
+        json_answer(StatusCode::OK, &json!({ "receipt": receipt, "for": echo }))
+    }
+}
+
+impl Handler for Plain {
+    type Body = WholeBody;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<WholeBody> {
+        self.starts.fetch_add(1, Ordering::Relaxed);
+        let (head, body) = request.into_parts();
+        let Ok(body) = collect(body, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
+            return json_answer(StatusCode::BAD_REQUEST, &json!({ "error": "bad body" }));
+        };
+        if body.windows(POISON.len()).any(|window| window == POISON) {
+            self.crash.now();
+            std::future::pending::<()>().await;
+        }
+        if head.method == Method::GET {
+            sleep(self.options.work).await;
+            return json_answer(
+                StatusCode::OK,
+                &json!({ "balance": 42, "of": head.uri.path() }),
+            );
+        }
+        let key = header_str(&head.headers, &IDEMPOTENCY_KEY);
+        self.run(key, &body).await
+    }
+}
+
+impl Faulty for Plain {
+    /// The record outlives a crash, as a ledger's own store would.
+    fn forget(&self) {}
+}
