Read a change back from the platform at the entry that accepted it

Cause: the entry asked itself for the revision it had just written and waited for the next poll. Ruled out: a push of the whole tree, which the sidecars' pull already makes needless. Conclusion: a hint without a peer now means that the platform has it.

--- a/src/admin/handler.rs
+++ b/src/admin/handler.rs
@@ -156,7 +156,7 @@
         // This entry puts the change in force at once and tells its sidecars.
         let hint = Hint {
             revision: applied.revision,
-            peer: self.hello.peer,
+            peer: None,
         };
         self.hints.try_send(hint).ok();
         let accepted = Accepted {
--- a/src/sidecar/link_server.rs
+++ b/src/sidecar/link_server.rs
@@ -87,7 +87,7 @@
             self.hints
                 .try_send(Hint {
                     revision,
-                    peer: hello.peer,
+                    peer: Some(hello.peer),
                 })
                 .ok();
         }
