--- /dev/null
+++ b/bench/src/args.rs
@@ -0,0 +1,102 @@
+//! Command line of `ebonyusher-bench`.
+
+use bpaf::{OptionParser, Parser, construct, long};
+use ebonyusher::cli::{Logs, logs_options};
+
+use crate::load::{Fault, FaultAt, LoadOptions, PolicyName};
+
+/// What is to be measured.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Load on a small fleet.
+    Load(LoadOptions),
+}
+
+/// The whole command line.
+#[derive(Clone, Debug)]
+pub struct Args {
+    /// Options of the log.
+    pub logs: Logs,
+    /// The command.
+    pub command: Command,
+}
+
+/// Parser of the command line.
+pub fn options() -> OptionParser<Args> {
+    let logs = logs_options();
+    let command = load();
+    construct!(Args { logs, command })
+        .to_options()
+        .descr("Load and experiments. The last line on standard output is the report in JSON.")
+        .version(env!("CARGO_PKG_VERSION"))
+}
+
+fn load() -> impl Parser<Command> {
+    let entries = long("entries").help("Entries").argument("N").fallback(2);
+    let upstreams = long("upstreams")
+        .help("Model engines, at least 4")
+        .argument("N")
+        .fallback(12);
+    let accounts = long("accounts")
+        .help("Client accounts, at least 2")
+        .argument("N")
+        .fallback(10);
+    let hot = long("hot")
+        .help("Factor of the first account")
+        .argument("F")
+        .fallback(1.0);
+    let rate = long("rate")
+        .help("Requests a second")
+        .argument("R")
+        .fallback(200.0);
+    let seconds = long("seconds")
+        .help("Length of the run")
+        .argument("S")
+        .fallback(10.0);
+    let chats = long("chats")
+        .help("Share of chats")
+        .argument("P")
+        .fallback(0.6);
+    let names: Vec<&str> = Fault::ALL.iter().map(|fault| fault.as_str()).collect();
+    let help = format!(
+        "Fault, repeatable, with @SECOND if wanted: {}",
+        names.join(", ")
+    );
+    let faults = long("fault")
+        .help(help.as_str())
+        .argument::<FaultAt>("NAME")
+        .many();
+    let policy = long("policy")
+        .help("Routing: weighed, random, round-robin, least-in-flight")
+        .argument("NAME")
+        .fallback(PolicyName::Weighed);
+    let seed = long("seed").help("Seed").argument("N").fallback(1);
+    let baselines = long("baselines")
+        .help("Measure the baselines first")
+        .switch();
+    construct!(LoadOptions {
+        entries,
+        upstreams,
+        accounts,
+        hot,
+        rate,
+        seconds,
+        chats,
+        faults,
+        policy,
+        seed,
+        baselines
+    })
+    .guard(
+        |load| load.upstreams >= 4 && load.accounts >= 2 && load.entries >= 1,
+        "too few nodes",
+    )
+    .guard(
+        |load| load.rate > 0.0 && load.seconds > 0.0,
+        "rate and seconds must be above 0",
+    )
+    .map(Command::Load)
+    .to_options()
+    .descr("Load on a small fleet, with faults")
+    .command("load")
+}
--- a/bench/src/bin/ebonyusher-bench.rs
+++ b/bench/src/bin/ebonyusher-bench.rs
@@ -1,1 +1,31 @@
-fn main() {}
+//! Load and experiments.
+
+use std::process::ExitCode;
+
+use ebonyusher::cli::{EXIT_REFUSED, exit_with};
+use ebonyusher_bench::args::{Command, options};
+use ebonyusher_bench::load;
+use serde::Serialize;
+
+const NAME: &str = "ebonyusher-bench";
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = options().fallback_to_usage().run();
+    args.logs.start();
+    match args.command {
+        Command::Load(load) => match load::run(&load).await {
+            Ok(report) => print(&report, report.holds()),
+            Err(err) => exit_with(NAME, &err, EXIT_REFUSED),
+        },
+    }
+}
+
+fn print<T: Serialize>(report: &T, holds: bool) -> ExitCode {
+    println!("{}", serde_json::to_string(report).unwrap_or_default());
+    if holds {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(EXIT_REFUSED)
+    }
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,4 +1,6 @@
 //! Load and experiments, and the demo.
 
+pub mod args;
 pub mod client;
 pub mod demo;
+pub mod load;
--- /dev/null
+++ b/bench/src/load/baseline.rs
@@ -0,0 +1,185 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyusher::net::{
+    BodyError, Handler, HttpClient, Shutdown, collect, h1_client, h2_client, serve,
+};
+use ebonyusher_standin::loopback;
+use hdrhistogram::Histogram;
+use http::{Method, Request, Response, StatusCode};
+use http_body::{Body, Frame};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use procfs::process::Process;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, interval};
+use tokio_util::task::TaskTracker;
+
+use super::settings::account_key;
+use crate::client::Caller;
+
+const LOOKUPS: usize = 6_000;
+const WORKERS: usize = 16;
+const PACE: Duration = Duration::from_millis(4);
+const PACED: usize = 1_500;
+const MAX_BODY_BYTES: u64 = 1 << 20;
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What the system costs against going straight to the upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Baseline {
+    /// What it adds to 99 in 100 look-ups, at most.
+    pub added_p99_ms: f64,
+    /// What a bare pass-through adds.
+    pub passthrough_added_p99_ms: f64,
+    /// Processor time of one of its hops over that of a bare pass-through.
+    pub cpu_ratio: f64,
+}
+
+/// Passes requests on to one address with the same HTTP library, and does nothing else.
+#[derive(Debug)]
+struct PassThrough {
+    client: HttpClient,
+    to: SocketAddr,
+}
+
+/// A body that is passed through.
+#[derive(Debug)]
+enum PassBody {
+    Incoming(Incoming),
+    Empty,
+}
+
+impl Body for PassBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            Self::Incoming(body) => Pin::new(body).poll_frame(cx).map_err(BodyError::from),
+            Self::Empty => Poll::Ready(None),
+        }
+    }
+}
+
+impl Handler for PassThrough {
+    type Body = PassBody;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<PassBody> {
+        let (head, body) = request.into_parts();
+        let body = collect(body, MAX_BODY_BYTES, BODY_TIMEOUT)
+            .await
+            .unwrap_or_default();
+        let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        let request = Request::builder()
+            .method(head.method.clone())
+            .uri(format!("http://{}{path}", self.to))
+            .body(Full::new(body));
+        let answer = match request {
+            Ok(request) => self.client.request(request).await.ok(),
+            Err(_) => None,
+        };
+        answer.map_or_else(
+            || {
+                let mut answer = Response::new(PassBody::Empty);
+                *answer.status_mut() = StatusCode::BAD_GATEWAY;
+                answer
+            },
+            |answer| answer.map(PassBody::Incoming),
+        )
+    }
+}
+
+/// Measures look-ups straight to an upstream, through two pass-throughs, and through the system:
+/// time at a slow pace, processor time at full speed.
+///
+/// # Errors
+/// If no port can be had.
+pub async fn measure(upstream: SocketAddr, entry: SocketAddr) -> std::io::Result<Baseline> {
+    let inner = start_pass(h1_client(), upstream).await?;
+    let outer = start_pass(h2_client(), inner).await?;
+    let straight = paced(upstream).await;
+    let passed = paced(outer).await;
+    let system = paced(entry).await;
+    let straight_cpu = cpu_of(upstream).await;
+    let passed_cpu = cpu_of(outer).await;
+    let system_cpu = cpu_of(entry).await;
+    Ok(Baseline {
+        added_p99_ms: p99_ms(&system) - p99_ms(&straight),
+        passthrough_added_p99_ms: p99_ms(&passed) - p99_ms(&straight),
+        cpu_ratio: (system_cpu - straight_cpu) / (passed_cpu - straight_cpu),
+    })
+}
+
+async fn start_pass(client: HttpClient, to: SocketAddr) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind(loopback()).await?;
+    let addr = listener.local_addr()?;
+    let handler = Arc::new(PassThrough { client, to });
+    tokio::spawn(serve(
+        listener,
+        handler,
+        Shutdown::default(),
+        TaskTracker::new(),
+    ));
+    Ok(addr)
+}
+
+async fn paced(to: SocketAddr) -> Histogram<u64> {
+    let caller = Caller::new(&account_key(0));
+    let mut times = Histogram::new(3).expect("three digits are valid");
+    let mut tasks = JoinSet::new();
+    let mut ticks = interval(PACE);
+    for _ in 0..PACED {
+        ticks.tick().await;
+        let caller = caller.clone();
+        tasks.spawn(async move { lookup(&caller, to).await });
+    }
+    while let Some(Ok(time)) = tasks.join_next().await {
+        times.record(time.as_micros() as u64).ok();
+    }
+    times
+}
+
+async fn lookup(caller: &Caller, to: SocketAddr) -> Duration {
+    let began = Instant::now();
+    caller
+        .send(to, Method::GET, "/ledger/members/1", None, Bytes::new())
+        .await
+        .ok();
+    began.elapsed()
+}
+
+/// Processor seconds of this process for a number of look-ups.
+async fn cpu_of(to: SocketAddr) -> f64 {
+    let before = cpu_seconds();
+    let mut tasks = JoinSet::new();
+    for _ in 0..WORKERS {
+        let caller = Caller::new(&account_key(0));
+        tasks.spawn(async move {
+            for _ in 0..LOOKUPS / WORKERS {
+                lookup(&caller, to).await;
+            }
+        });
+    }
+    while tasks.join_next().await.is_some() {}
+    cpu_seconds() - before
+}
+
+/// Processor seconds that this process has used.
+pub(crate) fn cpu_seconds() -> f64 {
+    let stat = Process::myself().and_then(|process| process.stat());
+    let ticks = stat.map_or(0, |stat| stat.utime + stat.stime);
+    ticks as f64 / procfs::ticks_per_second() as f64
+}
+
+fn p99_ms(times: &Histogram<u64>) -> f64 {
+    times.value_at_quantile(0.99) as f64 / 1e3
+}
--- /dev/null
+++ b/bench/src/load/fault.rs
@@ -0,0 +1,121 @@
+use std::str::FromStr;
+
+/// Something that goes wrong during a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// One model engine crashes and comes back.
+    UpstreamCrash,
+    /// One plain service crashes and comes back.
+    LedgerCrash,
+    /// The process beside one upstream dies.
+    SidecarCrash,
+    /// One entry dies.
+    EntryCrash,
+    /// One upstream leaves gracefully.
+    UpstreamLeave,
+    /// One entry leaves gracefully.
+    EntryLeave,
+    /// The platform's table refuses everything for a time.
+    StoreDown,
+    /// The platform's table answers late for a time.
+    StoreSlow,
+    /// Half of the table's writes take effect without an answer, for a time.
+    StoreLostAnswer,
+    /// One engine gets very slow.
+    Stall,
+    /// One request that crashes each engine that runs it is sent again and again.
+    Poison,
+    /// One sidecar is cut off from the entries for a time.
+    Partition,
+    /// Answers of one sidecar come late for a time.
+    LateAnswers,
+    /// The list of instances shows what was true seconds ago.
+    ListLag,
+    /// A third of the upstreams dies.
+    DomainLoss,
+}
+
+/// A fault and when it comes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FaultAt {
+    /// What goes wrong.
+    pub fault: Fault,
+    /// Seconds after the start, the middle of the run if absent.
+    pub second: Option<f64>,
+}
+
+impl Fault {
+    /// All faults.
+    pub const ALL: [Self; 15] = [
+        Self::UpstreamCrash,
+        Self::LedgerCrash,
+        Self::SidecarCrash,
+        Self::EntryCrash,
+        Self::UpstreamLeave,
+        Self::EntryLeave,
+        Self::StoreDown,
+        Self::StoreSlow,
+        Self::StoreLostAnswer,
+        Self::Stall,
+        Self::Poison,
+        Self::Partition,
+        Self::LateAnswers,
+        Self::ListLag,
+        Self::DomainLoss,
+    ];
+
+    /// Name on the command line.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::UpstreamCrash => "upstream-crash",
+            Self::LedgerCrash => "ledger-crash",
+            Self::SidecarCrash => "sidecar-crash",
+            Self::EntryCrash => "entry-crash",
+            Self::UpstreamLeave => "upstream-leave",
+            Self::EntryLeave => "entry-leave",
+            Self::StoreDown => "store-down",
+            Self::StoreSlow => "store-slow",
+            Self::StoreLostAnswer => "store-lost-answer",
+            Self::Stall => "stall",
+            Self::Poison => "poison",
+            Self::Partition => "partition",
+            Self::LateAnswers => "late-answers",
+            Self::ListLag => "list-lag",
+            Self::DomainLoss => "domain-loss",
+        }
+    }
+}
+
+impl FromStr for FaultAt {
+    type Err = String;
+
+    /// Reads `NAME` or `NAME@SECOND`.
+    ///
+    /// ```
+    /// # use ebonyusher_bench::load::{Fault, FaultAt};
+    /// let at: FaultAt = "stall@3".parse().unwrap();
+    /// assert_eq!(at, FaultAt { fault: Fault::Stall, second: Some(3.0) });
+    /// ```
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (name, second) = match text.split_once('@') {
+            Some((name, second)) => (name, Some(second)),
+            None => (text, None),
+        };
+        let fault = Fault::ALL.into_iter().find(|fault| fault.as_str() == name);
+        let fault = fault.ok_or_else(|| {
+            let names: Vec<&str> = Fault::ALL.iter().map(|fault| fault.as_str()).collect();
+            format!(
+                "no fault is named {name:?}; expected one of {}",
+                names.join(", ")
+            )
+        })?;
+        let second = second.map(|text| {
+            let second = text.parse::<f64>().ok().filter(|second| *second >= 0.0);
+            second.ok_or_else(|| format!("expected a second of 0 or more, got {text:?}"))
+        });
+        Ok(Self {
+            fault,
+            second: second.transpose()?,
+        })
+    }
+}
--- /dev/null
+++ b/bench/src/load/hosted.rs
@@ -0,0 +1,61 @@
+use std::future::Future;
+use std::io;
+
+use ebonyusher_standin::FleetError;
+use tokio::runtime::{Builder, Runtime};
+
+/// A node on a runtime of its own, so that it can die without warning.
+#[derive(Debug)]
+pub struct Hosted<N> {
+    /// The node, nothing once it is closed.
+    pub node: Option<N>,
+    runtime: Option<Runtime>,
+}
+
+impl<N: Send + 'static> Hosted<N> {
+    /// Starts a node.
+    ///
+    /// # Errors
+    /// [`FleetError`] if it can't start.
+    pub async fn start(
+        starting: impl Future<Output = Result<N, FleetError>> + Send + 'static,
+    ) -> Result<Self, FleetError> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()?;
+        let started = runtime.spawn(starting).await;
+        let node = started.map_err(|err| io::Error::other(err.to_string()))??;
+        Ok(Self {
+            node: Some(node),
+            runtime: Some(runtime),
+        })
+    }
+
+    /// Kills the node without warning.
+    pub fn kill(&mut self) {
+        self.node = None;
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    /// Closes the node gracefully on its own runtime.
+    pub async fn close<F>(&mut self, close: impl FnOnce(N) -> F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        if let (Some(node), Some(runtime)) = (self.node.take(), &self.runtime) {
+            runtime.spawn(close(node)).await.ok();
+        }
+        self.kill();
+    }
+}
+
+impl<N> Drop for Hosted<N> {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/load/inject.rs
@@ -0,0 +1,189 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use ebonyusher::entry::EntryNode;
+use ebonyusher::sidecar::SidecarNode;
+use ebonyusher_standin::Faults;
+use http::Method;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use super::Fault;
+use super::forwarder::Path;
+use super::settings::account_key;
+use super::site::Site;
+use crate::client::Caller;
+
+/// How long a fault that ends by itself lasts.
+const FAULT_TIME: Duration = Duration::from_secs(3);
+/// Time after which the balancer stops sending to a dead entry.
+const BALANCER_TIME: Duration = Duration::from_millis(500);
+/// Time after which the balancer stops sending to an entry that is no longer ready.
+const READY_TIME: Duration = Duration::from_millis(100);
+const STORE_DELAY_MS: u64 = 800;
+const LIST_LAG_MS: u64 = 5_000;
+const LATE: Duration = Duration::from_millis(700);
+const STALL: Duration = Duration::from_millis(400);
+const POISON_TRIES: usize = 12;
+const POISON_PAUSE: Duration = Duration::from_millis(400);
+const POISON: &[u8] = br#"{"stream":true,"max_tokens":8,"messages":"poison"}"#;
+
+/// Entries that the balancer sends callers to.
+#[derive(Clone, Debug, Default)]
+pub struct Balancer(Arc<RwLock<Vec<SocketAddr>>>);
+
+impl Balancer {
+    /// A balancer in front of so many entries.
+    pub fn new(entries: Vec<SocketAddr>) -> Self {
+        Self(Arc::new(RwLock::new(entries)))
+    }
+
+    /// The entries at this moment.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.0
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn drop_later(&self, addr: SocketAddr, after: Duration) {
+        let entries = Arc::clone(&self.0);
+        tokio::spawn(async move {
+            sleep(after).await;
+            entries
+                .write()
+                .unwrap_or_else(PoisonError::into_inner)
+                .retain(|known| *known != addr);
+        });
+    }
+}
+
+/// Brings faults about.
+#[derive(Debug)]
+pub struct Injector {
+    /// The fleet.
+    pub site: Site,
+    /// Where callers are sent.
+    pub balancer: Balancer,
+    /// What goes on beside the run.
+    pub tasks: JoinSet<()>,
+    /// Position of the upstream that left, and when.
+    pub left: Option<(usize, Instant)>,
+}
+
+impl Injector {
+    /// Begins a fault, and tells after which time [`Injector::end`] is to be called.
+    pub fn begin(&mut self, fault: Fault) -> Option<Duration> {
+        let site = &mut self.site;
+        match fault {
+            Fault::UpstreamCrash => site.engines[0].handler.crash(),
+            Fault::LedgerCrash => site.plains[0].handler.crash(),
+            Fault::SidecarCrash => site.places[1].sidecar.kill(),
+            Fault::EntryCrash => self.kill_entry(),
+            Fault::UpstreamLeave => self.leave_upstream(),
+            Fault::EntryLeave => self.leave_entry(),
+            Fault::Stall => site.engines[2].handler.set_stall(STALL),
+            Fault::Poison => self.send_poison(),
+            Fault::Partition => self.set_paths(0, Path::Cut),
+            Fault::LateAnswers => self.set_paths(1, Path::Late(LATE)),
+            Fault::DomainLoss => self.lose_domain(),
+            Fault::StoreDown | Fault::StoreSlow | Fault::StoreLostAnswer | Fault::ListLag => {
+                self.set_store(fault, true);
+            }
+        }
+        let ends = matches!(
+            fault,
+            Fault::Stall
+                | Fault::Partition
+                | Fault::LateAnswers
+                | Fault::StoreDown
+                | Fault::StoreSlow
+                | Fault::StoreLostAnswer
+        );
+        ends.then_some(FAULT_TIME)
+    }
+
+    /// Ends a fault.
+    pub fn end(&mut self, fault: Fault) {
+        match fault {
+            Fault::Stall => self.site.engines[2].handler.set_stall(Duration::ZERO),
+            Fault::Partition => self.set_paths(0, Path::Open),
+            Fault::LateAnswers => self.set_paths(1, Path::Open),
+            _ => self.set_store(fault, false),
+        }
+    }
+
+    fn set_store(&self, fault: Fault, on: bool) {
+        let platform = &self.site.fleet.platform.platform;
+        let mut faults: Faults = platform.faults();
+        match fault {
+            Fault::StoreDown => faults.down = on,
+            Fault::StoreSlow => faults.slow_ms = if on { STORE_DELAY_MS } else { 0 },
+            Fault::StoreLostAnswer => faults.lost_answers = if on { 0.5 } else { 0.0 },
+            Fault::ListLag => faults.list_lag_ms = if on { LIST_LAG_MS } else { 0 },
+            _ => {}
+        }
+        platform.set_faults(faults);
+    }
+
+    fn set_paths(&self, place: usize, path: Path) {
+        self.site.places[place]
+            .paths
+            .iter()
+            .for_each(|forwarder| forwarder.set(path));
+    }
+
+    fn kill_entry(&mut self) {
+        let Some(entry) = self.site.entries.last_mut() else {
+            return;
+        };
+        if let Some(node) = &entry.node {
+            self.balancer.drop_later(node.data_addr(), BALANCER_TIME);
+        }
+        entry.kill();
+    }
+
+    fn leave_entry(&mut self) {
+        let Some(mut entry) = self.site.entries.pop() else {
+            return;
+        };
+        if let Some(node) = &entry.node {
+            self.balancer.drop_later(node.data_addr(), READY_TIME);
+        }
+        self.tasks
+            .spawn(async move { entry.close(EntryNode::close).await });
+    }
+
+    fn leave_upstream(&mut self) {
+        const LEAVER: usize = 3;
+        let mut place = self.site.places.remove(LEAVER);
+        self.site.fleet.platform.platform.mark_leaving(&place.name);
+        self.left = Some((LEAVER, Instant::now()));
+        self.tasks
+            .spawn(async move { place.sidecar.close(SidecarNode::close).await });
+    }
+
+    fn lose_domain(&mut self) {
+        for place in self.site.places.iter_mut().skip(1).step_by(3) {
+            place.sidecar.kill();
+        }
+    }
+
+    /// A caller that does not give up on a request that crashes engines.
+    fn send_poison(&mut self) {
+        let entries = self.balancer.entries();
+        self.tasks.spawn(async move {
+            let caller = Caller::new(&account_key(0));
+            for at in 0..POISON_TRIES {
+                let to = entries[at % entries.len()];
+                let body = bytes::Bytes::from_static(POISON);
+                caller
+                    .send(to, Method::POST, "/chat", None, body)
+                    .await
+                    .ok();
+                sleep(POISON_PAUSE).await;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/bench/src/load/mod.rs
@@ -0,0 +1,20 @@
+//! Load on a small fleet, with faults, checked answer by answer.
+
+mod baseline;
+mod fault;
+mod forwarder;
+mod hosted;
+mod inject;
+mod options;
+mod report;
+mod run;
+mod settings;
+mod site;
+mod tally;
+mod work;
+
+pub use baseline::{Baseline, measure};
+pub use fault::{Fault, FaultAt};
+pub use options::{LoadOptions, PolicyName};
+pub use report::LoadReport;
+pub use run::{LoadError, run};
--- /dev/null
+++ b/bench/src/load/work.rs
@@ -0,0 +1,159 @@
+use bytes::Bytes;
+use ebonyusher_standin::token;
+use http::Method;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use crate::client::Reply;
+
+/// Prompt prefixes that chats share.
+const PREFIXES: u32 = 24;
+/// Length of a shared prompt.
+const PROMPT_CHARS: usize = 600;
+const LEAST_TOKENS: u32 = 8;
+const MOST_TOKENS: u32 = 32;
+
+/// One request of the load.
+#[derive(Clone, Debug)]
+pub struct Work {
+    /// Kind of request.
+    pub kind: Kind,
+    /// Account that sends it.
+    pub account: usize,
+    /// Body, unlike any other request's.
+    pub body: Bytes,
+    /// Path.
+    pub path: String,
+    /// Idempotency key of an order.
+    pub key: Option<String>,
+}
+
+/// Kind of request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A streamed chat of so many tokens.
+    Chat {
+        /// Tokens of the answer.
+        tokens: u32,
+    },
+    /// An idempotent look-up.
+    Lookup,
+    /// An order that must not run twice.
+    Order,
+}
+
+/// What an answer says, against what it should say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is whole and the request's own.
+    Right,
+    /// It is cut short, and the caller can see that.
+    Broken,
+    /// It is cut short, and the caller can't see that.
+    Short,
+    /// It is another request's.
+    Wrong,
+}
+
+impl Work {
+    /// Draws a request of an account.
+    pub fn draw(serial: u64, account: usize, chats: f64, rng: &mut SmallRng) -> Self {
+        let draw: f64 = rng.random();
+        if draw < chats {
+            return Self::chat(serial, account, rng);
+        }
+        if draw < chats + (1.0 - chats) * 2.0 / 3.0 {
+            let path = format!("/ledger/members/{serial}");
+            return Self {
+                kind: Kind::Lookup,
+                account,
+                body: Bytes::new(),
+                path,
+                key: None,
+            };
+        }
+        let body = format!(r#"{{"order":{serial}}}"#).into();
+        let path = "/ledger/orders".to_owned();
+        Self {
+            kind: Kind::Order,
+            account,
+            body,
+            path,
+            key: Some(format!("key-{serial}")),
+        }
+    }
+
+    fn chat(serial: u64, account: usize, rng: &mut SmallRng) -> Self {
+        let tokens = rng.random_range(LEAST_TOKENS..=MOST_TOKENS);
+        let prefix = rng.random_range(0..PREFIXES);
+        let prompt = format!("{prefix:04}").repeat(PROMPT_CHARS / 4);
+        let body = format!(
+            r#"{{"messages":[{{"role":"system","content":"{prompt}"}},{{"role":"user","content":"{serial}"}}],"max_tokens":{tokens},"stream":true}}"#
+        );
+        let path = "/chat".to_owned();
+        Self {
+            kind: Kind::Chat { tokens },
+            account,
+            body: body.into(),
+            path,
+            key: None,
+        }
+    }
+
+    /// Method of the request.
+    pub const fn method(&self) -> Method {
+        match self.kind {
+            Kind::Lookup => Method::GET,
+            Kind::Chat { .. } | Kind::Order => Method::POST,
+        }
+    }
+
+    /// Judges an answer that the upstream gave.
+    pub fn judge(&self, reply: &Reply) -> Verdict {
+        let text = String::from_utf8_lossy(&reply.body);
+        match self.kind {
+            Kind::Chat { tokens } => self.judge_chat(&text, tokens, reply.whole),
+            Kind::Lookup => judge_text(&text, &format!("\"of\":\"{}\"", self.path), reply.whole),
+            Kind::Order => {
+                let body = String::from_utf8_lossy(&self.body).replace('"', "\\\"");
+                judge_text(&text, &format!("\"for\":\"{body}\""), reply.whole)
+            }
+        }
+    }
+
+    fn judge_chat(&self, text: &str, tokens: u32, whole: bool) -> Verdict {
+        let mut seen = 0;
+        for event in text
+            .split_inclusive("\n\n")
+            .filter(|event| event.contains("\"content\""))
+        {
+            if !event.ends_with("\n\n") {
+                break;
+            }
+            if !event.contains(&token(&self.body, seen)) {
+                return Verdict::Wrong;
+            }
+            seen += 1;
+        }
+        let done = text.ends_with("data: [DONE]\n\n");
+        match (whole, seen == tokens && done) {
+            (true, true) => Verdict::Right,
+            (true, false) => Verdict::Short,
+            (false, _) => Verdict::Broken,
+        }
+    }
+}
+
+fn judge_text(text: &str, own: &str, whole: bool) -> Verdict {
+    if !whole {
+        return Verdict::Broken;
+    }
+    if text.contains(own) {
+        return Verdict::Right;
+    }
+    if text.ends_with('}') {
+        Verdict::Wrong
+    } else {
+        Verdict::Short
+    }
+}
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -23,6 +23,9 @@
 /// Entries that tell a sidecar of a revision do so at different moments, so that one serves.
 const TELL_SPREAD: Duration = Duration::from_millis(200);
 
+/// Usual size of a note on the wire.
+const NOTE_BYTES: u64 = 300;
+
 /// Keeps the link to one sidecar open. One task runs it.
 #[derive(Debug)]
 pub(super) struct Link {
@@ -98,6 +101,7 @@
             };
             let Ok(Some(Ok(note))) = note else { break };
             self.meter.count(Event::Control);
+            self.meter.add(Event::ControlBytes, NOTE_BYTES);
             let first = !self.member.is_linked();
             self.judge(lost.take(), Some(note.from));
             self.take(&note);
--- a/src/metrics/event.rs
+++ b/src/metrics/event.rs
@@ -21,6 +21,8 @@
     TableWrite,
     /// A message of control between processes.
     Control,
+    /// Bytes of control between processes and with the platform.
+    ControlBytes,
     /// An order was refused for its old fencing number.
     FenceRefused,
     /// A switch of the expert map was agreed.
@@ -31,7 +33,7 @@
 
 impl Event {
     /// All events, in the order of their counters.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Request,
         Self::Ran,
         Self::Replay,
@@ -42,6 +44,7 @@
         Self::TableRead,
         Self::TableWrite,
         Self::Control,
+        Self::ControlBytes,
         Self::FenceRefused,
         Self::SwitchDone,
         Self::SwitchRefused,
@@ -60,6 +63,7 @@
             Self::TableRead => "table-read",
             Self::TableWrite => "table-write",
             Self::Control => "control",
+            Self::ControlBytes => "control-bytes",
             Self::FenceRefused => "fence-refused",
             Self::SwitchDone => "switch-done",
             Self::SwitchRefused => "switch-refused",
--- a/src/sidecar/link_server.rs
+++ b/src/sidecar/link_server.rs
@@ -21,6 +21,9 @@
 /// Shortest pause between two notes on one link.
 const NOTE_PAUSE: Duration = Duration::from_millis(5);
 
+/// What a note costs beside its text: JSON-RPC, WebSocket, TCP and IP.
+const FRAME_BYTES: usize = 160;
+
 /// Answers entries that open links.
 #[derive(Clone, Debug)]
 pub struct LinkServer {
@@ -141,6 +144,8 @@
         let Ok(text) = serde_json::value::to_raw_value(&note) else {
             return false;
         };
+        self.meter
+            .add(Event::ControlBytes, (text.get().len() + FRAME_BYTES) as u64);
         sink.send(SubscriptionMessage::from(text)).await.is_ok()
     }
 }
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -15,7 +15,7 @@
 use tokio::time::sleep;
 
 use crate::cache::PrefixCache;
-use crate::{Crash, EngineOptions, Faulty, OrderLog, token};
+use crate::{Crash, EngineOptions, Faulty, OrderLog, StartLog, token};
 
 const MAX_BODY_BYTES: u64 = 4 << 20;
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -33,7 +33,7 @@
     stall: Mutex<Duration>,
     orders: Mutex<OrderLog>,
     running: Arc<AtomicU32>,
-    starts: AtomicU64,
+    starts: StartLog,
     cached: AtomicU64,
 }
 
@@ -67,14 +67,14 @@
                 ..OrderLog::default()
             }),
             running: Arc::default(),
-            starts: AtomicU64::new(0),
+            starts: StartLog::default(),
             cached: AtomicU64::new(0),
         }
     }
 
     /// Requests that have started.
-    pub fn starts(&self) -> u64 {
-        self.starts.load(Ordering::Relaxed)
+    pub const fn starts(&self) -> &StartLog {
+        &self.starts
     }
 
     /// Requests whose prompt prefix was cached.
@@ -111,7 +111,7 @@
                 json!({ "error": "bad chat" }).to_string(),
             );
         };
-        self.starts.fetch_add(1, Ordering::Relaxed);
+        self.starts.note(&body);
         let Ok(slot) = Arc::clone(&self.slots).acquire_owned().await else {
             return whole(StatusCode::SERVICE_UNAVAILABLE, String::new());
         };
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -14,6 +14,7 @@
 mod platform_node;
 mod platform_server;
 mod rate;
+mod start_log;
 mod tokens;
 mod upstream_node;
 
@@ -26,5 +27,6 @@
 pub use plain::{Plain, PlainOptions};
 pub use platform_node::PlatformNode;
 pub use platform_server::{ControlServer, PlatformServer};
+pub use start_log::StartLog;
 pub use tokens::token;
 pub use upstream_node::{Crash, Faulty, UpstreamNode};
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use crate::{Crash, Faulty};
+use crate::{Crash, Faulty, StartLog};
 
 const MAX_BODY_BYTES: u64 = 4 << 20;
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
@@ -32,7 +32,7 @@
     stall: Mutex<Duration>,
     runs: Mutex<HashMap<String, u32>>,
     receipts: AtomicU64,
-    starts: AtomicU64,
+    starts: StartLog,
 }
 
 impl Plain {
@@ -44,7 +44,7 @@
             stall: Mutex::default(),
             runs: Mutex::default(),
             receipts: AtomicU64::new(0),
-            starts: AtomicU64::new(0),
+            starts: StartLog::default(),
         }
     }
 
@@ -63,8 +63,8 @@
     }
 
     /// Requests that have started.
-    pub fn starts(&self) -> u64 {
-        self.starts.load(Ordering::Relaxed)
+    pub const fn starts(&self) -> &StartLog {
+        &self.starts
     }
 
     /// Makes requests take longer.
@@ -94,11 +94,11 @@
     type Body = WholeBody;
 
     async fn handle(&self, request: Request<Incoming>) -> Response<WholeBody> {
-        self.starts.fetch_add(1, Ordering::Relaxed);
         let (head, body) = request.into_parts();
         let Ok(body) = collect(body, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
             return json_answer(StatusCode::BAD_REQUEST, &json!({ "error": "bad body" }));
         };
+        self.starts.note(&body);
         if body.windows(POISON.len()).any(|window| window == POISON) {
             self.crash.now();
             std::future::pending::<()>().await;
