--- a/bench/src/args.rs
+++ b/bench/src/args.rs
@@ -1,8 +1,11 @@
 //! Command line of `ebonyusher-bench`.
 
+use std::path::PathBuf;
+
 use bpaf::{OptionParser, Parser, construct, long};
 use ebonyusher::cli::{Logs, logs_options};
 
+use crate::expert::{ExpertOptions, Source, TraceKind};
 use crate::load::{Fault, FaultAt, LoadOptions, PolicyName};
 
 /// What is to be measured.
@@ -10,6 +13,8 @@
 pub enum Command {
     /// Load on a small fleet.
     Load(LoadOptions),
+    /// Policies for expert maps on a trace.
+    ExpertMap(ExpertOptions),
 }
 
 /// The whole command line.
@@ -24,7 +29,7 @@
 /// Parser of the command line.
 pub fn options() -> OptionParser<Args> {
     let logs = logs_options();
-    let command = load();
+    let command = construct!([load(), expert_map()]);
     construct!(Args { logs, command })
         .to_options()
         .descr("Load and experiments. The last line on standard output is the report in JSON.")
@@ -100,3 +105,85 @@
     .descr("Load on a small fleet, with faults")
     .command("load")
 }
+
+fn expert_map() -> impl Parser<Command> {
+    let file = long("trace")
+        .help("Trace to run")
+        .argument::<PathBuf>("FILE")
+        .map(Source::File);
+    let made = long("make")
+        .help("Make a trace: drift, festival, uneven, straggler")
+        .argument::<TraceKind>("KIND")
+        .map(Source::Made);
+    let source = construct!([file, made]);
+    let write = long("write")
+        .help("Write the made trace instead of running it")
+        .argument("FILE")
+        .optional();
+    let skew_weight = long("skew-weight")
+        .help("Weight of even step times")
+        .argument("W")
+        .fallback(1.0);
+    let move_weight = long("move-weight")
+        .help("Weight of few moves")
+        .argument("W")
+        .fallback(1.0);
+    let store_mbps = long("store-mbps")
+        .help("Megabytes that the weight store gives a second")
+        .argument("R")
+        .fallback(2_000.0);
+    let seed = long("seed")
+        .help("Seed of a made trace")
+        .argument("N")
+        .fallback(1);
+    let ranks = long("ranks")
+        .help("Ranks of a made trace")
+        .argument("N")
+        .fallback(64);
+    let slots = long("slots")
+        .help("Slots of a made trace")
+        .argument("N")
+        .fallback(5);
+    let layers = long("layers")
+        .help("Layers of a made trace")
+        .argument("N")
+        .fallback(2);
+    let steps = long("steps")
+        .help("Steps of a made trace")
+        .argument("N")
+        .fallback(1_000);
+    let interval = long("interval")
+        .help("Steps between plans")
+        .argument("N")
+        .fallback(5);
+    let plot = long("plot")
+        .help("Plot the skew of each step")
+        .argument("FILE")
+        .optional();
+    construct!(ExpertOptions {
+        source,
+        write,
+        skew_weight,
+        move_weight,
+        store_mbps,
+        seed,
+        ranks,
+        slots,
+        layers,
+        steps,
+        interval,
+        plot
+    })
+    .guard(
+        |expert| expert.store_mbps > 0.0 && expert.interval > 0,
+        "expected numbers above 0",
+    )
+    .guard(
+        |expert| expert.skew_weight >= 0.0 && expert.move_weight >= 0.0,
+        "weights must not be negative",
+    )
+    .map(Command::ExpertMap)
+    .to_options()
+    .descr("Compare policies for expert maps on a trace")
+    .command("expert-map")
+}
--- a/bench/src/bin/ebonyusher-bench.rs
+++ b/bench/src/bin/ebonyusher-bench.rs
@@ -2,9 +2,9 @@
 
 use std::process::ExitCode;
 
-use ebonyusher::cli::{EXIT_REFUSED, exit_with};
+use ebonyusher::cli::{EXIT_INPUT, EXIT_REFUSED, exit_with};
 use ebonyusher_bench::args::{Command, options};
-use ebonyusher_bench::load;
+use ebonyusher_bench::{expert, load};
 use serde::Serialize;
 
 const NAME: &str = "ebonyusher-bench";
@@ -18,6 +18,10 @@
             Ok(report) => print(&report, report.holds()),
             Err(err) => exit_with(NAME, &err, EXIT_REFUSED),
         },
+        Command::ExpertMap(map) => match expert::run(&map) {
+            Ok(report) => print(&report, true),
+            Err(err) => exit_with(NAME, &err, EXIT_INPUT),
+        },
     }
 }
 
--- /dev/null
+++ b/bench/src/expert/full.rs
@@ -0,0 +1,101 @@
+use ebonyusher::group::{LayerMap, Shape};
+
+/// Speeds that differ by less count as equal when ranks are matched.
+const SAME_SPEED: f64 = 0.02;
+
+/// Plans a layer from nothing: replicas for the hottest experts, then longest processing time
+/// first. Places of an expert share evenly.
+pub fn plan_layer(shape: &Shape, tokens: &[f64], speeds: &[f64]) -> LayerMap {
+    let counts = replicas(shape, tokens);
+    let mut items: Vec<(usize, f64)> = Vec::with_capacity(shape.ranks * shape.slots);
+    for (expert, count) in counts.iter().enumerate() {
+        let part = tokens[expert] / *count as f64;
+        items.extend((0..*count).map(|_| (expert, part)));
+    }
+    items.sort_by(|left, right| right.1.total_cmp(&left.1));
+    let mut held: Vec<Vec<u16>> = vec![Vec::with_capacity(shape.slots); shape.ranks];
+    let mut loads = vec![0.0; shape.ranks];
+    for (expert, part) in items {
+        let free = |rank: &usize| {
+            held[*rank].len() < shape.slots && !held[*rank].contains(&(expert as u16))
+        };
+        let level = |rank: &usize| (loads[*rank] + part) / speeds[*rank];
+        let rank = (0..shape.ranks)
+            .filter(free)
+            .min_by(|left, right| level(left).total_cmp(&level(right)));
+        match rank {
+            Some(rank) => {
+                held[rank].push(expert as u16);
+                loads[rank] += part;
+            }
+            None => make_room(&mut held, shape.slots, expert as u16),
+        }
+    }
+    LayerMap::even(shape.slots, held.concat(), shape.experts)
+}
+
+/// Gives each free place to the expert with most tokens for each of its places.
+fn replicas(shape: &Shape, tokens: &[f64]) -> Vec<usize> {
+    let mut counts = vec![1; shape.experts];
+    for _ in shape.experts..shape.ranks * shape.slots {
+        let part = |expert: &usize| tokens[*expert] / counts[*expert] as f64;
+        let open = (0..shape.experts).filter(|expert| counts[*expert] < shape.ranks);
+        let most = open.max_by(|left, right| part(left).total_cmp(&part(right)));
+        if let Some(expert) = most {
+            counts[expert] += 1;
+        }
+    }
+    counts
+}
+
+/// All ranks with a free place hold the expert already: one takes another rank's expert over.
+fn make_room(held: &mut [Vec<u16>], slots: usize, expert: u16) {
+    let Some(open) = held.iter().position(|held| held.len() < slots) else {
+        return;
+    };
+    let found = (0..held.len())
+        .filter(|rank| !held[*rank].contains(&expert))
+        .find_map(|rank| {
+            let at = held[rank]
+                .iter()
+                .position(|other| !held[open].contains(other))?;
+            Some((rank, at))
+        });
+    if let Some((rank, at)) = found {
+        let other = std::mem::replace(&mut held[rank][at], expert);
+        held[open].push(other);
+    }
+}
+
+/// Renames the ranks of a new map so that they keep as much as can be of what they hold.
+pub fn match_ranks(shape: &Shape, present: &LayerMap, new: &LayerMap, speeds: &[f64]) -> LayerMap {
+    let mut pairs: Vec<(usize, usize, usize)> = Vec::new();
+    for rank in 0..shape.ranks {
+        for other in 0..shape.ranks {
+            let same = (speeds[rank] - speeds[other]).abs() < SAME_SPEED;
+            let kept = new
+                .held(rank)
+                .iter()
+                .filter(|held| present.held(other).contains(held));
+            let kept = kept.count();
+            if same {
+                pairs.push((kept, rank, other));
+            }
+        }
+    }
+    pairs.sort_by_key(|(kept, rank, _)| (std::cmp::Reverse(*kept), *rank));
+    let mut goes: Vec<Option<usize>> = vec![None; shape.ranks];
+    let mut taken = vec![false; shape.ranks];
+    for (_, rank, other) in pairs {
+        if goes[rank].is_none() && !taken[other] {
+            goes[rank] = Some(other);
+            taken[other] = true;
+        }
+    }
+    let mut held = vec![0_u16; shape.ranks * shape.slots];
+    for (rank, other) in goes.iter().enumerate() {
+        let other = other.unwrap_or(rank);
+        held[other * shape.slots..(other + 1) * shape.slots].copy_from_slice(new.held(rank));
+    }
+    LayerMap::even(shape.slots, held, shape.experts)
+}
--- /dev/null
+++ b/bench/src/expert/make.rs
@@ -0,0 +1,133 @@
+use std::str::FromStr;
+
+use rand::rngs::SmallRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+
+use super::{Header, Step, Trace};
+
+/// Tokens that each rank sends to experts in a step.
+const TOKENS_PER_RANK: f64 = 1_024.0;
+/// Spread of the log popularity's slow walk, a step.
+const DRIFT: f64 = 0.01;
+/// Pull of the walk towards where it started.
+const PULL: f64 = 0.002;
+const LEAST_EXPONENT: f64 = 0.6;
+const MOST_EXPONENT: f64 = 1.4;
+/// Exponent where the kind of trace does not vary it.
+const USUAL_EXPONENT: f64 = 1.0;
+const SLOW_SPEED: f64 = 0.5;
+
+/// What a made trace shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TraceKind {
+    /// Popularity drifts slowly.
+    Drift,
+    /// The popular experts change at once in the middle.
+    Festival,
+    /// Popularity is fixed, more or less uneven by the seed.
+    Uneven,
+    /// Popularity drifts, and one rank runs at half speed from a third on.
+    Straggler,
+}
+
+impl FromStr for TraceKind {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "drift" => Ok(Self::Drift),
+            "festival" => Ok(Self::Festival),
+            "uneven" => Ok(Self::Uneven),
+            "straggler" => Ok(Self::Straggler),
+            _ => Err(format!(
+                "expected drift, festival, uneven or straggler, got {text:?}"
+            )),
+        }
+    }
+}
+
+/// Popularity of one layer's experts.
+struct Layer {
+    start: Vec<f64>,
+    present: Vec<f64>,
+}
+
+/// Makes a trace. The same arguments give the same trace.
+pub fn make(kind: TraceKind, header: Header, steps: usize, seed: u64) -> Trace {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let exponent = match kind {
+        TraceKind::Uneven => rng.random_range(LEAST_EXPONENT..MOST_EXPONENT),
+        _ => USUAL_EXPONENT,
+    };
+    let mut layers: Vec<Layer> = (0..header.layers)
+        .map(|_| Layer::new(header.experts, exponent, &mut rng))
+        .collect();
+    let slow = rng.random_range(0..header.ranks);
+    let total = header.ranks as f64 * TOKENS_PER_RANK;
+    let mut made = Vec::with_capacity(steps);
+    for at in 0..steps {
+        let mut step = Step::default();
+        if kind == TraceKind::Straggler && at == steps / 3 {
+            let speeds = (0..header.ranks).map(|rank| if rank == slow { SLOW_SPEED } else { 1.0 });
+            step.speeds = Some(speeds.collect());
+        }
+        for layer in &mut layers {
+            if kind == TraceKind::Festival && at == steps / 2 {
+                layer.shuffle(&mut rng);
+            }
+            if kind != TraceKind::Uneven {
+                layer.drift(&mut rng);
+            }
+            step.tokens.push(layer.draw(total, &mut rng));
+        }
+        made.push(step);
+    }
+    Trace {
+        header,
+        steps: made,
+    }
+}
+
+impl Layer {
+    fn new(experts: usize, exponent: f64, rng: &mut SmallRng) -> Self {
+        let mut logs: Vec<f64> = (1..=experts)
+            .map(|rank| -exponent * (rank as f64).ln())
+            .collect();
+        logs.shuffle(rng);
+        Self {
+            start: logs.clone(),
+            present: logs,
+        }
+    }
+
+    fn shuffle(&mut self, rng: &mut SmallRng) {
+        self.start.shuffle(rng);
+        self.present.clone_from(&self.start);
+    }
+
+    fn drift(&mut self, rng: &mut SmallRng) {
+        for (present, start) in self.present.iter_mut().zip(&self.start) {
+            *present += DRIFT * normal(rng) + PULL * (start - *present);
+        }
+    }
+
+    fn draw(&self, total: f64, rng: &mut SmallRng) -> Vec<f64> {
+        let weights: Vec<f64> = self.present.iter().map(|log| log.exp()).collect();
+        let sum: f64 = weights.iter().sum();
+        weights
+            .iter()
+            .map(|weight| counted(total * weight / sum, rng))
+            .collect()
+    }
+}
+
+/// A count with the spread that chance gives it.
+fn counted(mean: f64, rng: &mut SmallRng) -> f64 {
+    (mean + mean.sqrt() * normal(rng)).round().max(0.0)
+}
+
+fn normal(rng: &mut SmallRng) -> f64 {
+    let (radius, angle): (f64, f64) = (1.0 - rng.random::<f64>(), rng.random());
+    (-2.0 * radius.ln()).sqrt() * (std::f64::consts::TAU * angle).cos()
+}
--- /dev/null
+++ b/bench/src/expert/options.rs
@@ -0,0 +1,41 @@
+use std::path::PathBuf;
+
+use super::TraceKind;
+
+/// Where a trace comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A file.
+    File(PathBuf),
+    /// Made on the spot.
+    Made(TraceKind),
+}
+
+/// What an experiment on expert maps consists of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ExpertOptions {
+    /// Where the trace comes from.
+    pub source: Source,
+    /// Where to write a made trace instead of running it.
+    pub write: Option<PathBuf>,
+    /// Weight of even step times.
+    pub skew_weight: f64,
+    /// Weight of few moves.
+    pub move_weight: f64,
+    /// Megabytes that the weight store gives a second.
+    pub store_mbps: f64,
+    /// Seed of a made trace.
+    pub seed: u64,
+    /// Ranks of a made trace.
+    pub ranks: usize,
+    /// Slots of a made trace.
+    pub slots: usize,
+    /// Layers of a made trace.
+    pub layers: usize,
+    /// Steps of a made trace.
+    pub steps: usize,
+    /// Steps between plans of the product's planner.
+    pub interval: usize,
+    /// Where to plot the skew of each step.
+    pub plot: Option<PathBuf>,
+}
--- /dev/null
+++ b/bench/src/expert/policy.rs
@@ -0,0 +1,137 @@
+use ebonyusher::group::{ExpertMap, Planner, PlannerOptions, Popularity, Shape, Speeds};
+
+use super::full::{match_ranks, plan_layer};
+
+/// A switch that a policy asks for.
+#[derive(Clone, Debug)]
+pub struct Switch {
+    /// The map.
+    pub map: ExpertMap,
+    /// Experts that ranks must fetch first.
+    pub fetches: usize,
+}
+
+/// Decides on expert maps.
+pub trait MapPolicy {
+    /// Takes in one step of one layer.
+    fn observe(&mut self, layer: usize, tokens: &[f64], loads: &[f64], times: &[f64]);
+
+    /// Asks for a switch after a step. Called only when no switch is under way; `budget` is what
+    /// the store can move in the policy's interval.
+    fn plan(&mut self, step: usize, present: &ExpertMap, budget: usize) -> Option<Switch>;
+
+    /// Whether switches take effect at once and cost nothing.
+    fn is_free(&self) -> bool {
+        false
+    }
+}
+
+/// Keeps the map it starts from.
+#[derive(Clone, Copy, Debug)]
+pub struct Static;
+
+impl MapPolicy for Static {
+    fn observe(&mut self, _: usize, _: &[f64], _: &[f64], _: &[f64]) {}
+
+    fn plan(&mut self, _: usize, _: &ExpertMap, _: usize) -> Option<Switch> {
+        None
+    }
+}
+
+/// Replans from nothing.
+#[derive(Clone, Debug)]
+pub struct Full {
+    shape: Shape,
+    layers: Vec<Popularity>,
+    speeds: Speeds,
+    /// Steps between plans.
+    interval: usize,
+    free: bool,
+}
+
+impl Full {
+    /// Replans as soon as the last switch is in force.
+    pub fn new(shape: Shape) -> Self {
+        let layers = vec![Popularity::new(shape.experts); shape.layers];
+        Self {
+            shape,
+            layers,
+            speeds: Speeds::new(shape.ranks),
+            interval: 1,
+            free: false,
+        }
+    }
+
+    /// Replans every so many steps, with instant and free moves.
+    pub fn oracle(shape: Shape, interval: usize) -> Self {
+        Self {
+            interval,
+            free: true,
+            ..Self::new(shape)
+        }
+    }
+}
+
+impl MapPolicy for Full {
+    fn observe(&mut self, layer: usize, tokens: &[f64], loads: &[f64], times: &[f64]) {
+        self.layers[layer].observe(tokens);
+        self.speeds.observe(loads, times);
+    }
+
+    fn plan(&mut self, step: usize, present: &ExpertMap, _: usize) -> Option<Switch> {
+        if !step.is_multiple_of(self.interval) {
+            return None;
+        }
+        let mut map = ExpertMap {
+            version: present.version + 1,
+            layers: Vec::new(),
+        };
+        let mut fetches = 0;
+        for (popularity, present) in self.layers.iter().zip(&present.layers) {
+            let speeds = self.speeds.get();
+            let new = plan_layer(&self.shape, popularity.estimate(), speeds);
+            let new = match_ranks(&self.shape, present, &new, speeds);
+            fetches += new.fetches_from(present);
+            map.layers.push(new);
+        }
+        Some(Switch { map, fetches })
+    }
+
+    fn is_free(&self) -> bool {
+        self.free
+    }
+}
+
+/// The product's own planner.
+#[derive(Clone, Debug)]
+pub struct Own {
+    planner: Planner,
+    interval: usize,
+}
+
+impl Own {
+    /// Plans every so many steps.
+    pub fn new(shape: Shape, options: PlannerOptions, interval: usize) -> Self {
+        Self {
+            planner: Planner::new(shape, options),
+            interval,
+        }
+    }
+}
+
+impl MapPolicy for Own {
+    fn observe(&mut self, layer: usize, tokens: &[f64], loads: &[f64], times: &[f64]) {
+        self.planner.observe(layer, tokens, loads, times);
+    }
+
+    fn plan(&mut self, step: usize, present: &ExpertMap, budget: usize) -> Option<Switch> {
+        if !step.is_multiple_of(self.interval) {
+            return None;
+        }
+        let plan = self.planner.plan(present, budget)?;
+        Some(Switch {
+            map: plan.map,
+            fetches: plan.moves.len(),
+        })
+    }
+}
--- /dev/null
+++ b/bench/src/expert/sim.rs
@@ -0,0 +1,142 @@
+use std::time::Instant;
+
+use ebonyusher::group::ExpertMap;
+
+use super::policy::{MapPolicy, Switch};
+use super::{PolicyReport, Trace};
+
+/// Steps whose transfers one plan may fill.
+const BUDGET_STEPS: f64 = 10.0;
+const MEGABYTE: f64 = 1e6;
+const MILLIS: f64 = 1e3;
+
+/// One policy on a trace.
+pub struct Sim<'a, P> {
+    trace: &'a Trace,
+    policy: P,
+    /// Experts that the store moves in a step.
+    pace: f64,
+    map: ExpertMap,
+    coming: Option<(usize, ExpertMap)>,
+    speeds: Vec<f64>,
+    skews: Vec<f64>,
+    fetches: usize,
+    switches: u64,
+    plan_micros: Vec<u64>,
+}
+
+/// Result of one policy: the report, and the mean skew of each step.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// The report.
+    pub report: PolicyReport,
+    /// Mean skew over the layers, by step.
+    pub path: Vec<f64>,
+}
+
+impl<'a, P: MapPolicy> Sim<'a, P> {
+    /// A policy at the start of a trace.
+    pub fn new(trace: &'a Trace, policy: P, store_mbps: f64) -> Self {
+        let header = &trace.header;
+        let bytes = store_mbps * MEGABYTE * header.step_ms / MILLIS;
+        Self {
+            trace,
+            policy,
+            pace: bytes / header.expert_bytes as f64,
+            map: ExpertMap::initial(&header.shape()),
+            coming: None,
+            speeds: vec![1.0; header.ranks],
+            skews: Vec::new(),
+            fetches: 0,
+            switches: 0,
+            plan_micros: Vec::new(),
+        }
+    }
+
+    /// Runs the whole trace.
+    pub fn run(mut self, skew_weight: f64, move_weight: f64) -> Outcome {
+        let trace = self.trace;
+        for (at, step) in trace.steps.iter().enumerate() {
+            if self.coming.as_ref().is_some_and(|(from, _)| *from <= at) {
+                let coming = self.coming.take();
+                self.map = coming.map_or_else(|| self.map.clone(), |(_, map)| map);
+            }
+            if let Some(speeds) = &step.speeds {
+                self.speeds.clone_from(speeds);
+            }
+            for (layer, tokens) in step.tokens.iter().enumerate() {
+                self.step(layer, tokens);
+            }
+            if self.coming.is_none() {
+                self.plan(at);
+            }
+        }
+        self.finish(skew_weight, move_weight)
+    }
+
+    fn step(&mut self, layer: usize, tokens: &[f64]) {
+        let loads = self.map.layers[layer].loads(tokens);
+        let times: Vec<f64> = loads
+            .iter()
+            .zip(&self.speeds)
+            .map(|(load, speed)| load / speed)
+            .collect();
+        let slowest = times.iter().copied().fold(0.0, f64::max);
+        let ideal = loads.iter().sum::<f64>() / self.speeds.iter().sum::<f64>();
+        self.skews.push(if ideal > 0.0 {
+            (slowest / ideal).max(1.0)
+        } else {
+            1.0
+        });
+        self.policy.observe(layer, tokens, &loads, &times);
+    }
+
+    fn plan(&mut self, at: usize) {
+        let budget = (self.pace * BUDGET_STEPS).max(2.0) as usize;
+        let began = Instant::now();
+        let planned = self.policy.plan(at, &self.map, budget);
+        self.plan_micros.push(began.elapsed().as_micros() as u64);
+        let Some(Switch { map, fetches }) = planned else {
+            return;
+        };
+        self.switches += 1;
+        if self.policy.is_free() {
+            self.map = map;
+            return;
+        }
+        self.fetches += fetches;
+        let transfer = (fetches as f64 / self.pace).ceil() as usize;
+        self.coming = Some((at + transfer.max(1) + 1, map));
+    }
+
+    fn finish(mut self, skew_weight: f64, move_weight: f64) -> Outcome {
+        let header = &self.trace.header;
+        let steps = self.trace.steps.len();
+        let path: Vec<f64> = self.skews.chunks(header.layers).map(mean).collect();
+        let settled = &path[steps - steps.div_ceil(4)..];
+        let settled_skew = mean(settled);
+        let mean_skew = mean(&path);
+        let fetched = self.fetches as f64 / (steps * header.layers * header.experts) as f64;
+        self.skews.sort_by(f64::total_cmp);
+        self.plan_micros.sort_unstable();
+        let report = PolicyReport {
+            mean_skew,
+            settled_skew,
+            p99_skew: at_quantile(&self.skews, 0.99).unwrap_or(1.0),
+            moved_bytes: self.fetches as u64 * header.expert_bytes,
+            switches: self.switches,
+            plan_p99_us: at_quantile(&self.plan_micros, 0.99).unwrap_or(0),
+            objective: skew_weight * (mean_skew - 1.0) + move_weight * fetched,
+        };
+        Outcome { report, path }
+    }
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
+fn at_quantile<T: Copy>(sorted: &[T], quantile: f64) -> Option<T> {
+    let at = (sorted.len() as f64 * quantile) as usize;
+    sorted.get(at.min(sorted.len().checked_sub(1)?)).copied()
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod args;
 pub mod client;
 pub mod demo;
+pub mod expert;
 pub mod load;
--- a/bench/src/load/run.rs
+++ b/bench/src/load/run.rs
@@ -5,6 +5,7 @@
 use displaydoc::Display;
 use ebonyusher::admin::{AdminClient, ClientError};
 use ebonyusher::metrics::{Event, Meter};
+use ebonyusher::net::is_not_sent;
 use ebonyusher::outcome::Outcome;
 use ebonyusher_standin::FleetError;
 use rand::rngs::SmallRng;
@@ -19,7 +20,7 @@
 use super::tally::{Counts, Tally};
 use super::work::Work;
 use super::{Baseline, Fault, LoadOptions, LoadReport, measure};
-use crate::client::Caller;
+use crate::client::{Caller, CallerError, Reply};
 
 const OPERATOR_KEY: &str = "load-operator-key";
 const SETTINGS_PAUSE: Duration = Duration::from_secs(1);
@@ -63,7 +64,8 @@
 /// [`LoadError`] if the fleet could not be started.
 pub async fn run(options: &LoadOptions) -> Result<LoadReport, LoadError> {
     let site = Site::start(options).await?;
-    apply(&site, options, 0).await?;
+    let revision = apply(&site, options, 0).await?;
+    site.wait_revision(revision, SETTINGS_PATIENCE).await;
     site.wait_links().await;
     let baseline = baseline(&site, options).await?;
     let meters = Meters::of(&site);
@@ -202,22 +204,31 @@
 async fn call(caller: Caller, balancer: Balancer, work: Work, pick: usize, tally: Arc<Tally>) {
     let repeats = if work.key.is_some() { REPEATS } else { 0 };
     for again in 0..=repeats {
-        let entries = balancer.entries();
-        if entries.is_empty() {
+        let reply = send(&caller, &balancer, &work, pick + again).await;
+        tally.note(&work, reply.as_ref(), again > 0);
+        if reply.is_some_and(|reply| reply.outcome == Some(Outcome::Ran) && reply.whole) {
             return;
         }
-        let to = entries[(pick + again) % entries.len()];
+        sleep(REPEAT_PAUSE).await;
+    }
+}
+
+/// Sends a request to an entry; the balancer goes on to the next if one accepts no connection.
+async fn send(caller: &Caller, balancer: &Balancer, work: &Work, pick: usize) -> Option<Reply> {
+    let entries = balancer.entries();
+    for at in 0..entries.len() {
+        let to = entries[(pick + at) % entries.len()];
         let key = work.key.as_deref();
         let sent = caller
             .send(to, work.method(), &work.path, key, work.body.clone())
             .await;
-        let reply = sent.ok();
-        tally.note(&work, reply.as_ref(), again > 0);
-        if reply.is_some_and(|reply| reply.outcome == Some(Outcome::Ran) && reply.whole) {
-            return;
+        match sent {
+            Ok(reply) => return Some(reply),
+            Err(CallerError::NoAnswer(err)) if is_not_sent(&err) => {}
+            Err(_) => return None,
         }
-        sleep(REPEAT_PAUSE).await;
     }
+    None
 }
 
 impl Meters {
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -32,6 +32,8 @@
 const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
 /// Longest time for a request body to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time in which a fresh entry should have its settings.
+const SETTINGS_TIME: Duration = Duration::from_secs(1);
 const MAX_KEY_BYTES: usize = 256;
 const BEARER: &str = "Bearer ";
 const API_KEY: &str = "x-api-key";
@@ -68,6 +70,9 @@
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
         let current = self.current.get();
+        if current.revision == 0 {
+            return Err(Refusal::not_run(Reason::NoSettings).retry_after(SETTINGS_TIME));
+        }
         let caller = find_caller(&current, &head.headers)?;
         if let Some(rest) = head.uri.path().strip_prefix(LOOKUP_PATH) {
             return self.look_up(&caller, &head.method, rest).await;
--- /dev/null
+++ b/src/group/expert_map.rs
@@ -0,0 +1,36 @@
+use serde::{Deserialize, Serialize};
+
+use super::{LayerMap, MapError, Shape};
+
+/// The maps of all layers of a group, in force together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ExpertMap {
+    /// Greater by one after each switch.
+    pub version: u64,
+    /// One map for each layer.
+    pub layers: Vec<LayerMap>,
+}
+
+impl ExpertMap {
+    /// The map that a group starts from.
+    ///
+    /// ```
+    /// # use ebonyusher::group::{ExpertMap, Shape};
+    /// let shape = Shape { ranks: 2, experts: 4, slots: 2, layers: 3, expert_bytes: 1 };
+    /// assert!(ExpertMap::initial(&shape).check(&shape).is_ok());
+    /// ```
+    pub fn initial(shape: &Shape) -> Self {
+        Self {
+            version: 0,
+            layers: vec![LayerMap::initial(shape); shape.layers],
+        }
+    }
+
+    /// Checks every layer.
+    ///
+    /// # Errors
+    /// [`MapError`] for the first fault.
+    pub fn check(&self, shape: &Shape) -> Result<(), MapError> {
+        self.layers.iter().try_for_each(|layer| layer.check(shape))
+    }
+}
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -1,1 +1,22 @@
-//! group
+//! Expert-parallel groups: which rank holds which expert, how that changes, and how all ranks
+//! change at the same step.
+
+mod evaluate;
+mod expert_map;
+mod layer_map;
+mod layer_state;
+mod plan;
+mod planner;
+mod popularity;
+mod potential;
+mod shape;
+mod speeds;
+mod water;
+
+pub use expert_map::ExpertMap;
+pub use layer_map::{LayerMap, MapError};
+pub use plan::{Move, Plan};
+pub use planner::{Planner, PlannerOptions};
+pub use popularity::Popularity;
+pub use shape::Shape;
+pub use speeds::Speeds;
--- a/src/outcome/reason.rs
+++ b/src/outcome/reason.rs
@@ -50,13 +50,15 @@
     WrongService,
     /// the request does not come from one of the system's own processes
     BadLink,
+    /// no settings are in force here yet
+    NoSettings,
     /// a second upstream is asked since the first is slow
     Hedge,
 }
 
 impl Reason {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 24] = [
+    pub const ALL: [Self; 25] = [
         Self::BadKey,
         Self::NoRoute,
         Self::BadHeader,
@@ -80,6 +82,7 @@
         Self::WrongAnswer,
         Self::WrongService,
         Self::BadLink,
+        Self::NoSettings,
         Self::Hedge,
     ];
 
@@ -109,6 +112,7 @@
             Self::WrongAnswer => "wrong-answer",
             Self::WrongService => "wrong-service",
             Self::BadLink => "bad-link",
+            Self::NoSettings => "no-settings",
             Self::Hedge => "hedge",
         }
     }
@@ -141,6 +145,7 @@
             | Self::StoreDown
             | Self::UpstreamDown
             | Self::WrongService
+            | Self::NoSettings
             | Self::Hedge => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
@@ -158,6 +163,7 @@
                 | Self::LinkLost
                 | Self::WrongAnswer
                 | Self::WrongService
+                | Self::NoSettings
         )
     }
 
--- a/src/sidecar/handler.rs
+++ b/src/sidecar/handler.rs
@@ -86,7 +86,7 @@
         }
         let current = self.current.get();
         let service = current.service(&call.service);
-        let service = service.ok_or(Refusal::not_run(Reason::WrongService))?;
+        let service = service.ok_or(Refusal::not_run(Reason::NoSettings))?;
         let deadline = arrived + call.left;
         let body = collect(body, service.max_body.bytes(), call.left)
             .await
--- a/src/sidecar/link_server.rs
+++ b/src/sidecar/link_server.rs
@@ -27,6 +27,7 @@
 /// Answers entries that open links.
 #[derive(Clone, Debug)]
 pub struct LinkServer {
+    pub(super) service: String,
     pub(super) door: SettingsServer,
     pub(super) signals: Signals,
     pub(super) queue: Arc<Queue>,
@@ -129,12 +130,17 @@
         }
     }
 
+    /// Nothing can be admitted before the service's settings are in force.
+    fn has_settings(&self) -> bool {
+        self.current.get().service(&self.service).is_some()
+    }
+
     async fn send(&self, sink: &SubscriptionSink, crashes: SmallVec<[CrashNote; 1]>) -> bool {
         self.meter.count(Event::Control);
         let note = LinkNote {
             from: self.signals.incarnation,
             leaving: self.signals.is_leaving(),
-            up: self.signals.is_up(),
+            up: self.signals.is_up() && self.has_settings(),
             load: self.queue.load(),
             revision: self.current.get().revision,
             crashes,
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -66,6 +66,7 @@
         );
         let door = SettingsServer::new(publisher.current(), file.link_key.clone());
         let link_server = LinkServer {
+            service: file.service.clone(),
             door: door.clone(),
             signals: signals.clone(),
             queue: Arc::clone(&queue),
