--- a/bench/src/args.rs
+++ b/bench/src/args.rs
@@ -156,6 +156,14 @@
         .help("Steps between plans")
         .argument("N")
         .fallback(5);
+    let least_gain = long("least-gain")
+        .help("Least fall of skew for which an expert is fetched")
+        .argument("G")
+        .optional();
+    let usual_excess = long("usual-excess")
+        .help("Excess of skew at which that gain is asked for")
+        .argument("X")
+        .optional();
     let plot = long("plot")
         .help("Plot the skew of each step")
         .argument("FILE")
@@ -172,6 +180,8 @@
         layers,
         steps,
         interval,
+        least_gain,
+        usual_excess,
         plot
     })
     .guard(
--- a/bench/src/expert/options.rs
+++ b/bench/src/expert/options.rs
@@ -36,6 +36,10 @@
     pub steps: usize,
     /// Steps between plans of the product's planner.
     pub interval: usize,
+    /// Least fall of skew for which the product's planner fetches an expert.
+    pub least_gain: Option<f64>,
+    /// Excess of skew at which that gain is asked for.
+    pub usual_excess: Option<f64>,
     /// Where to plot the skew of each step.
     pub plot: Option<PathBuf>,
 }
--- a/bench/src/expert/run.rs
+++ b/bench/src/expert/run.rs
@@ -42,14 +42,16 @@
     let (skew, moves) = (options.skew_weight, options.move_weight);
     let shape = trace.header.shape();
     let weights = GroupWeights { skew, moves };
-    let own = Own::new(
-        shape,
-        PlannerOptions {
-            weights,
-            ..PlannerOptions::default()
-        },
-        options.interval,
-    );
+    let usual = PlannerOptions::default();
+    let least_gain = options.least_gain.unwrap_or(usual.least_gain);
+    let usual_excess = options.usual_excess.unwrap_or(usual.usual_excess);
+    let tuned = PlannerOptions {
+        weights,
+        least_gain,
+        usual_excess,
+        ..usual
+    };
+    let own = Own::new(shape, tuned, options.interval);
     let mbps = options.store_mbps;
     let outcomes = [
         ("static", Sim::new(&trace, Static, mbps).run(skew, moves)),
--- a/src/group/planner.rs
+++ b/src/group/planner.rs
@@ -6,7 +6,9 @@
 /// Sweeps over a layer's shares after a change.
 const LOCAL_SWEEPS: usize = 2;
 /// Fall of the potential at which new shares alone are worth a switch.
-const SHARE_GAIN: f64 = 2e-3;
+const SHARE_GAIN: f64 = 5e-4;
+/// Excess of skew below which no difference is made.
+const LEAST_EXCESS: f64 = 1e-3;
 
 /// How a planner weighs skew against moves.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -15,8 +17,10 @@
     pub weights: GroupWeights,
     /// Steps for which a change is expected to pay.
     pub horizon: f64,
-    /// Least fall of skew for which an expert is fetched.
+    /// Least fall of skew for which an expert is fetched at the usual excess.
     pub least_gain: f64,
+    /// Excess of skew over one that is usual. A fetch has to gain more below it and less above.
+    pub usual_excess: f64,
     /// Most fetches of one plan.
     pub most_moves: usize,
 }
@@ -26,7 +30,8 @@
         Self {
             weights: GroupWeights::default(),
             horizon: 200.0,
-            least_gain: 1e-3,
+            least_gain: 8e-4,
+            usual_excess: 0.1,
             most_moves: 16,
         }
     }
@@ -75,7 +80,7 @@
             .collect();
         let mut left = budget.min(self.options.most_moves);
         let mut moves = Vec::new();
-        while let Some(plan) = best_layer(&mut layers, left, self.price()) {
+        while let Some(plan) = self.best_layer(&mut layers, left) {
             let Some(candidate) = plan.best.take() else {
                 break;
             };
@@ -86,14 +91,33 @@
         worth.then(|| self.close(present, &layers, moves))
     }
 
-    /// Fall of a layer's skew that pays for one fetch.
-    fn price(&self) -> f64 {
+    /// Fall of a layer's skew that pays for one fetch. The slowest ranks of a very uneven layer are
+    /// many, and one fetch lowers the skew little, but only many fetches together even it out; a
+    /// nearly even layer is not worth polishing.
+    fn price(&self, plan: &LayerPlan) -> f64 {
         let GroupWeights { skew, moves } = self.options.weights;
         if skew <= 0.0 {
             return f64::INFINITY;
         }
         let cost = moves / (skew * self.options.horizon * self.shape.experts as f64);
-        cost.max(self.options.least_gain)
+        let excess = (plan.state.potential.value() - 1.0).max(LEAST_EXCESS);
+        cost.max(self.options.least_gain * self.options.usual_excess / excess)
+    }
+
+    /// The layer whose best change is worth most against its price, if that pays and fits.
+    fn best_layer<'a>(
+        &self,
+        layers: &'a mut [LayerPlan],
+        left: usize,
+    ) -> Option<&'a mut LayerPlan> {
+        let worth = |plan: &LayerPlan| {
+            let fitting = plan.best.filter(|best| best.step.fetches() <= left);
+            fitting.map_or(0.0, |best| best.worth() / self.price(plan))
+        };
+        let best = layers
+            .iter_mut()
+            .max_by(|left, right| worth(left).total_cmp(&worth(right)))?;
+        (worth(best) > 1.0).then_some(best)
     }
 
     fn open(&self, present: &ExpertMap, layer: usize) -> LayerPlan {
@@ -196,15 +220,3 @@
         self.before - self.state.potential.value() > SHARE_GAIN
     }
 }
-
-/// The layer whose best change is worth most, if that pays and fits.
-fn best_layer(layers: &mut [LayerPlan], left: usize, price: f64) -> Option<&mut LayerPlan> {
-    let worth = |plan: &LayerPlan| {
-        let fitting = plan.best.filter(|best| best.step.fetches() <= left);
-        fitting.map_or(0.0, |best| best.worth())
-    };
-    let best = layers
-        .iter_mut()
-        .max_by(|left, right| worth(left).total_cmp(&worth(right)))?;
-    (worth(best) > price).then_some(best)
-}
