--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -26,6 +26,8 @@
 
 /// Most attempts at one request.
 const MAX_ATTEMPTS: u32 = 5;
+/// Attempts that broke off as if by a crash after which a request is not tried again.
+const BREAKS_TO_STOP: u32 = 2;
 const FIRST_BACKOFF: Duration = Duration::from_millis(5);
 const LONGEST_BACKOFF: Duration = Duration::from_millis(400);
 /// Pause before asking again for the answer of a request that still runs.
@@ -283,6 +285,9 @@
     ) -> bool {
         let Failure { outcome, reason } = failure;
         let left = order.deadline.saturating_duration_since(Instant::now());
+        if course.breaks >= BREAKS_TO_STOP {
+            return false;
+        }
         if course.attempts >= MAX_ATTEMPTS || left <= course.pause_for(reason) {
             return false;
         }
--- a/src/group/planner.rs
+++ b/src/group/planner.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Changes how skew is weighed against moves.
+    pub const fn set_weights(&mut self, weights: GroupWeights) {
+        self.options.weights = weights;
+    }
+
     /// Takes in one step of one layer: tokens of each expert, and load and time of each rank.
     pub fn observe(&mut self, layer: usize, tokens: &[f64], loads: &[f64], times: &[f64]) {
         self.layers[layer].observe(tokens);
--- a/src/group/speeds.rs
+++ b/src/group/speeds.rs
@@ -17,18 +17,30 @@
         }
     }
 
-    /// Takes in load and time of each rank in one step.
+    /// Takes in load and time of each rank in one step. Only the ranks' relation matters, so the
+    /// unit of time does not.
     ///
     /// ```
     /// # use ebonyusher::group::Speeds;
-    /// let mut speeds = Speeds::new(1);
-    /// (0..50).for_each(|_| speeds.observe(&[10.0], &[20.0]));
-    /// assert!((speeds.get()[0] - 0.5).abs() < 1e-3);
+    /// let mut speeds = Speeds::new(3);
+    /// (0..50).for_each(|_| speeds.observe(&[10.0, 10.0, 10.0], &[5.0, 5.0, 10.0]));
+    /// assert!((speeds.get()[2] - 0.5).abs() < 1e-3);
     /// ```
     pub fn observe(&mut self, loads: &[f64], times: &[f64]) {
-        for (speed, (load, time)) in self.speeds.iter_mut().zip(loads.iter().zip(times)) {
+        let pace = |(load, time): (&f64, &f64)| {
             if *load > 0.0 && *time > 0.0 {
-                *speed += GAIN * (load / time - *speed);
+                Some(load / time)
+            } else {
+                None
+            }
+        };
+        let paces: Vec<Option<f64>> = loads.iter().zip(times).map(pace).collect();
+        let Some(usual) = median(paces.iter().flatten().copied().collect()) else {
+            return;
+        };
+        for (speed, pace) in self.speeds.iter_mut().zip(paces) {
+            if let Some(pace) = pace {
+                *speed += GAIN * (pace / usual - *speed);
                 *speed = speed.max(LEAST_SPEED);
             }
         }
@@ -39,3 +51,12 @@
         &self.speeds
     }
 }
+
+fn median(mut values: Vec<f64>) -> Option<f64> {
+    let middle = values.len() / 2;
+    if values.is_empty() {
+        return None;
+    }
+    let (_, median, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(*median)
+}
--- a/src/peer/rpc_listener.rs
+++ b/src/peer/rpc_listener.rs
@@ -39,6 +39,11 @@
         self.addr
     }
 
+    /// Stops listening without waiting for the connections to close.
+    pub fn kill(self) {
+        self.handle.stop().ok();
+    }
+
     /// Stops listening and closes the connections.
     pub async fn close(self) {
         self.handle.stop().ok();
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use super::{Account, CheckError, KeyDigest, Route, Service, Team};
+use super::{Account, CheckError, Group, KeyDigest, Route, Service, Team};
 
 const MAX_NAME_CHARS: usize = 64;
 const MAX_SLOTS: u32 = 4_096;
@@ -68,15 +68,25 @@
     if !(0.0..=1.0).contains(&service.retry_share) {
         return fault(place("retry-share"), "expected 0 to 1");
     }
-    let weights_fit = service.group.is_none_or(|group| {
-        let sum = group.skew + group.moves;
-        group.skew >= 0.0 && group.moves >= 0.0 && sum.is_finite() && sum > 0.0
-    });
-    if weights_fit {
-        Ok(())
-    } else {
-        fault(place("group"), "expected weights of at least 0, one above")
+    service
+        .group
+        .map_or(Ok(()), |group| check_group(&place("group"), &group))
+}
+
+fn check_group(place: &str, group: &Group) -> Result<(), CheckError> {
+    let sum = group.skew + group.moves;
+    let sound = group.skew >= 0.0 && group.moves >= 0.0 && sum.is_finite() && sum > 0.0;
+    if !sound {
+        return fault(
+            place.to_owned(),
+            "expected weights of at least 0, one above",
+        );
+    }
+    if group.shape.is_some_and(|shape| !shape.is_sound()) {
+        let reason = "expected sizes above 0, slots <= experts <= ranks * slots";
+        return fault(format!("{place}.shape"), reason);
     }
+    Ok(())
 }
 
 fn check_route(
--- /dev/null
+++ b/src/settings/group.rs
@@ -0,0 +1,79 @@
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use super::GroupWeights;
+use crate::group::Shape;
+use crate::units::{Size, Span};
+
+const DEFAULT_INTERVAL: Span = Span::from_millis(400);
+
+/// Settings of an expert-parallel group.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct Group {
+    /// Weight of even step times.
+    pub skew: f64,
+    /// Weight of few moved weights.
+    #[serde(rename = "move")]
+    pub moves: f64,
+    /// Sizes of the group. Its maps are left alone if absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shape: Option<GroupShape>,
+    /// Pause between two plans.
+    #[serde(default = "default_interval")]
+    pub interval: Span,
+}
+
+/// Sizes of an expert-parallel group, one sidecar for each rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub struct GroupShape {
+    /// Ranks that step together.
+    pub ranks: usize,
+    /// Experts of a layer.
+    pub experts: usize,
+    /// Experts that a rank holds in a layer.
+    pub slots: usize,
+    /// Layers with experts.
+    pub layers: usize,
+    /// Size of one expert's weights.
+    pub expert_size: Size,
+}
+
+const fn default_interval() -> Span {
+    DEFAULT_INTERVAL
+}
+
+impl Group {
+    /// What rebalancing should favour.
+    pub const fn weights(&self) -> GroupWeights {
+        GroupWeights {
+            skew: self.skew,
+            moves: self.moves,
+        }
+    }
+}
+
+impl GroupShape {
+    /// The sizes as the planner takes them.
+    pub const fn shape(&self) -> Shape {
+        Shape {
+            ranks: self.ranks,
+            experts: self.experts,
+            slots: self.slots,
+            layers: self.layers,
+            expert_bytes: self.expert_size.bytes(),
+        }
+    }
+
+    /// Whether every expert can have a place.
+    pub const fn is_sound(&self) -> bool {
+        self.ranks > 0
+            && self.layers > 0
+            && self.slots > 0
+            && self.slots <= self.experts
+            && self.experts <= u16::MAX as usize
+            && self.ranks * self.slots >= self.experts
+            && self.expert_size.bytes() > 0
+    }
+}
--- a/src/settings/group_weights.rs
+++ b/src/settings/group_weights.rs
@@ -1,14 +1,9 @@
-use schemars::JsonSchema;
-use serde::{Deserialize, Serialize};
-
 /// What rebalancing of an expert-parallel group should favour.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GroupWeights {
     /// Weight of even step times.
     pub skew: f64,
     /// Weight of few moved weights.
-    #[serde(rename = "move")]
     pub moves: f64,
 }
 
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -18,7 +18,7 @@
 pub fn parse<T: DeserializeOwned>(text: &str) -> Result<T, ParseError> {
     let mut de = serde_json::Deserializer::from_str(text);
     let value = serde_path_to_error::deserialize(&mut de).map_err(|err| ParseError::Json {
-        place: err.path().to_string(),
+        place: place(err.path()),
         reason: err.inner().to_string(),
     })?;
     de.end().map_err(|err| ParseError::Json {
@@ -39,3 +39,9 @@
     })?;
     parse(&text)
 }
+
+/// A path that is cut off, or none, means the document as a whole.
+fn place(path: &serde_path_to_error::Path) -> String {
+    let text = path.to_string();
+    if text == "?" { ".".to_owned() } else { text }
+}
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -1,7 +1,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use super::{GroupWeights, Kind, Models};
+use super::{Group, Kind, Models};
 use crate::units::{Size, Span};
 
 const DEFAULT_BODY_BYTES: u64 = 1 << 20;
@@ -32,9 +32,9 @@
     /// Most retries and hedges, as a share of requests.
     #[serde(default = "default_retry")]
     pub retry_share: f64,
-    /// Weights of the expert-parallel group, if the service is one.
+    /// The expert-parallel group, if the service is one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub group: Option<GroupWeights>,
+    pub group: Option<Group>,
     /// What its workers should hold.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub models: Option<Models>,
--- /dev/null
+++ b/src/sidecar/group_part.rs
@@ -0,0 +1,126 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::group::PlannerOptions;
+use crate::id::Incarnation;
+use crate::lease::{FenceGate, LeaseRow, lease_key};
+use crate::metrics::Meter;
+use crate::peer::SettingsServer;
+use crate::platform::{InstanceList, ObjectStore, Table};
+use crate::settings::{Current, Group, SidecarFile};
+use crate::switch::{Gate, HttpWeights, Leader, LeaderOptions, MapStore, RankServer, Seat};
+
+/// Length of the lease on a group.
+const LEASE: Duration = Duration::from_secs(8);
+/// Pause between two tries to read the lease's row at the start.
+const READ_PAUSE: Duration = Duration::from_millis(500);
+/// Experts that one plan may fetch.
+const FETCHES: usize = 16;
+
+/// A sidecar's part in the expert-parallel group of its service.
+#[derive(Debug)]
+pub(super) struct GroupPart<P> {
+    platform: Arc<P>,
+    service: String,
+    key: String,
+    own: Incarnation,
+    current: Current,
+    meter: Arc<Meter>,
+    gate: Arc<Gate>,
+    fences: Arc<FenceGate>,
+    weights: HttpWeights,
+}
+
+impl<P: Table + ObjectStore + InstanceList> GroupPart<P> {
+    pub(super) fn new(
+        platform: Arc<P>,
+        file: &SidecarFile,
+        own: Incarnation,
+        current: Current,
+        meter: Arc<Meter>,
+    ) -> Self {
+        Self {
+            platform,
+            service: file.service.clone(),
+            key: file.link_key.clone(),
+            own,
+            current,
+            meter,
+            gate: Arc::new(Gate::new()),
+            fences: Arc::new(FenceGate::closed()),
+            weights: HttpWeights::new(file.upstream),
+        }
+    }
+
+    pub(super) const fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
+    pub(super) fn rank_server(&self, door: SettingsServer) -> RankServer<P, HttpWeights> {
+        RankServer::new(
+            door,
+            Arc::clone(&self.gate),
+            Arc::clone(&self.fences),
+            MapStore::new(Arc::clone(&self.platform), &self.service),
+            self.weights.clone(),
+            Arc::clone(&self.meter),
+        )
+    }
+
+    /// Takes part once the service's settings name a group with sizes, until the process ends.
+    pub(super) async fn run(mut self) {
+        let group = self.wait_group().await;
+        self.open_fences().await;
+        let Some(shape) = group.shape else { return };
+        let options = LeaderOptions {
+            shape: shape.shape(),
+            planner: PlannerOptions {
+                weights: group.weights(),
+                ..PlannerOptions::default()
+            },
+            lease: LEASE,
+            interval: group.interval.get(),
+            budget: FETCHES,
+        };
+        let seat = Seat {
+            service: self.service,
+            key: self.key,
+            own: self.own,
+        };
+        Leader::new(self.platform, seat, options, self.current, self.meter)
+            .run()
+            .await;
+    }
+
+    async fn wait_group(&mut self) -> Group {
+        loop {
+            let current = self.current.get();
+            let group = current
+                .service(&self.service)
+                .and_then(|service| service.group);
+            if let Some(group) = group.filter(|group| group.shape.is_some()) {
+                return group;
+            }
+            self.current.changed().await;
+        }
+    }
+
+    /// Reads the number in the lease's row, so that no older order passes this sidecar.
+    async fn open_fences(&self) {
+        let key = lease_key(&format!("group/{}", self.service));
+        loop {
+            match self.platform.get(&key).await {
+                Ok(None) => return self.fences.open(0),
+                Ok(Some(row)) => {
+                    if let Ok(row) = row.read::<LeaseRow>() {
+                        return self.fences.open(row.fence);
+                    }
+                }
+                Err(_) => {}
+            }
+            sleep(READ_PAUSE).await;
+        }
+    }
+}
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -6,6 +6,7 @@
 mod claim_row;
 mod crash_watch;
 mod error;
+mod group_part;
 mod handler;
 mod in_flight;
 mod link_server;
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -12,15 +12,19 @@
 
 use super::claim::Claims;
 use super::error::NodeError;
+use super::group_part::GroupPart;
 use super::link_server::{LinkServer, Links};
 use super::signals::Signals;
 use super::{Queue, SidecarHandler, Upstream};
 use crate::id::Incarnation;
 use crate::metrics::Meter;
 use crate::net::{Shutdown, serve};
-use crate::peer::{Follower, LinkRpcServer, RpcListener, SettingsRpcServer, SettingsServer};
-use crate::platform::Table;
+use crate::peer::{
+    Follower, HintSender, LinkRpcServer, RpcListener, SettingsRpcServer, SettingsServer,
+};
+use crate::platform::{InstanceList, ObjectStore, Table};
 use crate::settings::{Current, Publisher, SidecarFile};
+use crate::switch::{Gate, GroupRpcServer};
 
 /// Slots before the first settings are in force. Nothing is admitted until then.
 const FIRST_SLOTS: u32 = 1;
@@ -37,6 +41,7 @@
     current: Current,
     meter: Arc<Meter>,
     links: Links,
+    gate: Arc<Gate>,
     stop: Shutdown,
     tasks: TaskTracker,
     ends: CancellationToken,
@@ -48,92 +53,76 @@
     ///
     /// # Errors
     /// [`NodeError`] if an address can't be listened on.
-    pub async fn start<P: Table>(file: SidecarFile, platform: Arc<P>) -> Result<Self, NodeError> {
-        let meter = Arc::new(Meter::to(file.statsd)?);
-        let signals = Signals::new();
-        let queue = Queue::new(FIRST_SLOTS);
+    pub async fn start<P>(file: SidecarFile, platform: Arc<P>) -> Result<Self, NodeError>
+    where
+        P: Table + ObjectStore + InstanceList,
+    {
         let publisher = Publisher::new();
-        let tasks = TaskTracker::new();
-        let (stop, ends) = (Shutdown::default(), CancellationToken::new());
-        let links = Links::default();
-        let (hints, follower) = Follower::new(
-            Arc::clone(&platform),
-            publisher.clone(),
-            file.seeds.clone(),
-            file.link_key.clone(),
-            file.poll.get(),
-            Arc::clone(&meter),
-        );
-        let door = SettingsServer::new(publisher.current(), file.link_key.clone());
-        let link_server = LinkServer {
-            service: file.service.clone(),
-            door: door.clone(),
-            signals: signals.clone(),
-            queue: Arc::clone(&queue),
+        let parts = Parts {
             current: publisher.current(),
-            hints,
-            report: file.report.get(),
-            meter: Arc::clone(&meter),
-            links: links.clone(),
-        };
-        let mut methods = RpcModule::new(());
-        methods
-            .merge(SettingsRpcServer::into_rpc(door))
-            .expect("methods have distinct names");
-        methods
-            .merge(LinkRpcServer::into_rpc(link_server))
-            .expect("methods have distinct names");
-        let listener = TcpListener::bind(file.listen).await?;
-        let data = listener.local_addr()?;
-        let rpc = RpcListener::open(file.peer, methods).await?;
-        let upstream = Upstream::new(file.upstream, &signals, Arc::clone(&meter));
-        let claims = Claims::new(
+            signals: Signals::new(),
+            queue: Queue::new(FIRST_SLOTS),
+            meter: Arc::new(Meter::to(file.statsd)?),
+            links: Links::default(),
+            tasks: TaskTracker::new(),
+            ends: CancellationToken::new(),
             platform,
-            signals.incarnation,
-            Arc::clone(&meter),
-            tasks.clone(),
-        );
-        let handler = SidecarHandler {
-            service: file.service.clone(),
-            key: file.link_key,
-            current: publisher.current(),
-            queue: Arc::clone(&queue),
-            claims: Arc::new(claims),
-            upstream: upstream.clone(),
-            signals: signals.clone(),
-            meter: Arc::clone(&meter),
-            tasks: tasks.clone(),
-            suspects: Arc::new(Semaphore::new(1)),
+            file,
         };
-        tokio::spawn(run_until(ends.clone(), follower.run()));
-        tokio::spawn(run_until(ends.clone(), upstream.watch()));
-        let fitting = fit_slots(
-            publisher.current(),
-            file.service.clone(),
-            Arc::clone(&queue),
+        let (hints, follower) = parts.follower(publisher);
+        let part = parts.group_part();
+        let rpc = RpcListener::open(parts.file.peer, parts.methods(hints, &part)).await?;
+        let listener = TcpListener::bind(parts.file.listen).await?;
+        let data = listener.local_addr()?;
+        let stop = Shutdown::default();
+        let upstream = Upstream::new(
+            parts.file.upstream,
+            &parts.signals,
+            Arc::clone(&parts.meter),
         );
-        tokio::spawn(run_until(ends.clone(), fitting));
-        let closing = close_when_leaving(signals.clone(), Arc::clone(&queue));
-        tokio::spawn(run_until(ends.clone(), closing));
-        tokio::spawn(serve(
-            listener,
-            Arc::new(handler),
-            stop.clone(),
-            tasks.clone(),
+        let handler = Arc::new(parts.handler(upstream.clone()));
+        tokio::spawn(serve(listener, handler, stop.clone(), parts.tasks.clone()));
+        parts.spawn(follower.run());
+        parts.spawn(upstream.watch());
+        parts.spawn(fit_slots(
+            parts.current.clone(),
+            parts.file.service.clone(),
+            Arc::clone(&parts.queue),
+        ));
+        parts.spawn(close_when_leaving(
+            parts.signals.clone(),
+            Arc::clone(&parts.queue),
         ));
-        info!("sidecar: {} serves {} at {data}", file.name, file.service);
+        let gate = Arc::clone(part.gate());
+        parts.spawn(part.run());
+        info!(
+            "sidecar: {} serves {} at {data}",
+            parts.file.name, parts.file.service
+        );
+        let grace = parts.file.grace.get();
+        let Parts {
+            current,
+            signals,
+            queue,
+            meter,
+            links,
+            tasks,
+            ends,
+            ..
+        } = parts;
         Ok(Self {
             data,
             rpc,
             signals,
             queue,
-            current: publisher.current(),
+            current,
             meter,
             links,
+            gate,
             stop,
             tasks,
             ends,
-            grace: file.grace.get(),
+            grace,
         })
     }
 
@@ -167,6 +156,11 @@
         &self.queue
     }
 
+    /// The way into each step for the rank beside this sidecar.
+    pub const fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
     /// Number of linked entries.
     pub fn links(&self) -> usize {
         self.links.len()
@@ -177,6 +171,13 @@
         self.signals.stop();
     }
 
+    /// Stops at once, as a process that dies: connections break and nothing is told.
+    pub fn kill(self) {
+        self.stop.abrupt.cancel();
+        self.ends.cancel();
+        self.rpc.kill();
+    }
+
     /// Shuts down gracefully: refuses new requests at once, tells the linked entries, and ends
     /// after the requests in flight.
     pub async fn close(self) {
@@ -197,8 +198,91 @@
     }
 }
 
-async fn run_until(ends: CancellationToken, task: impl Future<Output = ()>) {
-    ends.run_until_cancelled_owned(task).await;
+/// What the parts of a sidecar share.
+struct Parts<P> {
+    file: SidecarFile,
+    platform: Arc<P>,
+    current: Current,
+    signals: Signals,
+    queue: Arc<Queue>,
+    meter: Arc<Meter>,
+    links: Links,
+    tasks: TaskTracker,
+    ends: CancellationToken,
+}
+
+impl<P: Table + ObjectStore + InstanceList> Parts<P> {
+    fn follower(&self, publisher: Publisher) -> (HintSender, Follower<P>) {
+        Follower::new(
+            Arc::clone(&self.platform),
+            publisher,
+            self.file.seeds.clone(),
+            self.file.link_key.clone(),
+            self.file.poll.get(),
+            Arc::clone(&self.meter),
+        )
+    }
+
+    fn door(&self) -> SettingsServer {
+        SettingsServer::new(self.current.clone(), self.file.link_key.clone())
+    }
+
+    fn group_part(&self) -> GroupPart<P> {
+        GroupPart::new(
+            Arc::clone(&self.platform),
+            &self.file,
+            self.signals.incarnation,
+            self.current.clone(),
+            Arc::clone(&self.meter),
+        )
+    }
+
+    fn methods(&self, hints: HintSender, part: &GroupPart<P>) -> RpcModule<()> {
+        let link_server = LinkServer {
+            service: self.file.service.clone(),
+            door: self.door(),
+            signals: self.signals.clone(),
+            queue: Arc::clone(&self.queue),
+            current: self.current.clone(),
+            hints,
+            report: self.file.report.get(),
+            meter: Arc::clone(&self.meter),
+            links: self.links.clone(),
+        };
+        let rank = part.rank_server(self.door());
+        let mut methods = RpcModule::new(());
+        let merged = methods
+            .merge(SettingsRpcServer::into_rpc(self.door()))
+            .and_then(|()| methods.merge(LinkRpcServer::into_rpc(link_server)))
+            .and_then(|()| methods.merge(GroupRpcServer::into_rpc(rank)));
+        merged.expect("methods have distinct names");
+        methods
+    }
+
+    fn handler(&self, upstream: Upstream) -> SidecarHandler<P> {
+        let claims = Claims::new(
+            Arc::clone(&self.platform),
+            self.signals.incarnation,
+            Arc::clone(&self.meter),
+            self.tasks.clone(),
+        );
+        SidecarHandler {
+            service: self.file.service.clone(),
+            key: self.file.link_key.clone(),
+            current: self.current.clone(),
+            queue: Arc::clone(&self.queue),
+            claims: Arc::new(claims),
+            upstream,
+            signals: self.signals.clone(),
+            meter: Arc::clone(&self.meter),
+            tasks: self.tasks.clone(),
+            suspects: Arc::new(Semaphore::new(1)),
+        }
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        tokio::spawn(self.ends.clone().run_until_cancelled_owned(task));
+    }
 }
 
 async fn fit_slots(mut current: Current, service: String, queue: Arc<Queue>) {
--- /dev/null
+++ b/src/switch/leader.rs
@@ -0,0 +1,399 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use spdlog::{info, warn};
+use tokio::time::sleep;
+
+use super::ranks::{Ranks, whole};
+use super::{
+    Ballot, LeaderError, MapId, MapStore, Proposal, ProposalId, RankReport, RankStats, Refused,
+    Reply, Stand, Verdict, choose_map,
+};
+use crate::group::{ExpertMap, Planner, PlannerOptions, Shape};
+use crate::id::Incarnation;
+use crate::lease::{Lease, LeaseError};
+use crate::metrics::{Event, Meter};
+use crate::platform::{InstanceList, ObjectStore, Phase, Table};
+use crate::settings::Current;
+
+/// Steps between a proposal and its first step, so that no rank waits in the ordinary case.
+const LEAD_STEPS: u64 = 8;
+/// Pause between two tries to learn missing votes.
+const ASK_PAUSE: Duration = Duration::from_millis(50);
+/// Tries to learn missing votes before the group is formed anew.
+const ASK_TRIES: usize = 20;
+
+/// How a group is led.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LeaderOptions {
+    /// Sizes of the group; one sidecar for each rank.
+    pub shape: Shape,
+    /// Weights of the planner.
+    pub planner: PlannerOptions,
+    /// Length of the lease.
+    pub lease: Duration,
+    /// Pause between two plans.
+    pub interval: Duration,
+    /// Experts that one plan may fetch.
+    pub budget: usize,
+}
+
+/// Whom a leader leads, and who it is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Seat {
+    /// Service of the group, as `team/service`.
+    pub service: String,
+    /// Secret shared by the system's own processes.
+    pub key: String,
+    /// The process's present life.
+    pub own: Incarnation,
+}
+
+/// Leads a group while it holds the group's lease. Every sidecar of the group runs one.
+#[derive(Debug)]
+pub struct Leader<P> {
+    platform: Arc<P>,
+    service: String,
+    key: String,
+    options: LeaderOptions,
+    maps: MapStore<P>,
+    lease: Lease<P>,
+    current: Current,
+    meter: Arc<Meter>,
+}
+
+/// One term of leadership.
+struct Term {
+    fence: u64,
+    epoch: u64,
+    serial: u32,
+    ranks: Ranks,
+    planner: Planner,
+    map: ExpertMap,
+    id: MapId,
+}
+
+impl<P: Table + ObjectStore + InstanceList> Leader<P> {
+    /// A leader-to-be of a service's group.
+    pub fn new(
+        platform: Arc<P>,
+        seat: Seat,
+        options: LeaderOptions,
+        current: Current,
+        meter: Arc<Meter>,
+    ) -> Self {
+        let Seat { service, key, own } = seat;
+        let name = format!("group/{service}");
+        let lease = Lease::new(Arc::clone(&platform), &name, own, options.lease);
+        let maps = MapStore::new(Arc::clone(&platform), &service);
+        Self {
+            platform,
+            service,
+            key,
+            options,
+            maps,
+            lease,
+            current,
+            meter,
+        }
+    }
+
+    /// Leads whenever the lease can be had, until the process ends.
+    pub async fn run(mut self) {
+        loop {
+            match self.lease.hold().await {
+                Ok(fence) => {
+                    if let Err(err) = self.lead(fence).await {
+                        warn!("group: {} is no longer led here: {err}", self.service);
+                    }
+                }
+                Err(LeaseError::Taken | LeaseError::StoreDown) => {}
+            }
+            sleep(self.options.lease / 4).await;
+        }
+    }
+
+    /// Leads for one term.
+    async fn lead(&mut self, fence: u64) -> Result<(), LeaderError> {
+        let mut term = self.open_term(fence).await?;
+        info!(
+            "group: {} is led here, fencing number {fence}",
+            self.service
+        );
+        loop {
+            sleep(self.options.interval).await;
+            self.renew(term.fence).await?;
+            match self.round(&mut term).await {
+                Ok(()) => {}
+                // A rank was lost: the next term forms the group anew.
+                Err(LeaderError::RankLost(rank)) => {
+                    warn!("group: rank {rank} of {} does not answer", self.service);
+                    self.form(&mut term).await?;
+                }
+                Err(LeaderError::StoreDown) => warn!("group: the store is down, no new map"),
+                Err(err) => return Err(err),
+            }
+        }
+    }
+
+    /// Renews the lease. While the store is down the group goes on, but nothing new is proposed
+    /// once the lease has run out.
+    async fn renew(&mut self, fence: u64) -> Result<(), LeaderError> {
+        match self.lease.hold().await {
+            Ok(held) if held == fence => Ok(()),
+            Ok(_) | Err(LeaseError::Taken) => Err(LeaderError::LeaseLost),
+            Err(LeaseError::StoreDown) if self.lease.fence() == Some(fence) => Ok(()),
+            Err(LeaseError::StoreDown) => Err(LeaderError::LeaseLost),
+        }
+    }
+
+    async fn open_term(&mut self, fence: u64) -> Result<Term, LeaderError> {
+        let ranks = self.find_ranks().await?;
+        let shape = self.options.shape;
+        let mut term = Term {
+            fence,
+            epoch: 0,
+            serial: 0,
+            ranks,
+            planner: Planner::new(shape, self.options.planner),
+            map: ExpertMap::initial(&shape),
+            id: MapId::default(),
+        };
+        let reports = term.ranks.reports().await?;
+        let epoch = reports[0].epoch;
+        let whole_group = epoch > 0 && reports.iter().all(|report| report.epoch == epoch);
+        if !whole_group {
+            self.form(&mut term).await?;
+            return Ok(term);
+        }
+        term.epoch = epoch;
+        self.finish_open(&term, &reports).await?;
+        let reports = term.ranks.reports().await?;
+        self.adopt(&mut term, &reports).await?;
+        Ok(term)
+    }
+
+    /// Settles the proposal that an earlier leader left open, if there is one.
+    async fn finish_open(&self, term: &Term, reports: &[RankReport]) -> Result<(), LeaderError> {
+        let open = reports
+            .iter()
+            .filter_map(|report| report.open)
+            .max_by_key(|open| open.id);
+        let Some(open) = open else { return Ok(()) };
+        self.decide(term, open.id, Ballot::new(term.ranks.len()))
+            .await
+            .map(|_| ())
+    }
+
+    /// Takes over the map that the ranks have or are about to have in force.
+    async fn adopt(&self, term: &mut Term, reports: &[RankReport]) -> Result<(), LeaderError> {
+        let coming = |report: &RankReport| report.open.map_or(report.map, |open| open.map);
+        term.id = reports.iter().map(coming).max().unwrap_or_default();
+        term.map = self.read_map(term.id).await?;
+        Ok(())
+    }
+
+    async fn read_map(&self, id: MapId) -> Result<ExpertMap, LeaderError> {
+        if id == MapId::default() {
+            return Ok(ExpertMap::initial(&self.options.shape));
+        }
+        self.maps.read(id).await?.ok_or(LeaderError::StoreDown)
+    }
+
+    /// The peers of all ranks, in the order of their names, so that every leader counts alike.
+    async fn find_ranks(&self) -> Result<Ranks, LeaderError> {
+        let list = self
+            .platform
+            .list()
+            .await
+            .map_err(|_| LeaderError::StoreDown)?;
+        let live = list.iter().filter(|inst| inst.phase == Phase::Live);
+        let mut own: Vec<_> = live.filter(|inst| inst.service == self.service).collect();
+        own.sort_by(|left, right| left.name.cmp(&right.name));
+        let wanted = self.options.shape.ranks;
+        if own.len() != wanted {
+            return Err(LeaderError::Incomplete(own.len(), wanted));
+        }
+        let peers: Vec<_> = own.iter().map(|inst| inst.peer).collect();
+        Ok(Ranks::new(&peers, &self.key))
+    }
+
+    /// Forms the group anew: stops all ranks, chooses the map, and starts them as a new epoch.
+    async fn form(&mut self, term: &mut Term) -> Result<(), LeaderError> {
+        // Each epoch needs a number that no other leader, and no earlier epoch, has used.
+        term.fence = self
+            .lease
+            .advance()
+            .await
+            .map_err(|_| LeaderError::LeaseLost)?;
+        term.ranks = self.find_ranks().await?;
+        let epoch = term.fence;
+        let frozen = whole(term.ranks.freeze(epoch).await)?;
+        let reports: Option<Vec<RankReport>> = frozen.into_iter().collect();
+        let reports = reports.ok_or(LeaderError::Outdated)?;
+        let id = choose_map(&reports);
+        term.map = self.read_map(id).await?;
+        if id != MapId::default() {
+            self.prefetch(term, id).await?;
+        }
+        let lives: Vec<u64> = reports.iter().map(|report| report.life).collect();
+        let formed = whole(term.ranks.form(&lives, epoch, id).await)?;
+        if formed.contains(&false) {
+            return Err(LeaderError::Outdated);
+        }
+        (term.epoch, term.id, term.serial) = (epoch, id, 0);
+        info!(
+            "group: {} formed as epoch {epoch} with map {id}",
+            self.service
+        );
+        Ok(())
+    }
+
+    /// One plan, and the switch if there is one.
+    async fn round(&self, term: &mut Term) -> Result<(), LeaderError> {
+        let stats = term.ranks.stats().await?;
+        let current = self.current.get();
+        let service = current.service(&self.service);
+        if let Some(group) = service.and_then(|service| service.group) {
+            term.planner.set_weights(group.weights());
+        }
+        term.observe(&self.options.shape, &stats);
+        let Some(plan) = term.planner.plan(&term.map, self.options.budget) else {
+            return Ok(());
+        };
+        let map = MapId {
+            version: term.id.version + 1,
+            fence: term.fence,
+        };
+        self.maps.write(map, &plan.map).await?;
+        self.prefetch(term, map).await?;
+        if self.switch(term, map).await? {
+            term.id = map;
+            term.map = plan.map;
+        }
+        Ok(())
+    }
+
+    async fn prefetch(&self, term: &Term, map: MapId) -> Result<(), LeaderError> {
+        let fetched = whole(term.ranks.prefetch(term.fence, map).await)?;
+        if fetched.contains(&false) {
+            Err(LeaderError::Outdated)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Proposes a map that all ranks hold, and tells whether it was agreed.
+    async fn switch(&self, term: &mut Term, map: MapId) -> Result<bool, LeaderError> {
+        let reports = term.ranks.reports().await?;
+        let step = reports
+            .iter()
+            .map(|report| report.step)
+            .max()
+            .unwrap_or_default();
+        term.serial += 1;
+        let id = ProposalId {
+            epoch: term.epoch,
+            fence: term.fence,
+            serial: term.serial,
+        };
+        let proposal = Proposal {
+            id,
+            base: term.id,
+            map,
+            from: step + LEAD_STEPS,
+        };
+        let mut ballot = Ballot::new(term.ranks.len());
+        for (rank, reply) in term.ranks.propose(proposal).await.into_iter().enumerate() {
+            match reply {
+                Some(Reply::Vote(stand)) => ballot.take(rank, stand),
+                Some(Reply::Refused(Refused::Fence | Refused::Epoch)) => {
+                    return Err(LeaderError::Outdated);
+                }
+                Some(Reply::Refused(Refused::Busy(_) | Refused::Weights)) | None => {}
+            }
+        }
+        let agreed = self.decide(term, id, ballot).await? == Verdict::Commit;
+        let event = if agreed {
+            Event::SwitchDone
+        } else {
+            Event::SwitchRefused
+        };
+        self.meter.count(event);
+        Ok(agreed)
+    }
+
+    /// Learns the missing votes and tells all ranks the result.
+    async fn decide(
+        &self,
+        term: &Term,
+        id: ProposalId,
+        mut ballot: Ballot,
+    ) -> Result<Verdict, LeaderError> {
+        for _ in 0..ASK_TRIES {
+            if let Some(verdict) = ballot.verdict() {
+                return self.tell(term, id, verdict).await;
+            }
+            let stands: Vec<Option<Option<Stand>>> = term.ranks.ask(id).await;
+            for (rank, stand) in stands.into_iter().enumerate() {
+                stand
+                    .flatten()
+                    .into_iter()
+                    .for_each(|stand| ballot.take(rank, stand));
+            }
+            if ballot.verdict().is_none() {
+                sleep(ASK_PAUSE).await;
+            }
+        }
+        Err(LeaderError::RankLost(
+            ballot.missing().next().unwrap_or_default(),
+        ))
+    }
+
+    async fn tell(
+        &self,
+        term: &Term,
+        id: ProposalId,
+        verdict: Verdict,
+    ) -> Result<Verdict, LeaderError> {
+        for _ in 0..ASK_TRIES {
+            if term
+                .ranks
+                .settle(id, verdict)
+                .await
+                .iter()
+                .all(Option::is_some)
+            {
+                return Ok(verdict);
+            }
+            sleep(ASK_PAUSE).await;
+        }
+        Err(LeaderError::RankLost(0))
+    }
+}
+
+impl Term {
+    /// Adds what all ranks counted and feeds the planner.
+    fn observe(&mut self, shape: &Shape, stats: &[RankStats]) {
+        if stats.iter().any(|rank| rank.steps == 0) {
+            return;
+        }
+        for layer in 0..shape.layers {
+            let mut tokens = vec![0.0; shape.experts];
+            let (mut loads, mut times) = (Vec::new(), Vec::new());
+            for rank in stats {
+                let Some(count) = rank.counts.layers.get(layer) else {
+                    return;
+                };
+                for (expert, counted) in count.experts.iter().zip(&count.tokens) {
+                    if let Some(sum) = tokens.get_mut(usize::from(*expert)) {
+                        *sum += counted;
+                    }
+                }
+                loads.push(count.tokens.iter().sum());
+                times.push(count.millis);
+            }
+            self.planner.observe(layer, &tokens, &loads, &times);
+        }
+    }
+}
--- /dev/null
+++ b/src/switch/mod.rs
@@ -0,0 +1,34 @@
+//! The agreement by which all ranks of a group change to a new expert map at the same step.
+//!
+//! Within an epoch a switch is a unanimous vote: its result follows from the votes alone, so any
+//! process that has them all can finish it. After the loss of a rank the group forms anew, with a
+//! new epoch. `docs/EXPERT-MAPS.md` gives the reasons.
+
+mod ballot;
+mod form;
+mod gate;
+mod group_rpc;
+mod leader;
+mod leader_error;
+mod map_id;
+mod map_store;
+mod proposal;
+mod rank_server;
+mod rank_stats;
+mod ranks;
+mod voter;
+mod weights;
+
+pub use ballot::{Ballot, Verdict};
+pub use form::{RankReport, choose_map};
+pub use gate::{EnterReply, Gate};
+pub use group_rpc::{GroupRpcClient, GroupRpcServer};
+pub use leader::{Leader, LeaderOptions, Seat};
+pub use leader_error::LeaderError;
+pub use map_id::MapId;
+pub use map_store::MapStore;
+pub use proposal::{Proposal, ProposalId, Refused, Reply, Stand};
+pub use rank_server::RankServer;
+pub use rank_stats::{LayerCount, RankStats, StepCounts};
+pub use voter::{Entry, Voter};
+pub use weights::{HttpWeights, PrefetchOrder, Weights, WeightsError};
--- /dev/null
+++ b/src/switch/rank_server.rs
@@ -0,0 +1,168 @@
+use std::sync::{Arc, Mutex, PoisonError};
+
+use jsonrpsee::core::async_trait;
+use jsonrpsee::types::ErrorObjectOwned;
+
+use super::{
+    EnterReply, Gate, GroupRpcServer, MapId, MapStore, Proposal, ProposalId, RankReport, RankStats,
+    Refused, Reply, Stand, StepCounts, Verdict, Weights,
+};
+use crate::lease::FenceGate;
+use crate::metrics::{Event, Meter};
+use crate::peer::SettingsServer;
+use crate::platform::ObjectStore;
+
+/// JSON-RPC code for a store or an engine that does not answer.
+const UNAVAILABLE_CODE: i32 = -32_002;
+
+/// Answers for the rank beside this sidecar.
+#[derive(Clone, Debug)]
+pub struct RankServer<P, W> {
+    door: SettingsServer,
+    gate: Arc<Gate>,
+    fences: Arc<FenceGate>,
+    maps: MapStore<P>,
+    weights: Arc<W>,
+    held: Arc<Mutex<Vec<MapId>>>,
+    meter: Arc<Meter>,
+}
+
+impl<P: ObjectStore, W: Weights> RankServer<P, W> {
+    /// Answers those who know the link key. `fences` has seen the number in the lease's row, so
+    /// that a sidecar that has restarted passes no older order.
+    pub fn new(
+        door: SettingsServer,
+        gate: Arc<Gate>,
+        fences: Arc<FenceGate>,
+        maps: MapStore<P>,
+        weights: W,
+        meter: Arc<Meter>,
+    ) -> Self {
+        let weights = Arc::new(weights);
+        Self {
+            door,
+            gate,
+            fences,
+            maps,
+            weights,
+            held: Arc::default(),
+            meter,
+        }
+    }
+
+    fn admit_fence(&self, fence: u64) -> bool {
+        let admitted = self.fences.admit(fence);
+        if !admitted {
+            self.meter.count(Event::FenceRefused);
+        }
+        admitted
+    }
+
+    fn holds(&self, map: MapId) -> bool {
+        self.held
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .contains(&map)
+    }
+}
+
+fn unavailable(what: &str) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(UNAVAILABLE_CODE, what.to_owned(), None::<()>)
+}
+
+#[async_trait]
+impl<P: ObjectStore, W: Weights> GroupRpcServer for RankServer<P, W> {
+    async fn prefetch(
+        &self,
+        key: String,
+        fence: u64,
+        map: MapId,
+    ) -> Result<bool, ErrorObjectOwned> {
+        self.door.admit(&key)?;
+        if !self.admit_fence(fence) {
+            return Ok(false);
+        }
+        if self.holds(map) {
+            return Ok(true);
+        }
+        let read = self
+            .maps
+            .read(map)
+            .await
+            .map_err(|_| unavailable("store"))?;
+        let layers = read.ok_or_else(|| unavailable("map"))?.layers;
+        let fetched = self.weights.prefetch(fence, map, &layers).await;
+        fetched.map_err(|_| unavailable("engine"))?;
+        self.held
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(map);
+        Ok(true)
+    }
+
+    async fn propose(&self, key: String, proposal: Proposal) -> Result<Reply, ErrorObjectOwned> {
+        self.door.admit(&key)?;
+        if !self.admit_fence(proposal.id.fence) {
+            return Ok(Reply::Refused(Refused::Fence));
+        }
+        Ok(self.gate.propose(&proposal, self.holds(proposal.map)))
+    }
+
+    async fn ask(&self, key: String, id: ProposalId) -> Result<Option<Stand>, ErrorObjectOwned> {
+        self.door.admit(&key)?;
+        Ok(self.gate.ask(id))
+    }
+
+    async fn settle(
+        &self,
+        key: String,
+        id: ProposalId,
+        verdict: Verdict,
+    ) -> Result<(), ErrorObjectOwned> {
+        self.door.admit(&key)?;
+        self.gate.settle(id, verdict);
+        Ok(())
+    }
+
+    async fn freeze(
+        &self,
+        key: String,
+        epoch: u64,
+    ) -> Result<Option<RankReport>, ErrorObjectOwned> {
+        self.door.admit(&key)?;
+        Ok(if self.admit_fence(epoch) {
+            self.gate.freeze(epoch)
+        } else {
+            None
+        })
+    }
+
+    async fn form(
+        &self,
+        key: String,
+        life: u64,
+        epoch: u64,
+        map: MapId,
+    ) -> Result<bool, ErrorObjectOwned> {
+        self.door.admit(&key)?;
+        Ok(self.gate.form(life, epoch, map))
+    }
+
+    async fn report(&self, key: String) -> Result<RankReport, ErrorObjectOwned> {
+        self.door.admit(&key)?;
+        Ok(self.gate.report())
+    }
+
+    async fn stats(&self, key: String) -> Result<RankStats, ErrorObjectOwned> {
+        self.door.admit(&key)?;
+        Ok(self.gate.take_stats())
+    }
+
+    async fn enter(
+        &self,
+        step: u64,
+        counts: Option<StepCounts>,
+    ) -> Result<EnterReply, ErrorObjectOwned> {
+        Ok(self.gate.enter(step, counts).await)
+    }
+}
--- /dev/null
+++ b/src/switch/weights.rs
@@ -0,0 +1,99 @@
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http::{Method, Request};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::time::timeout;
+
+use super::MapId;
+use crate::group::LayerMap;
+use crate::net::{HttpClient, h1_client};
+
+/// Longest time for an engine to fetch the weights of one switch.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Why a rank does not hold what a map needs.
+#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+pub enum WeightsError {
+    /// the engine refused the order
+    Refused,
+    /// the engine does not answer: {0}
+    Unreachable(String),
+}
+
+/// Orders an engine to fetch expert weights.
+pub trait Weights: Send + Sync + 'static {
+    /// Has the rank hold what the map needs of it, beside what it holds now. Returns when it does.
+    ///
+    /// # Errors
+    /// [`WeightsError`] if the engine refuses or does not answer.
+    fn prefetch(
+        &self,
+        fence: u64,
+        id: MapId,
+        layers: &[LayerMap],
+    ) -> impl Future<Output = Result<(), WeightsError>> + Send;
+}
+
+/// Orders over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpWeights {
+    client: HttpClient,
+    engine: SocketAddr,
+}
+
+/// Body of an order to prefetch.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct PrefetchOrder {
+    /// Fencing number.
+    pub fence: u64,
+    /// The map.
+    pub id: MapId,
+    /// Its layers.
+    pub layers: Vec<LayerMap>,
+}
+
+impl HttpWeights {
+    /// Orders for the engine at an address.
+    pub fn new(engine: SocketAddr) -> Self {
+        Self {
+            client: h1_client(),
+            engine,
+        }
+    }
+}
+
+impl Weights for HttpWeights {
+    async fn prefetch(
+        &self,
+        fence: u64,
+        id: MapId,
+        layers: &[LayerMap],
+    ) -> Result<(), WeightsError> {
+        let unreachable = |text: String| WeightsError::Unreachable(text);
+        let order = PrefetchOrder {
+            fence,
+            id,
+            layers: layers.to_vec(),
+        };
+        let body = serde_json::to_vec(&order).map_err(|err| unreachable(err.to_string()))?;
+        let request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{}/group/prefetch", self.engine))
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|err| unreachable(err.to_string()))?;
+        let sent = timeout(FETCH_TIMEOUT, self.client.request(request)).await;
+        let answer = sent.map_err(|_| unreachable("timeout".to_owned()))?;
+        let answer = answer.map_err(|err| unreachable(err.to_string()))?;
+        if answer.status().is_success() {
+            Ok(())
+        } else {
+            Err(WeightsError::Refused)
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/lock_step.rs
@@ -0,0 +1,182 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ebonyusher::group::{LayerMap, Shape};
+use ebonyusher::switch::{EnterReply, GroupRpcClient, LayerCount, MapId, StepCounts};
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use crate::RankEngine;
+
+const ENTER_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause before a step is tried again that not all ranks could enter.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
+/// One step that all ranks ran.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StepRecord {
+    /// Epoch of the group.
+    pub epoch: u64,
+    /// Step.
+    pub step: u64,
+    /// Map that all ranks used.
+    pub map: MapId,
+    /// Step time over ideal, mean over the layers.
+    pub skew: f64,
+    /// Time that the ranks took to be let in.
+    pub entry: Duration,
+}
+
+/// What went on in a group.
+#[derive(Clone, Debug, Default)]
+pub struct GroupLog {
+    /// Steps in order.
+    pub steps: Vec<StepRecord>,
+    /// Steps in which ranks of one epoch used different maps.
+    pub two_maps: u64,
+    /// Steps in which a rank lacked weights that the map needs of it.
+    pub missing_weights: u64,
+}
+
+/// Drives the ranks of a group in lock-step through their sidecars.
+#[derive(Clone, Debug)]
+pub struct LockStep {
+    log: Arc<Mutex<GroupLog>>,
+    peers: Arc<Mutex<Vec<SocketAddr>>>,
+    engines: Vec<Arc<RankEngine>>,
+    shape: Shape,
+    /// Tokens of each expert, by layer.
+    tokens: Arc<Mutex<Vec<Vec<f64>>>>,
+    /// Time of a step at ideal balance.
+    pace: Duration,
+}
+
+impl LockStep {
+    /// Ranks with their engines; the sidecars' peers come in the order of the ranks.
+    pub fn new(
+        shape: Shape,
+        engines: Vec<Arc<RankEngine>>,
+        peers: Vec<SocketAddr>,
+        tokens: Vec<Vec<f64>>,
+        pace: Duration,
+    ) -> Self {
+        Self {
+            log: Arc::default(),
+            peers: Arc::new(Mutex::new(peers)),
+            engines,
+            shape,
+            tokens: Arc::new(Mutex::new(tokens)),
+            pace,
+        }
+    }
+
+    /// What has gone on so far.
+    pub fn log(&self) -> GroupLog {
+        lock(&self.log).clone()
+    }
+
+    /// Puts another sidecar beside a rank.
+    pub fn set_peer(&self, rank: usize, peer: SocketAddr) {
+        lock(&self.peers)[rank] = peer;
+    }
+
+    /// Changes the tokens of each expert, by layer.
+    pub fn set_tokens(&self, tokens: Vec<Vec<f64>>) {
+        *lock(&self.tokens) = tokens;
+    }
+
+    /// Steps until stopped.
+    pub async fn run(self) {
+        let mut counts: Vec<Option<StepCounts>> = vec![None; self.shape.ranks];
+        let mut step = 1;
+        loop {
+            let began = Instant::now();
+            let entered = self.enter(step, &counts).await;
+            let map = entered.and_then(|(_, id)| self.engines.first()?.map(id));
+            let (Some((epoch, id)), Some(map)) = (entered, map) else {
+                counts.fill(None);
+                sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            let entry = began.elapsed();
+            let (skew, counted) = self.work(&map);
+            counts = counted;
+            sleep(self.pace.mul_f64(skew)).await;
+            lock(&self.log).steps.push(StepRecord {
+                epoch,
+                step,
+                map: id,
+                skew,
+                entry,
+            });
+            step += 1;
+        }
+    }
+
+    /// Has all ranks enter a step; nothing if not all of one epoch could.
+    async fn enter(&self, step: u64, counts: &[Option<StepCounts>]) -> Option<(u64, MapId)> {
+        let peers = lock(&self.peers).clone();
+        let mut tasks = JoinSet::new();
+        for (peer, counts) in peers.into_iter().zip(counts) {
+            let counts = counts.clone();
+            tasks.spawn(async move { client(peer)?.enter(step, counts).await.ok() });
+        }
+        let mut entered = Vec::new();
+        while let Some(reply) = tasks.join_next().await {
+            match reply.ok().flatten() {
+                Some(EnterReply::Run { epoch, map }) => entered.push((epoch, map)),
+                Some(EnterReply::Frozen) | None => {}
+            }
+        }
+        let (epoch, map) = entered.first().copied()?;
+        let together =
+            entered.len() == self.shape.ranks && entered.iter().all(|(other, _)| *other == epoch);
+        if !together {
+            return None;
+        }
+        if entered.iter().any(|(_, other)| *other != map) {
+            lock(&self.log).two_maps += 1;
+        }
+        Some((epoch, map))
+    }
+
+    /// Skew of one step, and what each rank counts in it.
+    fn work(&self, map: &[LayerMap]) -> (f64, Vec<Option<StepCounts>>) {
+        if self.engines.iter().any(|engine| !engine.holds(map)) {
+            lock(&self.log).missing_weights += 1;
+        }
+        let tokens = lock(&self.tokens).clone();
+        let mut skews = 0.0;
+        let mut counts = vec![StepCounts::default(); self.shape.ranks];
+        for (layer, tokens) in map.iter().zip(&tokens) {
+            let loads = layer.loads(tokens);
+            let ideal = loads.iter().sum::<f64>() / loads.len() as f64;
+            skews += loads.iter().copied().fold(0.0, f64::max) / ideal;
+            for (rank, counts) in counts.iter_mut().enumerate() {
+                let places = layer.held(rank).iter().zip(layer.shares(rank));
+                counts.layers.push(LayerCount {
+                    experts: layer.held(rank).to_vec(),
+                    tokens: places
+                        .map(|(expert, share)| tokens[usize::from(*expert)] * f64::from(*share))
+                        .collect(),
+                    millis: loads[rank] / ideal,
+                });
+            }
+        }
+        let skew = skews / map.len().max(1) as f64;
+        (skew, counts.into_iter().map(Some).collect())
+    }
+}
+
+fn client(peer: SocketAddr) -> Option<HttpClient> {
+    HttpClientBuilder::default()
+        .request_timeout(ENTER_TIMEOUT)
+        .build(format!("http://{peer}"))
+        .ok()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/standin/src/mem_platform.rs
+++ b/standin/src/mem_platform.rs
@@ -1,5 +1,5 @@
 use std::collections::BTreeMap;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -10,9 +10,9 @@
 };
 use tokio::time::sleep;
 
-use crate::Faults;
 use crate::lag::Lagging;
 use crate::rate::Rate;
+use crate::{Faults, WriteFate};
 
 /// Reads that the platform allows, per second.
 const READS_PER_SECOND: f64 = 2_000.0;
@@ -26,6 +26,7 @@
     objects: Mutex<HashMap<String, Bytes>>,
     list: Mutex<Lagging<Vec<Instance>>>,
     faults: Mutex<Faults>,
+    script: Mutex<VecDeque<WriteFate>>,
     reads: Rate,
     writes: Rate,
     read_count: AtomicU64,
@@ -52,6 +53,7 @@
             objects: Mutex::default(),
             list: Mutex::new(Lagging::new(Vec::new())),
             faults: Mutex::default(),
+            script: Mutex::default(),
             reads: Rate::new(READS_PER_SECOND),
             writes: Rate::new(WRITES_PER_SECOND),
             read_count: AtomicU64::new(0),
@@ -69,6 +71,11 @@
         *lock(&self.faults)
     }
 
+    /// Sets what becomes of the next writes, one after the other.
+    pub fn script(&self, fates: impl IntoIterator<Item = WriteFate>) {
+        lock(&self.script).extend(fates);
+    }
+
     /// Adds an instance, or puts it in place of the one of the same name.
     pub fn add_instance(&self, inst: Instance) {
         self.change_list(|list| {
@@ -106,6 +113,16 @@
         list.set(next);
     }
 
+    fn next_fate(&self) -> WriteFate {
+        let scripted = lock(&self.script).pop_front();
+        let faults = self.faults();
+        scripted.unwrap_or_else(|| match rand::random::<f64>() {
+            draw if draw < faults.lost_writes => WriteFate::Lost,
+            draw if draw < faults.lost_writes + faults.lost_answers => WriteFate::AnswerLost,
+            _ => WriteFate::Answered,
+        })
+    }
+
     async fn read_gate(&self) -> Result<(), TableError> {
         self.read_count.fetch_add(1, Ordering::Relaxed);
         self.gate(&self.reads).await
@@ -179,15 +196,16 @@
     async fn commit(&self, txn: &Txn) -> Result<u64, TableError> {
         self.write_count.fetch_add(1, Ordering::Relaxed);
         self.gate(&self.writes).await?;
-        let faults = self.faults();
-        if rand::random_bool(faults.lost_writes) {
-            return Err(TableError::Unknown("the write was lost".to_owned()));
-        }
-        let applied = lock(&self.rows).apply(txn);
-        if rand::random_bool(faults.lost_answers) {
-            return Err(TableError::Unknown("the answer was lost".to_owned()));
+        match self.next_fate() {
+            WriteFate::Refused => Err(TableError::Unavailable("refused".to_owned())),
+            WriteFate::Lost => Err(TableError::Unknown("the write was lost".to_owned())),
+            WriteFate::Answered => lock(&self.rows).apply(txn),
+            WriteFate::AnswerLost => {
+                // Whether it applied or conflicted, nobody learns of it.
+                lock(&self.rows).apply(txn).ok();
+                Err(TableError::Unknown("the answer was lost".to_owned()))
+            }
         }
-        applied
     }
 }
 
--- /dev/null
+++ b/standin/src/rank_engine.rs
@@ -0,0 +1,141 @@
+use std::collections::{HashMap, HashSet};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ebonyusher::group::LayerMap;
+use ebonyusher::net::{Handler, WholeBody, collect, text_answer};
+use ebonyusher::switch::{MapId, PrefetchOrder};
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::time::sleep;
+
+use crate::Faulty;
+
+const MAX_BODY_BYTES: u64 = 64 << 20;
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A model engine stand-in that is one rank of a lock-stepped group.
+#[derive(Debug)]
+pub struct RankEngine {
+    rank: usize,
+    fences: bool,
+    /// Time that the weight store takes for one expert.
+    fetch: Duration,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// Layer and expert of the weights that the rank holds.
+    held: HashSet<(usize, u16)>,
+    /// Maps that the rank has been told of.
+    maps: HashMap<MapId, Vec<LayerMap>>,
+    fence: u64,
+    stale_orders: u64,
+    fetches: u64,
+}
+
+impl RankEngine {
+    /// A rank with no weights. If `fences` is false it takes orders with an old fencing number.
+    pub fn new(rank: usize, fences: bool, fetch: Duration) -> Self {
+        Self {
+            rank,
+            fences,
+            fetch,
+            state: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Loads what a map needs at once, as at the start of an engine.
+    pub fn load(&self, layers: &[LayerMap]) {
+        let mut state = self.lock();
+        state.maps.insert(MapId::default(), layers.to_vec());
+        for (layer, map) in layers.iter().enumerate() {
+            state
+                .held
+                .extend(map.held(self.rank).iter().map(|expert| (layer, *expert)));
+        }
+    }
+
+    /// Whether the rank holds what a map needs of it.
+    pub fn holds(&self, layers: &[LayerMap]) -> bool {
+        let state = self.lock();
+        layers.iter().enumerate().all(|(layer, map)| {
+            map.held(self.rank)
+                .iter()
+                .all(|expert| state.held.contains(&(layer, *expert)))
+        })
+    }
+
+    /// A map that the rank has been told of.
+    pub fn map(&self, id: MapId) -> Option<Vec<LayerMap>> {
+        self.lock().maps.get(&id).cloned()
+    }
+
+    /// Orders that were carried out although their fencing number was old.
+    pub fn stale_orders(&self) -> u64 {
+        self.lock().stale_orders
+    }
+
+    /// Experts that were fetched.
+    pub fn fetches(&self) -> u64 {
+        self.lock().fetches
+    }
+
+    async fn prefetch(&self, order: PrefetchOrder) -> bool {
+        let missing = {
+            let mut state = self.lock();
+            if order.fence < state.fence {
+                if self.fences {
+                    return false;
+                }
+                state.stale_orders += 1;
+            }
+            state.fence = state.fence.max(order.fence);
+            let needed = order.layers.iter().enumerate().flat_map(|(layer, map)| {
+                map.held(self.rank)
+                    .iter()
+                    .map(move |expert| (layer, *expert))
+            });
+            needed
+                .filter(|place| !state.held.contains(place))
+                .collect::<Vec<_>>()
+        };
+        let count = u32::try_from(missing.len()).unwrap_or(u32::MAX);
+        sleep(self.fetch * count).await;
+        let mut state = self.lock();
+        state.fetches += u64::from(count);
+        state.held.extend(missing);
+        state.maps.insert(order.id, order.layers);
+        true
+    }
+}
+
+impl Handler for RankEngine {
+    type Body = WholeBody;
+
+    async fn handle(&self, request: Request<Incoming>) -> Response<WholeBody> {
+        let body = collect(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+        let order = body
+            .ok()
+            .and_then(|body| serde_json::from_slice(&body).ok());
+        let Some(order) = order else {
+            return text_answer(StatusCode::BAD_REQUEST, "bad order\n");
+        };
+        if self.prefetch(order).await {
+            text_answer(StatusCode::OK, "ok\n")
+        } else {
+            text_answer(StatusCode::CONFLICT, "old fencing number\n")
+        }
+    }
+}
+
+impl Faulty for RankEngine {
+    fn forget(&self) {
+        self.lock().held.clear();
+    }
+}
--- /dev/null
+++ b/tests/it/fault_table.rs
@@ -0,0 +1,157 @@
+//! Each row: a fault, the moment, what the caller is told, what must hold.
+
+use std::time::Duration;
+
+use ebonyusher::outcome::{Outcome, Reason};
+use ebonyusher_standin::Faults;
+use rstest::rstest;
+use tokio::time::sleep;
+
+use crate::site::{Site, until};
+
+const LONG_CHAT: &str = r#"{"stream":true,"max_tokens":40,"messages":"a"}"#;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    StoreDown,
+    UpstreamsGone,
+    CrashWhileRunning,
+    StallPastDeadline,
+}
+
+#[rstest]
+#[case::store_down(Fault::StoreDown, Outcome::NotRun, Reason::StoreDown, 0)]
+#[case::upstreams_gone(Fault::UpstreamsGone, Outcome::NotRun, Reason::NoUpstream, 0)]
+#[case::crash_while_running(Fault::CrashWhileRunning, Outcome::Unknown, Reason::UpstreamLost, 1)]
+#[case::stall(Fault::StallPastDeadline, Outcome::Unknown, Reason::UpstreamTimeout, 1)]
+#[tokio::test]
+async fn an_order_is_told_the_truth(
+    #[case] fault: Fault,
+    #[case] outcome: Outcome,
+    #[case] reason: Reason,
+    #[case] runs: u32,
+) {
+    let mut site = Site::start(0, 1, 1).await;
+    match fault {
+        Fault::StoreDown => {
+            site.fleet.platform.platform.set_faults(Faults {
+                down: true,
+                ..Faults::default()
+            });
+        }
+        Fault::UpstreamsGone => {
+            site.plains.remove(0).close();
+            let members = site.entries[0].members();
+            site.order("probe", "{}").await;
+            until(|| !members.status()["ledger-0"].up).await;
+        }
+        Fault::CrashWhileRunning => {
+            let plain = std::sync::Arc::clone(&site.plains[0].handler);
+            plain.set_stall(Duration::from_millis(300));
+            tokio::spawn(async move {
+                until(|| plain.runs("order") == 1).await;
+                plain.crash();
+            });
+        }
+        Fault::StallPastDeadline => {
+            site.plains[0].handler.set_stall(Duration::from_secs(60));
+        }
+    }
+
+    let reply = site.order("order", "{}").await;
+
+    assert_eq!((reply.outcome, reply.reason), (Some(outcome), Some(reason)));
+    assert_eq!(site.runs("order"), runs);
+}
+
+#[tokio::test]
+async fn an_order_that_broke_off_never_runs_again_and_stays_unknown() {
+    let site = Site::start(0, 2, 1).await;
+    for plain in &site.plains {
+        plain.handler.set_stall(Duration::from_millis(300));
+    }
+    let crashing: Vec<_> = site
+        .plains
+        .iter()
+        .map(|plain| std::sync::Arc::clone(&plain.handler))
+        .collect();
+    tokio::spawn(async move {
+        until(|| crashing.iter().any(|plain| plain.runs("order") == 1)).await;
+        crashing.iter().for_each(|plain| plain.crash());
+    });
+
+    let first = site.order("order", "{}").await;
+    let members = site.entries[0].members();
+    until(|| members.all().iter().all(|member| member.is_candidate())).await;
+    let again = site.order("order", "{}").await;
+
+    assert_eq!(first.outcome, Some(Outcome::Unknown));
+    assert_eq!(
+        (again.outcome, again.reason),
+        (Some(Outcome::Unknown), Some(Reason::Unsettled))
+    );
+    assert_eq!(site.runs("order"), 1);
+}
+
+#[tokio::test]
+async fn a_crashed_engine_does_not_break_a_stream() {
+    let site = Site::start(2, 0, 1).await;
+    let crashing: Vec<_> = site
+        .engines
+        .iter()
+        .map(|engine| std::sync::Arc::clone(&engine.handler))
+        .collect();
+    tokio::spawn(async move {
+        until(|| crashing.iter().any(|engine| engine.starts().count() > 0)).await;
+        sleep(Duration::from_millis(80)).await;
+        let busy = crashing.iter().find(|engine| engine.starts().count() > 0);
+        busy.unwrap().crash();
+    });
+
+    let reply = site.chat(LONG_CHAT).await;
+
+    let text = String::from_utf8(reply.body).unwrap();
+    let tokens: Vec<String> = (0..40)
+        .map(|at| ebonyusher_standin::token(LONG_CHAT.as_bytes(), at))
+        .collect();
+    let seen: Vec<&str> = text
+        .lines()
+        .filter_map(|line| line.split("\"content\":\"").nth(1))
+        .map(|rest| &rest[..8])
+        .collect();
+    assert!(reply.whole && text.ends_with("data: [DONE]\n\n"));
+    assert_eq!(seen, tokens);
+    assert_eq!(
+        site.engines
+            .iter()
+            .map(|engine| engine.handler.starts().count())
+            .sum::<u64>(),
+        2
+    );
+}
+
+#[tokio::test]
+async fn a_request_that_crashes_engines_is_held_back_and_others_are_not() {
+    let site = Site::start(4, 0, 1).await;
+    let poison = r#"{"stream":true,"max_tokens":4,"messages":"poison"}"#;
+
+    let first = site.chat(poison).await;
+    until(|| site.entries[0].suspects().held() == 1).await;
+    let again = site.chat(poison).await;
+    let innocent = site
+        .chat(r#"{"stream":true,"max_tokens":4,"messages":"b"}"#)
+        .await;
+
+    let crashes = site
+        .engines
+        .iter()
+        .map(|engine| engine.handler.starts().count())
+        .sum::<u64>();
+    assert_eq!(first.outcome, Some(Outcome::Unknown));
+    assert_eq!(
+        (again.outcome, again.reason),
+        (Some(Outcome::NotRun), Some(Reason::Poison))
+    );
+    assert_eq!(innocent.outcome, Some(Outcome::Ran));
+    assert_eq!(crashes, 3, "two crashes and the innocent one");
+}
--- /dev/null
+++ b/tests/it/main.rs
@@ -0,0 +1,21 @@
+//! Tests of the whole crate, one module for each matter.
+
+mod admin_api;
+mod at_most_once;
+mod budget;
+mod fault_table;
+mod group_run;
+mod input;
+mod leases;
+mod leaving;
+mod limits;
+mod links;
+mod planner;
+mod platform_contract;
+mod queue;
+mod routing;
+mod settings_order;
+mod site;
+mod suspects;
+mod vote_search;
+mod whole_path;
--- /dev/null
+++ b/tests/it/queue.rs
@@ -0,0 +1,276 @@
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ebonyusher::settings::Priority;
+use ebonyusher::sidecar::{Queue, QueueError, Ticket};
+use proptest::prelude::*;
+use rstest::rstest;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+const RUN: Duration = Duration::from_millis(10);
+
+fn ticket(account: &str) -> Ticket<'_> {
+    Ticket {
+        account,
+        weight: 1.0,
+        cost: 10.0,
+        priority: Priority::Normal,
+        wait: Duration::from_secs(60),
+        deadline: Instant::now() + Duration::from_secs(60),
+    }
+}
+
+/// Runs one request of an account.
+async fn run(queue: Arc<Queue>, account: String, weight: f64, served: Arc<Mutex<Vec<String>>>) {
+    let ticket = Ticket {
+        weight,
+        ..ticket(&account)
+    };
+    let Ok(permit) = queue.admit(&ticket).await else {
+        return;
+    };
+    served.lock().unwrap().push(account);
+    sleep(RUN).await;
+    permit.close(10.0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_flood_of_one_account_does_not_hold_another_up() {
+    let queue = Queue::new(1);
+    let served = Arc::new(Mutex::new(Vec::new()));
+    let mut tasks = JoinSet::new();
+    for _ in 0..50 {
+        tasks.spawn(run(
+            Arc::clone(&queue),
+            "flood".into(),
+            1.0,
+            Arc::clone(&served),
+        ));
+    }
+    sleep(Duration::from_millis(1)).await;
+
+    tasks.spawn(run(
+        Arc::clone(&queue),
+        "quiet".into(),
+        1.0,
+        Arc::clone(&served),
+    ));
+    tasks.join_all().await;
+
+    let order = served.lock().unwrap();
+    let place = order.iter().position(|account| account == "quiet").unwrap();
+    assert!(place <= 2, "served as number {place}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_higher_class_goes_first() {
+    let queue = Queue::new(1);
+    let first = queue.admit(&ticket("a")).await.unwrap();
+    let order = Arc::new(Mutex::new(Vec::new()));
+    let mut tasks = JoinSet::new();
+    for priority in [Priority::Low, Priority::Normal, Priority::High] {
+        let (queue, order) = (Arc::clone(&queue), Arc::clone(&order));
+        tasks.spawn(async move {
+            let permit = queue
+                .admit(&Ticket {
+                    priority,
+                    ..ticket("a")
+                })
+                .await
+                .unwrap();
+            order.lock().unwrap().push(priority);
+            permit.close(10.0);
+        });
+        sleep(Duration::from_millis(1)).await;
+    }
+
+    first.close(10.0);
+    tasks.join_all().await;
+
+    assert_eq!(
+        *order.lock().unwrap(),
+        [Priority::High, Priority::Normal, Priority::Low]
+    );
+}
+
+#[rstest]
+#[case::too_long_a_wait(
+    Duration::from_millis(5),
+    Duration::from_secs(60),
+    QueueError::Overload
+)]
+#[case::past_deadline(
+    Duration::from_secs(60),
+    Duration::from_millis(5),
+    QueueError::Deadline
+)]
+#[tokio::test(start_paused = true)]
+async fn a_wait_that_can_not_be_borne_is_refused(
+    #[case] wait: Duration,
+    #[case] left: Duration,
+    #[case] error: QueueError,
+) {
+    let queue = Queue::new(1);
+    let _running = queue.admit(&ticket("a")).await.unwrap();
+    let began = Instant::now();
+
+    let refused = queue
+        .admit(&Ticket {
+            wait,
+            deadline: began + left,
+            ..ticket("b")
+        })
+        .await;
+
+    assert_eq!(refused.err(), Some(error));
+    assert!(began.elapsed() <= Duration::from_millis(6));
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_can_not_end_in_time_is_refused_at_once() {
+    let queue = Queue::new(1);
+    let permit = queue.admit(&ticket("a")).await.unwrap();
+    sleep(Duration::from_millis(100)).await;
+    permit.close(10.0);
+    let began = Instant::now();
+
+    let deadline = began + Duration::from_millis(50);
+    let refused = queue
+        .admit(&Ticket {
+            deadline,
+            ..ticket("a")
+        })
+        .await;
+
+    assert_eq!(refused.err(), Some(QueueError::Deadline));
+    assert_eq!(began.elapsed(), Duration::ZERO);
+}
+
+#[tokio::test(start_paused = true)]
+async fn closing_refuses_those_that_wait_and_opening_lets_new_ones_in() {
+    let queue = Queue::new(1);
+    let running = queue.admit(&ticket("a")).await.unwrap();
+    let waiting = {
+        let queue = Arc::clone(&queue);
+        tokio::spawn(async move { queue.admit(&ticket("b")).await.err() })
+    };
+    sleep(Duration::from_millis(1)).await;
+
+    queue.close();
+    let waited = waiting.await.unwrap();
+    let later = queue.admit(&ticket("c")).await.err();
+    running.close(10.0);
+    queue.reopen();
+
+    assert_eq!(
+        (waited, later),
+        (Some(QueueError::Closed), Some(QueueError::Closed))
+    );
+    assert!(queue.admit(&ticket("c")).await.is_ok());
+}
+
+/// What happens to a request.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Runs,
+    GivesUpWaiting,
+    IsDropped,
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        Just(Fate::Runs),
+        Just(Fate::GivesUpWaiting),
+        Just(Fate::IsDropped)
+    ]
+}
+
+async fn suffer(queue: Arc<Queue>, account: u8, fate: Fate, start: u64) {
+    sleep(Duration::from_millis(start)).await;
+    let account = account.to_string();
+    let ticket = ticket(&account);
+    match fate {
+        Fate::Runs => {
+            if let Ok(permit) = queue.admit(&ticket).await {
+                sleep(RUN).await;
+                permit.close(7.0);
+            }
+        }
+        Fate::GivesUpWaiting => {
+            tokio::time::timeout(Duration::from_millis(3), queue.admit(&ticket))
+                .await
+                .ok();
+        }
+        Fate::IsDropped => {
+            if let Ok(permit) = queue.admit(&ticket).await {
+                sleep(RUN / 2).await;
+                drop(permit);
+            }
+        }
+    }
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+
+    #[test]
+    fn no_slot_is_lost_and_none_is_given_twice(
+        slots in 1_u32..4,
+        requests in prop::collection::vec((0_u8..4, fate(), 0_u64..40), 1..60),
+    ) {
+        runtime().block_on(async {
+            let queue = Queue::new(slots);
+            let mut tasks = JoinSet::new();
+            for (account, fate, start) in requests {
+                tasks.spawn(suffer(Arc::clone(&queue), account, fate, start));
+            }
+            while !tasks.is_empty() {
+                assert!(queue.load().running <= slots);
+                tokio::time::timeout(Duration::from_millis(1), tasks.join_next()).await.ok();
+            }
+            let load = queue.load();
+            assert_eq!((load.running, load.waiting), (0, 0));
+        });
+    }
+
+    #[test]
+    fn backlogged_accounts_are_served_by_weight(
+        weights in prop::collection::vec(1_u8..5, 2..5),
+        slots in 1_u32..4,
+    ) {
+        runtime().block_on(async {
+            let queue = Queue::new(slots);
+            let served = Arc::new(Mutex::new(Vec::new()));
+            let mut tasks = JoinSet::new();
+            for _ in 0..80 {
+                for (at, weight) in weights.iter().enumerate() {
+                    let served = Arc::clone(&served);
+                    let weight = f64::from(*weight);
+                    tasks.spawn(run(Arc::clone(&queue), at.to_string(), weight, served));
+                }
+            }
+            tasks.join_all().await;
+            // While all accounts still wait, each has its part, give or take one request and
+            // those that hold slots.
+            let sum: f64 = weights.iter().map(|weight| f64::from(*weight)).sum();
+            let first = served.lock().unwrap()[..60].to_vec();
+            let mut counts: HashMap<String, f64> = HashMap::new();
+            first.into_iter().for_each(|account| *counts.entry(account).or_default() += 1.0);
+            for (at, weight) in weights.iter().enumerate() {
+                let due = 60.0 * f64::from(*weight) / sum;
+                let got = counts.get(&at.to_string()).copied().unwrap_or_default();
+                assert!((got - due).abs() <= 2.0 + f64::from(slots), "{got} of {due}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/tests/it/settings_order.rs
@@ -0,0 +1,176 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use ebonyusher::metrics::Meter;
+use ebonyusher::peer::{Delta, Follower, RpcListener, SettingsRpcServer, SettingsServer, Versions};
+use ebonyusher::settings::{LogLine, Publisher, Snapshot, Store, StoreError, Team};
+use ebonyusher_standin::{Faults, MemPlatform, WriteFate, loopback};
+use proptest::prelude::*;
+
+use crate::site::{account, team, until};
+
+fn line(team: &str, change: u64) -> LogLine {
+    LogLine {
+        revision: 0,
+        team: team.to_owned(),
+        version: 0,
+        operator: "operator".to_owned(),
+        change: change.to_string(),
+    }
+}
+
+fn changed(at: u64) -> Team {
+    let mut settings = team();
+    settings
+        .accounts
+        .insert(format!("account-{at}"), account(&format!("key-{at}")));
+    settings
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .unwrap()
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_commit_answer_is_read_back() {
+    let platform = Arc::new(MemPlatform::new());
+    let store = Store::new(Arc::clone(&platform));
+    platform.script([WriteFate::AnswerLost]);
+
+    let applied = store.replace(&line("a", 1), &team(), 0).await.unwrap();
+
+    assert_eq!((applied.revision, applied.version), (1, 1));
+    assert_eq!(store.log("a").await.unwrap().len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_commit_without_any_answer_is_told_as_unknown() {
+    let platform = Arc::new(MemPlatform::new());
+    let store = Store::new(Arc::clone(&platform));
+    platform.script(vec![WriteFate::Lost; 1_000]);
+
+    let ended = store.replace(&line("a", 1), &team(), 0).await;
+
+    assert_eq!(
+        ended,
+        Err(StoreError::Unknown {
+            change: "1".to_owned()
+        })
+    );
+}
+
+fn fate() -> impl Strategy<Value = WriteFate> {
+    prop_oneof![
+        4 => Just(WriteFate::Answered),
+        2 => Just(WriteFate::AnswerLost),
+        1 => Just(WriteFate::Lost),
+        1 => Just(WriteFate::Refused),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+
+    #[test]
+    fn concurrent_changes_each_make_one_revision_or_none(
+        fates in prop::collection::vec(fate(), 0..30),
+        teams in prop::collection::vec(0_u8..3, 1..12),
+    ) {
+        runtime().block_on(async {
+            let platform = Arc::new(MemPlatform::new());
+            platform.script(fates);
+            let mut tasks = tokio::task::JoinSet::new();
+            for (at, name) in teams.iter().enumerate() {
+                let store = Store::new(Arc::clone(&platform));
+                let line = line(&format!("team-{name}"), at as u64);
+                tasks.spawn(async move {
+                    let version = store.team(&line.team).await.unwrap().version;
+                    (line.team.clone(), store.replace(&line, &changed(at as u64), version).await)
+                });
+            }
+            let ended = tasks.join_all().await;
+            let store = Store::new(Arc::clone(&platform));
+            let head = store.head().await.unwrap();
+            let accepted = ended.iter().filter(|(_, ended)| ended.is_ok()).count() as u64;
+            let versions: u64 = head.teams.values().sum();
+            assert_eq!(head.revision, versions);
+            assert!(accepted <= head.revision);
+            let mut revisions: Vec<u64> = Vec::new();
+            for team in head.teams.keys() {
+                let log = store.log(team).await.unwrap();
+                assert_eq!(log.len() as u64, head.teams[team]);
+                revisions.extend(log.iter().map(|line| line.revision));
+            }
+            revisions.sort_unstable();
+            assert_eq!(revisions, (1..=head.revision).collect::<Vec<_>>());
+        });
+    }
+
+    #[test]
+    fn what_is_in_force_never_reverts(offers in prop::collection::vec(0_u64..20, 1..40)) {
+        let publisher = Publisher::new();
+        let current = publisher.current();
+        let mut greatest = 0;
+        for revision in offers {
+            publisher.offer(Snapshot::new(revision, Default::default()));
+            greatest = greatest.max(revision);
+            prop_assert_eq!(current.get().revision, greatest);
+        }
+    }
+
+    #[test]
+    fn a_delta_gives_the_whole_newer_tree(changes in prop::collection::vec(0_u8..3, 1..12)) {
+        runtime().block_on(async {
+            let platform = Arc::new(MemPlatform::new());
+            let store = Store::new(platform);
+            let mut behind = Snapshot::default();
+            let mut newest = Snapshot::default();
+            for (at, name) in changes.iter().enumerate() {
+                let team = format!("team-{name}");
+                let version = store.team(&team).await.unwrap().version;
+                store.replace(&line(&team, at as u64), &changed(at as u64), version).await.unwrap();
+                newest = store.newer(&newest).await.unwrap().unwrap();
+                if at % 2 == 0 {
+                    let delta = Delta::between(&newest, &Versions::of(&behind)).unwrap();
+                    behind = delta.apply(&behind).unwrap();
+                    assert_eq!(behind, newest);
+                }
+            }
+        });
+    }
+}
+
+#[tokio::test]
+async fn a_fresh_process_gets_the_greatest_revision_from_peers_while_the_store_is_down() {
+    let platform = Arc::new(MemPlatform::new());
+    platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let mut seeds = Vec::new();
+    let mut peers = Vec::new();
+    for revision in [4, 9, 6] {
+        let publisher = Publisher::new();
+        publisher.offer(Snapshot::new(revision, Default::default()));
+        let server = SettingsServer::new(publisher.current(), "key".to_owned());
+        let peer = RpcListener::open(loopback(), server.into_rpc())
+            .await
+            .unwrap();
+        seeds.push(peer.addr());
+        peers.push((peer, publisher));
+    }
+    let publisher = Publisher::new();
+    let current = publisher.current();
+    let meter = Arc::new(Meter::local());
+    let poll = Duration::from_millis(50);
+
+    let (_hints, follower) =
+        Follower::new(platform, publisher, seeds, "key".to_owned(), poll, meter);
+    tokio::spawn(follower.run());
+
+    until(|| current.get().revision == 9).await;
+}
--- /dev/null
+++ b/tests/it/site.rs
@@ -0,0 +1,212 @@
+//! Fixtures: a small fleet on loopback, and callers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ebonyusher::admin::AdminClient;
+use ebonyusher::entry::{EntryNode, Weighed};
+use ebonyusher::settings::{Account, KeyDigest, Kind, Priority, Repeat, Route, Service, Team};
+use ebonyusher::sidecar::SidecarNode;
+use ebonyusher::units::{Size, Span};
+use ebonyusher_bench::client::{Caller, Reply};
+use ebonyusher_standin::{Engine, EngineOptions, Fleet, Plain, UpstreamNode};
+use http::Method;
+use tokio::time::sleep;
+
+pub const TEAM: &str = "akwaaba";
+pub const CALLER_KEY: &str = "caller-key";
+pub const OPERATOR_KEY: &str = "akwaaba-operator-key";
+const PATIENCE: Duration = Duration::from_secs(20);
+const PAUSE: Duration = Duration::from_millis(5);
+
+/// A fleet with one entry by default, and what is needed to reach it.
+pub struct Site {
+    pub fleet: Fleet,
+    pub engines: Vec<UpstreamNode<Engine>>,
+    pub plains: Vec<UpstreamNode<Plain>>,
+    pub sidecars: Vec<SidecarNode>,
+    pub entries: Vec<EntryNode>,
+}
+
+pub fn service(kind: Kind) -> Service {
+    Service {
+        kind,
+        slots: 8,
+        deadline: Span::from_millis(5_000),
+        queue_wait: None,
+        max_body: Size::from_bytes(64 << 10),
+        resume: kind == Kind::Engine,
+        hedge: false,
+        retry_share: 0.1,
+        group: None,
+        models: None,
+    }
+}
+
+pub fn route(path: &str, method: &str, service: &str, repeat: Repeat) -> Route {
+    Route {
+        host: None,
+        path: path.to_owned(),
+        methods: vec![method.to_owned()],
+        service: service.to_owned(),
+        repeat,
+    }
+}
+
+pub fn account(key: &str) -> Account {
+    Account {
+        keys: vec![KeyDigest::of(key)],
+        weight: 1.0,
+        rate: None,
+        in_flight: None,
+        priority: Priority::Normal,
+    }
+}
+
+pub fn team() -> Team {
+    Team {
+        services: BTreeMap::from([
+            ("chat".to_owned(), service(Kind::Engine)),
+            ("ledger".to_owned(), service(Kind::Plain)),
+        ]),
+        routes: vec![
+            route("/chat", "POST", "chat", Repeat::Free),
+            route("/ledger", "GET", "ledger", Repeat::Free),
+            route("/ledger/orders", "POST", "ledger", Repeat::Never),
+        ],
+        accounts: BTreeMap::from([("osu".to_owned(), account(CALLER_KEY))]),
+    }
+}
+
+impl Site {
+    /// Starts so many engines, plain services and entries, with the usual settings in force.
+    pub async fn start(engines: usize, plains: usize, entries: usize) -> Self {
+        let mut site = Self {
+            fleet: Fleet::start().await.unwrap(),
+            engines: Vec::new(),
+            plains: Vec::new(),
+            sidecars: Vec::new(),
+            entries: Vec::new(),
+        };
+        for at in 0..engines {
+            site.add_engine(&format!("chat-{at}")).await;
+        }
+        for at in 0..plains {
+            site.add_plain(&format!("ledger-{at}")).await;
+        }
+        for at in 0..entries {
+            let file = site.fleet.entry_file(&format!("entry-{at}"), &[TEAM]);
+            site.entries
+                .push(site.fleet.entry(file, Weighed).await.unwrap());
+        }
+        let accepted = site.admin().replace(TEAM, &team(), 0).await.unwrap();
+        site.wait_revision(accepted.revision).await;
+        site.wait_links().await;
+        site
+    }
+
+    pub async fn add_engine(&mut self, name: &str) {
+        let engine = self.fleet.engine(EngineOptions::default()).await.unwrap();
+        let file = self.fleet.sidecar_file(name, "akwaaba/chat", engine.addr());
+        self.sidecars.push(self.fleet.sidecar(file).await.unwrap());
+        self.engines.push(engine);
+    }
+
+    pub async fn add_plain(&mut self, name: &str) {
+        let plain = self.fleet.plain(Duration::from_millis(2)).await.unwrap();
+        let file = self
+            .fleet
+            .sidecar_file(name, "akwaaba/ledger", plain.addr());
+        self.sidecars.push(self.fleet.sidecar(file).await.unwrap());
+        self.plains.push(plain);
+    }
+
+    pub fn admin(&self) -> AdminClient {
+        AdminClient::new(self.entries[0].admin_addr(), OPERATOR_KEY)
+    }
+
+    pub async fn wait_revision(&self, revision: u64) {
+        let entries = || {
+            self.entries
+                .iter()
+                .map(|node| node.current().get().revision)
+        };
+        let sidecars = || {
+            self.sidecars
+                .iter()
+                .map(|node| node.current().get().revision)
+        };
+        until(|| {
+            entries()
+                .chain(sidecars())
+                .all(|present| present >= revision)
+        })
+        .await;
+    }
+
+    pub async fn wait_links(&self) {
+        let linked = |entry: &EntryNode| {
+            entry
+                .members()
+                .all()
+                .iter()
+                .filter(|member| member.is_candidate())
+                .count()
+        };
+        until(|| {
+            self.entries
+                .iter()
+                .all(|entry| linked(entry) == self.sidecars.len())
+        })
+        .await;
+    }
+
+    /// How often the request with a key has run, over all plain services.
+    pub fn runs(&self, key: &str) -> u32 {
+        self.plains
+            .iter()
+            .map(|plain| plain.handler.runs(key))
+            .sum()
+    }
+
+    pub async fn order(&self, key: &str, body: &'static str) -> Reply {
+        let to = self.entries[0].data_addr();
+        let body = Bytes::from_static(body.as_bytes());
+        let caller = Caller::new(CALLER_KEY);
+        caller
+            .send(to, Method::POST, "/ledger/orders", Some(key), body)
+            .await
+            .unwrap()
+    }
+
+    pub async fn look_up(&self, path: &str) -> Reply {
+        let to = self.entries[0].data_addr();
+        let caller = Caller::new(CALLER_KEY);
+        caller
+            .send(to, Method::GET, path, None, Bytes::new())
+            .await
+            .unwrap()
+    }
+
+    pub async fn chat(&self, body: &'static str) -> Reply {
+        let to = self.entries[0].data_addr();
+        let body = Bytes::from_static(body.as_bytes());
+        Caller::new(CALLER_KEY)
+            .send(to, Method::POST, "/chat", None, body)
+            .await
+            .unwrap()
+    }
+}
+
+/// Waits until something holds; fails the test if it does not in a long time.
+pub async fn until(mut holds: impl FnMut() -> bool) {
+    let began = tokio::time::Instant::now();
+    while !holds() {
+        assert!(
+            began.elapsed() < PATIENCE,
+            "what is waited for did not come about"
+        );
+        sleep(PAUSE).await;
+    }
+}
