--- a/bench/src/args.rs
+++ b/bench/src/args.rs
@@ -15,6 +15,10 @@
     Load(LoadOptions),
     /// Policies for expert maps on a trace.
     ExpertMap(ExpertOptions),
+    /// What each role costs as one quantity grows.
+    Slopes,
+    /// The capacity page, from a file of slopes.
+    Capacity(PathBuf),
 }
 
 /// The whole command line.
@@ -29,7 +33,7 @@
 /// Parser of the command line.
 pub fn options() -> OptionParser<Args> {
     let logs = logs_options();
-    let command = construct!([load(), expert_map()]);
+    let command = construct!([load(), expert_map(), slopes(), capacity()]);
     construct!(Args { logs, command })
         .to_options()
         .descr("Load and experiments. The last line on standard output is the report in JSON.")
@@ -197,3 +201,20 @@
     .descr("Compare policies for expert maps on a trace")
     .command("expert-map")
 }
+
+fn slopes() -> impl Parser<Command> {
+    bpaf::pure(Command::Slopes)
+        .to_options()
+        .descr("Measure what each role costs as one quantity grows")
+        .command("slopes")
+}
+
+fn capacity() -> impl Parser<Command> {
+    let file = long("slopes")
+        .help("File that `slopes` printed")
+        .argument::<PathBuf>("FILE");
+    file.map(Command::Capacity)
+        .to_options()
+        .descr("Print the capacity page from measured slopes")
+        .command("capacity")
+}
--- a/bench/src/bin/ebonyusher-bench.rs
+++ b/bench/src/bin/ebonyusher-bench.rs
@@ -1,9 +1,13 @@
 //! Load and experiments.
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use ebonyusher::cli::{EXIT_INPUT, EXIT_REFUSED, exit_with};
+use ebonyusher::settings::read_file;
 use ebonyusher_bench::args::{Command, options};
+use ebonyusher_bench::capacity::capacity_page;
+use ebonyusher_bench::slopes::{SlopeFile, measure_all};
 use ebonyusher_bench::{expert, load};
 use serde::Serialize;
 
@@ -18,6 +22,11 @@
             Ok(report) => print(&report, report.holds()),
             Err(err) => exit_with(NAME, &err, EXIT_REFUSED),
         },
+        Command::Slopes => match measure_all().await {
+            Ok(slopes) => print(&slopes, true),
+            Err(err) => exit_with(NAME, &err, EXIT_REFUSED),
+        },
+        Command::Capacity(path) => print_page(&path),
         Command::ExpertMap(map) => match expert::run(&map) {
             Ok(report) => print(&report, true),
             Err(err) => exit_with(NAME, &err, EXIT_INPUT),
@@ -25,6 +34,17 @@
     }
 }
 
+/// Prints the capacity page from a file of slopes.
+fn print_page(path: &Path) -> ExitCode {
+    match read_file::<SlopeFile>(path) {
+        Ok(slopes) => {
+            print!("{}", capacity_page(&slopes));
+            ExitCode::SUCCESS
+        }
+        Err(err) => exit_with(NAME, &err, EXIT_INPUT),
+    }
+}
+
 fn print<T: Serialize>(report: &T, holds: bool) -> ExitCode {
     println!("{}", serde_json::to_string(report).unwrap_or_default());
     if holds {
--- /dev/null
+++ b/bench/src/capacity/mod.rs
@@ -0,0 +1,8 @@
+//! The capacity page, worked out from measured slopes.
+
+mod page;
+mod rows;
+mod sizes;
+
+pub use page::capacity_page;
+pub use sizes::Sizes;
--- /dev/null
+++ b/bench/src/capacity/rows.rs
@@ -0,0 +1,329 @@
+use super::Sizes;
+use crate::slopes::SlopeFile;
+
+/// Measured with notes every two seconds.
+const MEASURED_NOTE_SECONDS: f64 = 2.0;
+const MICROS_PER_PERCENT: f64 = 10_000.0;
+const MEGABYTE: f64 = 1e6;
+
+/// One line of the page: what a role spends on a mechanism, and what it may spend.
+pub(super) struct Row {
+    pub(super) role: &'static str,
+    pub(super) mechanism: &'static str,
+    pub(super) figure: f64,
+    pub(super) unit: &'static str,
+    pub(super) budget: Option<f64>,
+    pub(super) from: &'static str,
+}
+
+/// Slopes at the sizes of the plan.
+pub(super) struct Worked<'a> {
+    pub(super) sizes: Sizes,
+    pub(super) slopes: &'a SlopeFile,
+}
+
+fn control_cpu(role: &'static str, figure: f64, from: &'static str) -> Row {
+    let mechanism = "links, notes, settings: processor";
+    Row {
+        role,
+        mechanism,
+        figure,
+        unit: "% of a core",
+        budget: Some(2.6),
+        from,
+    }
+}
+
+fn control_bytes(role: &'static str, figure: f64, from: &'static str) -> Row {
+    let mechanism = "links, notes, settings: traffic";
+    Row {
+        role,
+        mechanism,
+        figure,
+        unit: "B/s",
+        budget: Some(4_000.0),
+        from,
+    }
+}
+
+impl Worked<'_> {
+    fn slope(&self, name: &str) -> f64 {
+        self.slopes.get(name).map_or(f64::NAN, |slope| slope.slope)
+    }
+
+    fn at(&self, name: &str, x: f64) -> f64 {
+        self.slopes.get(name).map_or(f64::NAN, |slope| slope.at(x))
+    }
+
+    /// What notes cost less at the plan's interval than at the measured one.
+    fn thinning(&self) -> f64 {
+        MEASURED_NOTE_SECONDS / self.sizes.note_seconds()
+    }
+
+    /// Percent of a core that an entry spends on control.
+    fn entry_control(&self) -> f64 {
+        let links = self.slope("entry_idle_cpu") * self.sizes.entry_links() * self.thinning();
+        let fixed = self.at("entry_idle_cpu", 0.0);
+        let change = self.at("entry_change_cpu", self.sizes.accounts / self.sizes.teams);
+        (links + fixed + change * self.sizes.changes_each_second()) / MICROS_PER_PERCENT
+    }
+
+    fn sidecar_control(&self) -> f64 {
+        let links = self.slope("sidecar_idle_cpu") * self.sizes.sidecar_links() * self.thinning();
+        let fixed = self.at("sidecar_idle_cpu", 0.0);
+        let change = self.at("sidecar_change_cpu", self.sizes.accounts / self.sizes.teams);
+        (links + fixed + change * self.sizes.changes_each_second()) / MICROS_PER_PERCENT
+    }
+
+    fn entry_bytes(&self) -> f64 {
+        let links = self.slope("entry_idle_bytes") * self.sizes.entry_links() * self.thinning();
+        links + self.settings_bytes()
+    }
+
+    fn sidecar_bytes(&self) -> f64 {
+        let links = self.slope("sidecar_idle_bytes") * self.sizes.sidecar_links();
+        links * self.thinning() + self.settings_bytes()
+    }
+
+    /// Bytes a second of settings that one node reads: only the changed team's subtree.
+    fn settings_bytes(&self) -> f64 {
+        let subtree = self.at("settings_bytes", self.sizes.accounts / self.sizes.teams);
+        subtree * self.sizes.changes_each_second()
+    }
+
+    fn enter(&self) -> f64 {
+        self.at("enter_cpu", self.sizes.layers) * self.sizes.steps / MICROS_PER_PERCENT
+    }
+
+    fn plan(&self) -> f64 {
+        self.at("plan_cpu_layers", self.sizes.layers)
+    }
+
+    fn reads(&self) -> f64 {
+        let entries = self.slope("entry_reads") * self.sizes.entries;
+        let sidecars = self.slope("sidecar_reads").max(0.0) * self.sizes.sidecars;
+        entries + sidecars + self.slope("order_reads") * self.sizes.orders()
+    }
+
+    fn writes(&self) -> f64 {
+        self.slope("order_writes") * self.sizes.orders()
+    }
+
+    pub(super) fn nodes(&self) -> Vec<Row> {
+        let mut rows = self.entry_rows();
+        rows.extend(self.sidecar_rows());
+        rows.extend(self.group_rows());
+        rows.extend(self.store_rows());
+        rows
+    }
+
+    fn entry_rows(&self) -> Vec<Row> {
+        let (cpu, bytes) = (self.entry_control(), self.entry_bytes());
+        vec![
+            control_cpu("entry", cpu, "entry_idle_cpu, entry_change_cpu"),
+            control_bytes("entry", bytes, "entry_idle_bytes, settings_bytes"),
+            self.memory_row("entry"),
+        ]
+    }
+
+    fn sidecar_rows(&self) -> Vec<Row> {
+        let (cpu, bytes) = (self.sidecar_control(), self.sidecar_bytes());
+        vec![
+            control_cpu("sidecar", cpu, "sidecar_idle_cpu, sidecar_change_cpu"),
+            control_bytes("sidecar", bytes, "sidecar_idle_bytes, settings_bytes"),
+            self.memory_row("sidecar"),
+        ]
+    }
+
+    fn memory_row(&self, role: &'static str) -> Row {
+        Row {
+            role,
+            mechanism: "settings in force: memory",
+            figure: self.at("settings_memory", self.sizes.accounts) / MEGABYTE,
+            unit: "MB",
+            budget: Some(128.0),
+            from: "settings_memory",
+        }
+    }
+
+    fn group_rows(&self) -> Vec<Row> {
+        let ranks = self.sizes.ranks;
+        let stats = self.at("stats_bytes", self.sizes.layers) * ranks / self.sizes.plan_seconds;
+        let planning = self.plan() / self.sizes.plan_seconds / MICROS_PER_PERCENT;
+        let leader = "sidecar that leads a group";
+        vec![
+            Row {
+                mechanism: "the way into each step: processor",
+                ..control_cpu("sidecar of a rank", self.enter(), "enter_cpu")
+            },
+            Row {
+                mechanism: "planning: processor",
+                ..control_cpu(leader, planning, "plan_cpu_layers")
+            },
+            Row {
+                role: leader,
+                mechanism: "one plan: time",
+                figure: self.plan() / 1e3,
+                unit: "ms",
+                budget: Some(100.0),
+                from: "plan_cpu_layers",
+            },
+            Row {
+                mechanism: "counts of all ranks: traffic",
+                ..control_bytes(leader, stats, "stats_bytes")
+            },
+        ]
+    }
+
+    fn store_rows(&self) -> Vec<Row> {
+        let spread = self.at("settings_spread", self.sizes.accounts) / 1e3;
+        let row = |role, mechanism, figure, unit, budget, from| {
+            let budget = Some(budget);
+            Row {
+                role,
+                mechanism,
+                figure,
+                unit,
+                budget,
+                from,
+            }
+        };
+        let table = "platform's table";
+        let readers = "entry_reads, sidecar_reads, order_reads";
+        vec![
+            row(table, "reads", self.reads(), "reads/s", 2_000.0, readers),
+            row(
+                table,
+                "writes",
+                self.writes(),
+                "writes/s",
+                300.0,
+                "order_writes",
+            ),
+            row(
+                "all",
+                "a change in force everywhere",
+                spread,
+                "s",
+                19.0,
+                "settings_spread",
+            ),
+        ]
+    }
+
+    pub(super) fn data(&self) -> Vec<Row> {
+        let row = |role, mechanism, figure, from| Row {
+            role,
+            mechanism,
+            figure,
+            unit: "% of a core",
+            budget: None,
+            from,
+        };
+        let share = |name: &str, total: f64, nodes: f64| {
+            self.slope(name) * total / nodes / MICROS_PER_PERCENT
+        };
+        let Sizes {
+            entries,
+            sidecars,
+            requests,
+            tokens,
+            ..
+        } = self.sizes;
+        vec![
+            row(
+                "entry",
+                "requests",
+                share("entry_request_cpu", requests, entries),
+                "entry_request_cpu",
+            ),
+            row(
+                "entry",
+                "tokens",
+                share("entry_token_cpu", tokens, entries),
+                "entry_token_cpu",
+            ),
+            row(
+                "sidecar",
+                "requests",
+                share("sidecar_request_cpu", requests, sidecars),
+                "sidecar_request_cpu",
+            ),
+            row(
+                "sidecar",
+                "tokens",
+                share("sidecar_token_cpu", tokens, sidecars),
+                "sidecar_token_cpu",
+            ),
+        ]
+    }
+
+    pub(super) fn bad_days(&self) -> Vec<Row> {
+        let row = |mechanism, figure, unit, budget, from| Row {
+            role: "",
+            mechanism,
+            figure,
+            unit,
+            budget,
+            from,
+        };
+        let sizes = &self.sizes;
+        let tree = self.at("settings_bytes", sizes.accounts);
+        let fresh = sizes.teams + 1.0;
+        // While the store is down nodes poll half as often; when it is back the first polls come
+        // spread over their intervals.
+        let back = self.reads() - self.slope("order_reads") * sizes.orders();
+        vec![
+            row(
+                "all entries restart within a minute: reads of the table",
+                sizes.entries * fresh / 60.0 + self.reads(),
+                "reads/s",
+                Some(2_000.0),
+                "entry_reads",
+            ),
+            row(
+                "all entries restart within a minute: links opened at one sidecar",
+                sizes.sidecar_links() / 60.0,
+                "links/s",
+                None,
+                "sizes",
+            ),
+            row(
+                "a fifth of the sidecars restarts within a minute: reads of the table",
+                sizes.sidecars / 5.0 * fresh / 60.0 + self.reads(),
+                "reads/s",
+                Some(2_000.0),
+                "sidecar_reads",
+            ),
+            row(
+                "the store is back after an hour: reads in the first second",
+                back,
+                "reads/s",
+                Some(2_000.0),
+                "entry_reads, sidecar_reads",
+            ),
+            row(
+                "350 replaced a day: settings read by fresh nodes",
+                tree * sizes.replaced / 86_400.0,
+                "B/s over all",
+                None,
+                "settings_bytes",
+            ),
+            row(
+                "a change to everybody: bytes from the table",
+                self.at("settings_bytes", sizes.accounts / sizes.teams) * sizes.entries,
+                "B",
+                None,
+                "settings_bytes",
+            ),
+            row(
+                "a change to everybody: bytes that one entry gives to sidecars",
+                self.at("settings_bytes", sizes.accounts / sizes.teams) * sizes.sidecars
+                    / sizes.entries,
+                "B",
+                None,
+                "settings_bytes",
+            ),
+        ]
+    }
+}
--- /dev/null
+++ b/bench/src/capacity/sizes.rs
@@ -0,0 +1,86 @@
+/// The size to design for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sizes {
+    /// Entries.
+    pub entries: f64,
+    /// Workers, each with a sidecar.
+    pub sidecars: f64,
+    /// Services in steady use.
+    pub services: f64,
+    /// Requests a second.
+    pub requests: f64,
+    /// Tokens a second.
+    pub tokens: f64,
+    /// Share of requests that must not run twice.
+    pub order_share: f64,
+    /// Client accounts.
+    pub accounts: f64,
+    /// Teams that share them.
+    pub teams: f64,
+    /// Changes of settings a day.
+    pub changes: f64,
+    /// Links that an entry keeps for each service.
+    pub subset: f64,
+    /// Ranks of a group.
+    pub ranks: f64,
+    /// Ranks beside one sidecar.
+    pub ranks_each: f64,
+    /// Layers with experts.
+    pub layers: f64,
+    /// Steps a second.
+    pub steps: f64,
+    /// Seconds between two plans.
+    pub plan_seconds: f64,
+    /// Instances replaced a day.
+    pub replaced: f64,
+}
+
+/// The plan for the next two years.
+pub const PLAN: Sizes = Sizes {
+    entries: 370.0,
+    sidecars: 720.0,
+    services: 19.0,
+    requests: 3_900.0,
+    tokens: 1.3e6,
+    order_share: 0.02,
+    accounts: 1_200.0,
+    teams: 20.0,
+    changes: 750.0,
+    subset: 6.0,
+    ranks: 256.0,
+    ranks_each: 8.0,
+    layers: 60.0,
+    steps: 25.0,
+    plan_seconds: 10.0,
+    replaced: 350.0,
+};
+
+impl Sizes {
+    /// Links of one entry.
+    pub fn entry_links(&self) -> f64 {
+        self.services * self.subset
+    }
+
+    /// Links of one sidecar.
+    pub fn sidecar_links(&self) -> f64 {
+        self.entries * self.entry_links() / self.sidecars
+    }
+
+    /// Seconds between two notes on a link: a sidecar spends a fixed number of bytes on them.
+    pub fn note_seconds(&self) -> f64 {
+        const NOTE_BYTES: f64 = 320.0;
+        const NOTE_BUDGET: f64 = 2_000.0;
+        const LEAST_SECONDS: f64 = 2.0;
+        (self.sidecar_links() * NOTE_BYTES / NOTE_BUDGET).max(LEAST_SECONDS)
+    }
+
+    /// Requests that must not run twice, a second.
+    pub fn orders(&self) -> f64 {
+        self.requests * self.order_share
+    }
+
+    /// Changes of settings a second.
+    pub fn changes_each_second(&self) -> f64 {
+        self.changes / 86_400.0
+    }
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -1,7 +1,9 @@
 //! Load and experiments, and the demo.
 
 pub mod args;
+pub mod capacity;
 pub mod client;
 pub mod demo;
 pub mod expert;
 pub mod load;
+pub mod slopes;
--- a/bench/src/load/hosted.rs
+++ b/bench/src/load/hosted.rs
@@ -13,15 +13,17 @@
 }
 
 impl<N: Send + 'static> Hosted<N> {
-    /// Starts a node.
+    /// Starts a node on a thread of the given name, of at most 15 characters.
     ///
     /// # Errors
     /// [`FleetError`] if it can't start.
     pub async fn start(
+        thread: &str,
         starting: impl Future<Output = Result<N, FleetError>> + Send + 'static,
     ) -> Result<Self, FleetError> {
         let runtime = Builder::new_multi_thread()
             .worker_threads(1)
+            .thread_name(thread)
             .enable_all()
             .build()?;
         let started = runtime.spawn(starting).await;
--- a/bench/src/load/mod.rs
+++ b/bench/src/load/mod.rs
@@ -8,13 +8,14 @@
 mod options;
 mod report;
 mod run;
-mod settings;
+pub(crate) mod settings;
 mod site;
 mod tally;
 mod work;
 
 pub use baseline::{Baseline, measure};
 pub use fault::{Fault, FaultAt};
+pub(crate) use hosted::Hosted;
 pub use options::{LoadOptions, PolicyName};
 pub use report::LoadReport;
 pub use run::{LoadError, run};
--- a/bench/src/load/site.rs
+++ b/bench/src/load/site.rs
@@ -145,7 +145,7 @@
         let (name, service, domain) =
             (file.name.clone(), file.service.clone(), file.domain.clone());
         let shared = Arc::clone(fleet);
-        let sidecar = Hosted::start(async move { shared.sidecar(file).await }).await?;
+        let sidecar = Hosted::start("sidecar", async move { shared.sidecar(file).await }).await?;
         let mut paths = Vec::new();
         if let Some(node) = sidecar.node.as_ref().filter(|_| forwarded) {
             let data = Forwarder::start(node.data_addr()).await?;
@@ -175,7 +175,7 @@
     policy: PolicyName,
 ) -> Result<Hosted<EntryNode>, FleetError> {
     let fleet = Arc::clone(fleet);
-    Hosted::start(async move {
+    Hosted::start("entry", async move {
         match policy {
             PolicyName::Weighed => fleet.entry(file, Weighed).await,
             PolicyName::Random => fleet.entry(file, RandomChoice).await,
--- /dev/null
+++ b/bench/src/slopes/measure_settings.rs
@@ -0,0 +1,68 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use ebonyusher::settings::{Snapshot, TeamDoc};
+
+use super::accounting::{resident_bytes, thread_micros};
+use super::rig::{ENTRY, Rig, SIDECAR};
+use super::{Point, Slope, SlopesError};
+use crate::load::settings::{TEAM, team};
+
+const ACCOUNTS: [usize; 4] = [50, 200, 600, 1_200];
+const CHANGES: usize = 6;
+const SIDECARS: usize = 8;
+/// Copies that are held at once, so that the resident memory shows them.
+const COPIES: usize = 64;
+
+/// Size of the settings, and the cost of a change in each process.
+pub(super) async fn measure_settings() -> Result<Vec<Slope>, SlopesError> {
+    let (mut bytes, mut memory) = (Vec::new(), Vec::new());
+    let (mut entry, mut sidecar, mut spread) = (Vec::new(), Vec::new(), Vec::new());
+    for accounts in ACCOUNTS {
+        let x = accounts as f64;
+        let text = serde_json::to_vec(&team(accounts)).unwrap_or_default();
+        bytes.push(Point {
+            x,
+            y: text.len() as f64,
+        });
+        memory.push(Point {
+            x,
+            y: snapshot_bytes(accounts),
+        });
+        let mut rig = Rig::start(1, SIDECARS, 0, accounts).await?;
+        let before = (thread_micros(ENTRY), thread_micros(SIDECAR));
+        let mut longest: f64 = 0.0;
+        for _ in 0..CHANGES {
+            longest = longest.max(rig.change(accounts).await?.as_secs_f64() * 1e3);
+        }
+        let changes = CHANGES as f64;
+        entry.push(Point {
+            x,
+            y: (thread_micros(ENTRY) - before.0) / changes,
+        });
+        let sidecars = (thread_micros(SIDECAR) - before.1) / changes / SIDECARS as f64;
+        sidecar.push(Point { x, y: sidecars });
+        spread.push(Point { x, y: longest });
+    }
+    Ok(vec![
+        Slope::fit("settings_bytes", "accounts", "B", bytes),
+        Slope::fit("settings_memory", "accounts", "B resident", memory),
+        Slope::fit("entry_change_cpu", "accounts", "us a change", entry),
+        Slope::fit("sidecar_change_cpu", "accounts", "us a change", sidecar),
+        Slope::fit("settings_spread", "accounts", "ms", spread),
+    ])
+}
+
+fn snapshot_bytes(accounts: usize) -> f64 {
+    let before = resident_bytes();
+    let copies: Vec<Snapshot> = (0..COPIES)
+        .map(|_| {
+            let doc = TeamDoc {
+                version: 1,
+                settings: team(accounts),
+            };
+            Snapshot::new(1, BTreeMap::from([(TEAM.to_owned(), Arc::new(doc))]))
+        })
+        .collect();
+    (resident_bytes() - before).max(0.0) / copies.len() as f64
+}
--- /dev/null
+++ b/bench/src/slopes/mod.rs
@@ -0,0 +1,12 @@
+//! Slopes: what each role costs as one quantity grows, measured on one machine.
+
+mod accounting;
+mod measure;
+mod measure_group;
+mod measure_settings;
+mod measure_traffic;
+mod rig;
+mod slope;
+
+pub use measure::{SlopesError, measure_all};
+pub use slope::{Point, Slope, SlopeFile};
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -16,8 +16,10 @@
 use crate::settings::Current;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Silence after which a link counts as lost. Sidecars report every two seconds.
-const SILENCE: Duration = Duration::from_secs(6);
+/// Notes that may fail to come before a link counts as lost.
+const MISSED_NOTES: u32 = 3;
+/// Silence that every link may keep.
+const LEAST_SILENCE: Duration = Duration::from_secs(3);
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// Entries that tell a sidecar of a revision do so at different moments, so that one serves.
@@ -91,9 +93,10 @@
         mut notes: Subscription<LinkNote>,
         mut lost: Option<Lost>,
     ) -> Lost {
+        let mut silence = CONNECT_TIMEOUT;
         loop {
             let note = tokio::select! {
-                note = timeout(SILENCE, notes.next()) => note,
+                note = timeout(silence, notes.next()) => note,
                 () = self.current.changed() => {
                     self.tell_revision(client).await;
                     continue;
@@ -102,6 +105,8 @@
             let Ok(Some(Ok(note))) = note else { break };
             self.meter.count(Event::Control);
             self.meter.add(Event::ControlBytes, NOTE_BYTES);
+            let next = Duration::from_millis(u64::from(note.next_ms));
+            silence = LEAST_SILENCE.max(next * MISSED_NOTES);
             let first = !self.member.is_linked();
             self.judge(lost.take(), Some(note.from));
             self.take(&note);
--- a/src/entry/roster.rs
+++ b/src/entry/roster.rs
@@ -19,6 +19,9 @@
 /// Service name under which the platform lists entries.
 const ENTRY_SERVICE: &str = "entry";
 
+/// Entries that should be linked to each upstream.
+const LINKS_EACH: usize = 8;
+
 /// Follows the platform's list and keeps one link for each picked sidecar.
 #[derive(Debug)]
 pub(super) struct Roster<P> {
@@ -73,7 +76,12 @@
             .values()
             .flat_map(|instances| {
                 let distance = |domain: &str| self.distance(domain);
-                pick_subset(self.hello.from, instances, distance, self.subset)
+                pick_subset(
+                    self.hello.from,
+                    instances,
+                    distance,
+                    self.most(instances.len()),
+                )
             })
             .collect();
         self.drop_unwanted(&wanted);
@@ -88,6 +96,12 @@
         );
     }
 
+    /// Links to keep for a service of so many upstreams: where entries are few, enough that every
+    /// upstream has several.
+    fn most(&self, upstreams: usize) -> usize {
+        self.subset.max(LINKS_EACH * upstreams / self.share.get())
+    }
+
     fn distance(&self, domain: &str) -> usize {
         let known = self.domains.iter().position(|near| near == domain);
         known.unwrap_or(self.domains.len())
--- a/src/peer/link_note.rs
+++ b/src/peer/link_note.rs
@@ -32,6 +32,9 @@
     /// How busy the upstream is.
     #[serde(rename = "l")]
     pub load: Load,
+    /// Longest time until the next note, in milliseconds.
+    #[serde(rename = "t")]
+    pub next_ms: u32,
     /// Revision of the settings in force there.
     #[serde(rename = "r")]
     pub revision: u64,
--- a/src/settings/entry_file.rs
+++ b/src/settings/entry_file.rs
@@ -35,7 +35,7 @@
     /// How often the platform is asked for a newer revision and the list.
     #[serde(default = "default_poll")]
     pub poll: Span,
-    /// Most upstreams of one service that this entry keeps links to.
+    /// Upstreams of one service that this entry keeps links to; more while entries are few.
     #[serde(default = "default_subset")]
     pub subset: usize,
     /// Longest wait for requests in flight at shutdown.
@@ -51,7 +51,7 @@
 }
 
 const fn default_subset() -> usize {
-    16
+    6
 }
 
 const fn default_grace() -> Span {
--- a/src/sidecar/link_server.rs
+++ b/src/sidecar/link_server.rs
@@ -21,6 +21,11 @@
 /// Shortest pause between two notes on one link.
 const NOTE_PAUSE: Duration = Duration::from_millis(5);
 
+/// Bytes that a sidecar spends on notes to all its links, per second, when nothing changes. With
+/// many links each gets its notes more rarely; loads also come with every answer.
+const NOTE_BUDGET: f64 = 2_000.0;
+/// Usual size of a note with its frames.
+const NOTE_BYTES: f64 = 320.0;
 /// What a note costs beside its text: JSON-RPC, WebSocket, TCP and IP.
 const FRAME_BYTES: usize = 160;
 
@@ -120,7 +125,7 @@
             }
             sleep(NOTE_PAUSE).await;
             tokio::select! {
-                () = sleep(self.report) => {}
+                () = sleep(self.interval()) => {}
                 _ = leaving.changed() => {}
                 _ = up.changed() => {}
                 () = current.changed() => {}
@@ -130,6 +135,12 @@
         }
     }
 
+    /// Time between two notes on a link when nothing changes.
+    fn interval(&self) -> Duration {
+        let even = self.links.len() as f64 * NOTE_BYTES / NOTE_BUDGET;
+        self.report.max(Duration::from_secs_f64(even))
+    }
+
     /// Nothing can be admitted before the service's settings are in force.
     fn has_settings(&self) -> bool {
         self.current.get().service(&self.service).is_some()
@@ -142,6 +153,7 @@
             leaving: self.signals.is_leaving(),
             up: self.signals.is_up() && self.has_settings(),
             load: self.queue.load(),
+            next_ms: u32::try_from(self.interval().as_millis()).unwrap_or(u32::MAX),
             revision: self.current.get().revision,
             crashes,
             cached: SmallVec::new(),
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -35,6 +35,7 @@
     running: Arc<AtomicU32>,
     starts: StartLog,
     cached: AtomicU64,
+    tokens: Arc<AtomicU64>,
 }
 
 #[derive(Deserialize)]
@@ -69,6 +70,7 @@
             running: Arc::default(),
             starts: StartLog::default(),
             cached: AtomicU64::new(0),
+            tokens: Arc::default(),
         }
     }
 
@@ -82,6 +84,11 @@
         self.cached.load(Ordering::Relaxed)
     }
 
+    /// Tokens that have been streamed.
+    pub fn tokens(&self) -> u64 {
+        self.tokens.load(Ordering::Relaxed)
+    }
+
     /// Makes each token take longer.
     pub fn set_stall(&self, stall: Duration) {
         *lock(&self.stall) = stall;
@@ -140,6 +147,7 @@
             most,
             pace: self.options.token_time + *lock(&self.stall),
             sender,
+            tokens: Arc::clone(&self.tokens),
         };
         tokio::spawn(async move {
             writer.run().await;
@@ -205,6 +213,7 @@
     most: u32,
     pace: Duration,
     sender: BodySender,
+    tokens: Arc<AtomicU64>,
 }
 
 impl Writer {
@@ -212,6 +221,7 @@
         for at in self.first..self.most {
             sleep(self.pace).await;
             let data = json!({ "choices": [{ "delta": { "content": token(&self.body, at) } }] });
+            self.tokens.fetch_add(1, Ordering::Relaxed);
             let event = format!("id: {at}\ndata: {data}\n\n");
             if !self.sender.send(event.into()).await {
                 return;
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -153,7 +153,7 @@
             link_key: LINK_KEY.to_owned(),
             operators: operators.collect(),
             poll: self.poll,
-            subset: 16,
+            subset: 6,
             grace: GRACE,
             statsd: None,
         }
--- a/tests/it/routing.rs
+++ b/tests/it/routing.rs
@@ -44,6 +44,7 @@
             wait_ms: 0,
             seq,
         },
+        next_ms: 2_000,
         revision: 1,
         crashes: smallvec![],
         cached: smallvec![],
