--- a/bench/src/demo/report.rs
+++ b/bench/src/demo/report.rs
@@ -1,7 +1,8 @@
 use serde::Serialize;
 
 /// What one run of the demo saw.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct DemoReport {
     /// Whether everything is as it should be.
     pub ok: bool,
@@ -16,7 +17,8 @@
 }
 
 /// A streamed chat.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct ChatReport {
     /// Whether the stream ended with its last event.
     pub complete: bool,
@@ -27,14 +29,16 @@
 }
 
 /// A look-up.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct LookupReport {
     /// Status of the answer.
     pub status: u16,
 }
 
 /// An order that was sent twice.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct OrderReport {
     /// How often it ran.
     pub runs: u32,
@@ -43,7 +47,8 @@
 }
 
 /// How settings came into force.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct SettingsReport {
     /// Revision in force.
     pub revision: u64,
--- a/bench/src/expert/report.rs
+++ b/bench/src/expert/report.rs
@@ -3,7 +3,8 @@
 use serde::Serialize;
 
 /// What one policy did on a trace.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct PolicyReport {
     /// Mean of step time over ideal.
     pub mean_skew: f64,
@@ -22,7 +23,8 @@
 }
 
 /// What all policies did.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct ExpertReport {
     /// Reports by policy.
     pub policies: BTreeMap<String, PolicyReport>,
--- a/bench/src/load/mod.rs
+++ b/bench/src/load/mod.rs
@@ -2,6 +2,7 @@
 
 mod baseline;
 mod fault;
+mod fill;
 mod forwarder;
 mod hosted;
 mod inject;
--- a/bench/src/load/report.rs
+++ b/bench/src/load/report.rs
@@ -3,7 +3,8 @@
 use serde::Serialize;
 
 /// What a run of load saw.
-#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize)]
 pub struct LoadReport {
     /// Requests sent, repeats of an order left out.
     pub sent: u64,
--- a/src/admin/action.rs
+++ b/src/admin/action.rs
@@ -24,12 +24,7 @@
     /// List the accepted changes.
     Revisions { team: &'a str },
     /// Look an idempotency key up.
-    Lookup {
-        team: &'a str,
-        account: &'a str,
-        service: &'a str,
-        key: &'a str,
-    },
+    Lookup { team: &'a str, account: &'a str, service: &'a str, key: &'a str },
     /// Stop new work at an upstream, or allow it again.
     Drain { name: &'a str, drain: bool },
 }
@@ -56,12 +51,9 @@
             ("PATCH", ["v1", "teams", team, "settings"]) => Self::Patch { team },
             ("POST", ["v1", "teams", team, "settings", "check"]) => Self::Check { team },
             ("GET", ["v1", "teams", team, "revisions"]) => Self::Revisions { team },
-            ("GET", ["v1", "teams", team, "requests", account, service, key]) => Self::Lookup {
-                team,
-                account,
-                service,
-                key,
-            },
+            ("GET", ["v1", "teams", team, "requests", account, service, key]) => {
+                Self::Lookup { team, account, service, key }
+            }
             ("POST", ["v1", "upstreams", name, "drain"]) => Self::Drain { name, drain: true },
             ("POST", ["v1", "upstreams", name, "undrain"]) => Self::Drain { name, drain: false },
             _ => return None,
@@ -70,10 +62,7 @@
 
     /// Whether anybody may ask for it.
     pub const fn is_open(&self) -> bool {
-        matches!(
-            self,
-            Self::Live | Self::Ready | Self::OpenApi | Self::Schema
-        )
+        matches!(self, Self::Live | Self::Ready | Self::OpenApi | Self::Schema)
     }
 
     /// Team whose operators alone may ask for it.
--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -19,7 +19,8 @@
 const MAX_ANSWER_BYTES: u64 = 64 << 20;
 
 /// Why the administration API gave no answer.
-#[derive(Clone, Debug, PartialEq, Display, Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Display, Error)]
 pub enum ClientError {
     /// {0} can't be reached: {1}
     Unreachable(SocketAddr, String),
@@ -40,11 +41,7 @@
 impl AdminClient {
     /// Makes a client with an operator's key.
     pub fn new(addr: SocketAddr, key: &str) -> Self {
-        Self {
-            client: h1_client(),
-            addr,
-            key: key.to_owned(),
-        }
+        Self { client: h1_client(), addr, key: key.to_owned() }
     }
 
     /// Reads a team's settings.
@@ -52,8 +49,7 @@
     /// # Errors
     /// [`ClientError`], as for all calls.
     pub async fn read(&self, team: &str) -> Result<TeamDoc, ClientError> {
-        self.call(Method::GET, &format!("/v1/teams/{team}/settings"), &())
-            .await
+        self.call(Method::GET, &format!("/v1/teams/{team}/settings"), &()).await
     }
 
     /// Replaces a team's settings.
@@ -66,12 +62,8 @@
         settings: &Team,
         version: u64,
     ) -> Result<Accepted, ClientError> {
-        let body = Replacement {
-            version,
-            settings: settings.clone(),
-        };
-        self.call(Method::PUT, &format!("/v1/teams/{team}/settings"), &body)
-            .await
+        let body = Replacement { version, settings: settings.clone() };
+        self.call(Method::PUT, &format!("/v1/teams/{team}/settings"), &body).await
     }
 
     /// Lists the accepted changes of a team's settings.
@@ -79,8 +71,7 @@
     /// # Errors
     /// [`ClientError`].
     pub async fn revisions(&self, team: &str) -> Result<Vec<LogLine>, ClientError> {
-        self.call(Method::GET, &format!("/v1/teams/{team}/revisions"), &())
-            .await
+        self.call(Method::GET, &format!("/v1/teams/{team}/revisions"), &()).await
     }
 
     /// Reads settings in force and upstreams.
@@ -98,9 +89,7 @@
     pub async fn drain(&self, name: &str, drain: bool) -> Result<(), ClientError> {
         let verb = if drain { "drain" } else { "undrain" };
         let path = format!("/v1/upstreams/{name}/{verb}");
-        self.call::<serde_json::Value, _>(Method::POST, &path, &())
-            .await
-            .map(|_| ())
+        self.call::<serde_json::Value, _>(Method::POST, &path, &()).await.map(|_| ())
     }
 
     /// Looks an idempotency key up.
--- a/src/admin/documents.rs
+++ b/src/admin/documents.rs
@@ -4,7 +4,8 @@
 use crate::settings::Team;
 
 /// Body of a request that replaces a team's settings.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Replacement {
     /// Version that the operator read, 0 if the team has none.
@@ -14,7 +15,8 @@
 }
 
 /// Body of a request that changes a team's settings by a merge patch (RFC 7396).
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Patch {
     /// Version that the operator read.
@@ -24,7 +26,8 @@
 }
 
 /// Answer to an accepted change.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Accepted {
     /// New revision of the whole tree.
     pub revision: u64,
@@ -33,7 +36,8 @@
 }
 
 /// Answer to a check that found no fault.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CheckReport {
     /// Always true; a fault is told as an error.
     pub ok: bool,
--- a/src/admin/error.rs
+++ b/src/admin/error.rs
@@ -9,7 +9,8 @@
 use crate::settings::{Change, CheckError, ParseError, StoreError};
 
 /// Why an operator's request was refused.
-#[derive(Clone, Debug, PartialEq, Display, Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Display, Error)]
 pub enum AdminError {
     /// there is no such operation
     NoRoute,
@@ -34,7 +35,8 @@
 }
 
 /// Body of a refusal (RFC 9457).
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct AdminProblem {
     /// Kind of problem, as a relative reference that ends in the reason.
     #[serde(rename = "type")]
@@ -136,10 +138,7 @@
     fn from(err: ParseError) -> Self {
         match err {
             ParseError::Json { place, reason } => Self::Fault { place, reason },
-            ParseError::File { path, reason } => Self::Fault {
-                place: path,
-                reason,
-            },
+            ParseError::File { path, reason } => Self::Fault { place: path, reason },
         }
     }
 }
--- a/src/admin/handler.rs
+++ b/src/admin/handler.rs
@@ -50,9 +50,7 @@
     type Body = WholeBody;
 
     async fn handle(&self, request: Request<Incoming>) -> Response<WholeBody> {
-        self.answer(request)
-            .await
-            .unwrap_or_else(|err| refuse(&err))
+        self.answer(request).await.unwrap_or_else(|err| refuse(&err))
     }
 }
 
@@ -74,20 +72,14 @@
             Action::Read { team } => Ok(json_answer(StatusCode::OK, &self.store.team(team).await?)),
             Action::Replace { .. } => {
                 let change: Replacement = read_body(body).await?;
-                self.replace(operator, &change.settings, change.version)
-                    .await
+                self.replace(operator, &change.settings, change.version).await
             }
             Action::Patch { team } => self.patch(operator, team, &read_body(body).await?).await,
             Action::Check { .. } => check(&read_body(body).await?),
             Action::Revisions { team } => {
                 Ok(json_answer(StatusCode::OK, &self.store.log(team).await?))
             }
-            Action::Lookup {
-                team,
-                account,
-                service,
-                key,
-            } => {
+            Action::Lookup { team, account, service, key } => {
                 let (account, service) = (format!("{team}/{account}"), format!("{team}/{service}"));
                 let state = lookup(self.platform.as_ref(), &account, &service, key).await?;
                 Ok(json_answer(StatusCode::OK, &state))
@@ -113,10 +105,7 @@
     fn operator(&self, headers: &HeaderMap) -> Result<&Operator, AdminError> {
         let key = header_str(headers, &AUTHORIZATION).and_then(|text| text.strip_prefix(BEARER));
         let digest = KeyDigest::of(key.ok_or(AdminError::BadKey)?);
-        let known = self
-            .operators
-            .iter()
-            .find(|operator| operator.key.matches(&digest));
+        let known = self.operators.iter().find(|operator| operator.key.matches(&digest));
         known.ok_or(AdminError::BadKey)
     }
 
@@ -154,15 +143,9 @@
             operator.name, operator.team, applied.version, applied.revision
         );
         // This entry puts the change in force at once and tells its sidecars.
-        let hint = Hint {
-            revision: applied.revision,
-            peer: None,
-        };
+        let hint = Hint { revision: applied.revision, peer: None };
         self.hints.try_send(hint).ok();
-        let accepted = Accepted {
-            revision: applied.revision,
-            version: applied.version,
-        };
+        let accepted = Accepted { revision: applied.revision, version: applied.version };
         Ok(json_answer(StatusCode::OK, &accepted))
     }
 
@@ -175,16 +158,9 @@
     }
 
     async fn drain(&self, operator: &Operator, name: &str, drain: bool) -> Answer {
-        let list = self
-            .platform
-            .list()
-            .await
-            .map_err(|_| AdminError::StoreDown)?;
+        let list = self.platform.list().await.map_err(|_| AdminError::StoreDown)?;
         let no_upstream = || AdminError::NoUpstream(name.to_owned());
-        let inst = list
-            .iter()
-            .find(|inst| inst.name == name)
-            .ok_or_else(no_upstream)?;
+        let inst = list.iter().find(|inst| inst.name == name).ok_or_else(no_upstream)?;
         let team = inst.service.split('/').next().unwrap_or_default();
         if team != operator.team {
             return Err(AdminError::ForeignTeam(team.to_owned()));
@@ -197,10 +173,7 @@
         let told = client.drain(self.hello.clone(), drain).await;
         told.map_err(|_| unreachable())?;
         info!("admin: {} set drain of {name} to {drain}", operator.name);
-        Ok(json_answer(
-            StatusCode::OK,
-            &json!({ "name": name, "drain": drain }),
-        ))
+        Ok(json_answer(StatusCode::OK, &json!({ "name": name, "drain": drain })))
     }
 }
 
@@ -218,16 +191,12 @@
 
 fn refuse(err: &AdminError) -> Response<WholeBody> {
     let mut answer = json_answer(err.status(), &err.problem());
-    answer
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static(PROBLEM_JSON));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(PROBLEM_JSON));
     answer
 }
 
 fn text_json(text: &'static str) -> Response<WholeBody> {
     let mut answer = text_answer(StatusCode::OK, text);
-    answer
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     answer
 }
--- a/src/admin/readiness.rs
+++ b/src/admin/readiness.rs
@@ -18,10 +18,7 @@
     /// assert!(!Readiness::new(Publisher::new().current()).is_ready());
     /// ```
     pub fn new(current: Current) -> Self {
-        Self {
-            current,
-            leaving: Arc::default(),
-        }
+        Self { current, leaving: Arc::default() }
     }
 
     /// Says that the process is about to stop.
--- a/src/admin/status.rs
+++ b/src/admin/status.rs
@@ -5,7 +5,8 @@
 use crate::entry::MemberStatus;
 
 /// What an entry knows of itself and its upstreams.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Status {
     /// Revision of the settings in force here.
     pub revision: u64,
--- a/src/bin/ebonyusher-ctl.rs
+++ b/src/bin/ebonyusher-ctl.rs
@@ -3,14 +3,17 @@
 use std::process::ExitCode;
 
 use ebonyusher::admin::ClientError;
-use ebonyusher::cli::{EXIT_INPUT, EXIT_REFUSED, EXIT_UNREACHABLE, exit_with};
+use ebonyusher::cli::{EXIT_INPUT, EXIT_REFUSED, EXIT_UNREACHABLE, exit_with, read_args};
 use ebonyusher::ctl::{CtlError, options, run};
 
 const NAME: &str = "ebonyusher-ctl";
 
 #[tokio::main(flavor = "current_thread")]
 async fn main() -> ExitCode {
-    let args = options().fallback_to_usage().run();
+    let args = match read_args(options()) {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     let Err(err) = run(args).await else {
         return ExitCode::SUCCESS;
     };
--- a/src/bin/ebonyusher-entry.rs
+++ b/src/bin/ebonyusher-entry.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 
 use bpaf::{OptionParser, Parser, long};
-use ebonyusher::cli::{EXIT_INPUT, EXIT_UNREACHABLE, Logs, exit_with, logs_options, stop_signal};
+use ebonyusher::cli::{
+    EXIT_INPUT, EXIT_UNREACHABLE, Logs, exit_with, logs_options, read_args, stop_signal,
+};
 use ebonyusher::entry::{EntryNode, Weighed};
 use ebonyusher::platform::HttpPlatform;
 use ebonyusher::settings::{EntryFile, read_file};
@@ -18,10 +20,8 @@
 }
 
 fn options() -> OptionParser<Args> {
-    let settings = long("settings")
-        .short('s')
-        .help("The entry's own settings file")
-        .argument("FILE");
+    let settings =
+        long("settings").short('s').help("The entry's own settings file").argument("FILE");
     let logs = logs_options();
     bpaf::construct!(Args { settings, logs })
         .to_options()
@@ -31,7 +31,10 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let args = options().fallback_to_usage().run();
+    let args = match read_args(options()) {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     args.logs.start();
     let file: EntryFile = match read_file(&args.settings) {
         Ok(file) => file,
--- a/src/cli/logs.rs
+++ b/src/cli/logs.rs
@@ -55,9 +55,9 @@
     pub fn start(self) {
         let sink = StdStreamSink::builder().stderr();
         let sink = match self.format {
-            LogFormat::Text => sink
-                .formatter(FullFormatter::builder().source_location(false).build())
-                .build_arc(),
+            LogFormat::Text => {
+                sink.formatter(FullFormatter::builder().source_location(false).build()).build_arc()
+            }
             LogFormat::Json => sink.formatter(JsonFormatter::new()).build_arc(),
         };
         let Ok(sink) = sink else { return };
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,6 @@
 mod logs;
 mod stop;
 
-pub use exit::{EXIT_INPUT, EXIT_REFUSED, EXIT_UNREACHABLE, exit_with};
+pub use exit::{EXIT_INPUT, EXIT_REFUSED, EXIT_UNREACHABLE, exit_with, read_args};
 pub use logs::{LogFormat, Logs, logs_options};
 pub use stop::stop_signal;
--- a/src/cli/stop.rs
+++ b/src/cli/stop.rs
@@ -2,10 +2,7 @@
 
 /// Waits for SIGTERM or SIGINT. Without a signal handler it waits for ever.
 pub async fn stop_signal() {
-    let (term, int) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    );
+    let (term, int) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()));
     let (Ok(mut term), Ok(mut int)) = (term, int) else {
         return std::future::pending().await;
     };
--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -24,11 +24,7 @@
     /// Read the team's settings.
     Get { target: Target },
     /// Replace the team's settings by a file.
-    Apply {
-        target: Target,
-        read: Option<u64>,
-        file: PathBuf,
-    },
+    Apply { target: Target, read: Option<u64>, file: PathBuf },
     /// Show what differs between the team's settings and a file.
     Diff { target: Target, file: PathBuf },
     /// List the accepted changes.
@@ -36,18 +32,9 @@
     /// Show settings in force and upstreams.
     Status { target: Target },
     /// Stop new work at an upstream, or allow it again.
-    Drain {
-        target: Target,
-        undo: bool,
-        name: String,
-    },
+    Drain { target: Target, undo: bool, name: String },
     /// Look an idempotency key up.
-    Lookup {
-        target: Target,
-        account: String,
-        service: String,
-        key: String,
-    },
+    Lookup { target: Target, account: String, service: String, key: String },
 }
 
 /// The whole command line.
@@ -71,12 +58,8 @@
 }
 
 fn target() -> impl Parser<Target> {
-    let admin = long("admin")
-        .help("Administration address of an entry")
-        .argument("ADDR");
-    let team = long("team")
-        .help("Team whose settings are meant")
-        .argument("TEAM");
+    let admin = long("admin").help("Administration address of an entry").argument("ADDR");
+    let team = long("team").help("Team whose settings are meant").argument("TEAM");
     construct!(Target { admin, team })
 }
 
@@ -113,18 +96,7 @@
         .to_options()
         .descr("Show settings in force and upstreams")
         .command("status");
-    construct!([
-        check,
-        schema,
-        digest,
-        get,
-        apply(),
-        diff,
-        revisions,
-        status,
-        drain(),
-        lookup()
-    ])
+    construct!([check, schema, digest, get, apply(), diff, revisions, status, drain(), lookup()])
 }
 
 fn apply() -> impl Parser<Command> {
--- a/src/ctl/error.rs
+++ b/src/ctl/error.rs
@@ -5,7 +5,8 @@
 use crate::settings::{CheckError, ParseError};
 
 /// Why a command failed.
-#[derive(Clone, Debug, PartialEq, Display, Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Display, Error)]
 pub enum CtlError {
     /// {0}
     Input(#[from] ParseError),
--- a/src/ctl/run.rs
+++ b/src/ctl/run.rs
@@ -20,10 +20,9 @@
             show::done(json, "no fault found");
         }
         Command::Schema => show::document(&settings_schema()),
-        Command::Digest => show::done(
-            json,
-            &KeyDigest::of(&variable(NEW_KEY_VARIABLE)?).to_string(),
-        ),
+        Command::Digest => {
+            show::done(json, &KeyDigest::of(&variable(NEW_KEY_VARIABLE)?).to_string());
+        }
         Command::Get { target } => show::document(&client(&target)?.read(&target.team).await?),
         Command::Apply { target, read, file } => apply(json, &target, read, &file).await?,
         Command::Diff { target, file } => compare(json, &target, &file).await?,
@@ -35,19 +34,9 @@
             client(&target)?.drain(&name, !undo).await?;
             show::done(json, "done");
         }
-        Command::Lookup {
-            target,
-            account,
-            service,
-            key,
-        } => {
+        Command::Lookup { target, account, service, key } => {
             let client = client(&target)?;
-            show::key_state(
-                json,
-                &client
-                    .lookup(&target.team, &account, &service, &key)
-                    .await?,
-            );
+            show::key_state(json, &client.lookup(&target.team, &account, &service, &key).await?);
         }
     }
     Ok(())
@@ -76,11 +65,7 @@
     let value = |team: &Team| serde_json::to_value(team).unwrap_or_default();
     let changes = diff(&value(&present), &value(&settings));
     show::changes(json, &changes);
-    if changes.is_empty() {
-        Ok(())
-    } else {
-        Err(CtlError::Differs)
-    }
+    if changes.is_empty() { Ok(()) } else { Err(CtlError::Differs) }
 }
 
 fn read_team(file: &Path) -> Result<Team, CtlError> {
--- a/src/ctl/show.rs
+++ b/src/ctl/show.rs
@@ -7,11 +7,11 @@
 use crate::entry::KeyState;
 use crate::settings::{Change, LogLine};
 
+/// Longest value in a table.
+const VALUE_CHARS: usize = 40;
+
 pub(super) fn document<T: Serialize>(value: &T) {
-    println!(
-        "{}",
-        serde_json::to_string_pretty(value).unwrap_or_default()
-    );
+    println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
 }
 
 pub(super) fn done(json: bool, text: &str) {
@@ -26,10 +26,7 @@
     if json {
         document(accepted);
     } else {
-        println!(
-            "accepted as version {}, revision {}",
-            accepted.version, accepted.revision
-        );
+        println!("accepted as version {}, revision {}", accepted.version, accepted.revision);
     }
 }
 
@@ -38,9 +35,8 @@
         return document(&changes);
     }
     let side = |value: &Option<serde_json::Value>| {
-        value
-            .as_ref()
-            .map_or_else(|| "absent".to_owned(), ToString::to_string)
+        let text = value.as_ref().map_or_else(|| "absent".to_owned(), ToString::to_string);
+        shorten(text)
     };
     let mut table = table(&["PLACE", "PRESENT", "FILE"]);
     for change in changes {
@@ -56,12 +52,7 @@
     let mut table = table(&["REVISION", "VERSION", "OPERATOR", "CHANGE"]);
     for line in lines {
         let (revision, version) = (line.revision.to_string(), line.version.to_string());
-        table.add_row([
-            revision,
-            version,
-            line.operator.clone(),
-            line.change.clone(),
-        ]);
+        table.add_row([revision, version, line.operator.clone(), line.change.clone()]);
     }
     println!("{table}");
 }
@@ -70,13 +61,9 @@
     if json {
         return document(status);
     }
-    println!(
-        "revision {}, ready {}, held back {}",
-        status.revision, status.ready, status.held
-    );
-    let mut table = table(&[
-        "UPSTREAM", "SERVICE", "DOMAIN", "STATE", "REVISION", "RUNNING", "WAITING",
-    ]);
+    println!("revision {}, ready {}, held back {}", status.revision, status.ready, status.held);
+    let mut table =
+        table(&["UPSTREAM", "SERVICE", "DOMAIN", "STATE", "REVISION", "RUNNING", "WAITING"]);
     for (name, member) in &status.upstreams {
         let state = match member {
             member if !member.linked => "unlinked",
@@ -109,6 +96,14 @@
     }
 }
 
+/// A value that fits a table; `--json` gives it whole.
+fn shorten(text: String) -> String {
+    if text.chars().count() <= VALUE_CHARS {
+        return text;
+    }
+    text.chars().take(VALUE_CHARS).chain("...".chars()).collect()
+}
+
 fn table(head: &[&str]) -> Table {
     let mut table = Table::new();
     table.load_preset(NOTHING).set_header(head.iter().copied());
--- a/src/entry/budget.rs
+++ b/src/entry/budget.rs
@@ -14,9 +14,7 @@
 impl Budget {
     /// A fresh budget.
     pub const fn new() -> Self {
-        Self {
-            saved: Mutex::new(FIRST_SAVED),
-        }
+        Self { saved: Mutex::new(FIRST_SAVED) }
     }
 
     /// Adds the share that one request earns.
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -27,22 +27,14 @@
     /// Estimates from a request body in the chat format.
     pub(super) fn of(body: &[u8]) -> Self {
         let fields = serde_json::from_slice::<Fields>(body).ok();
-        let most = fields
-            .and_then(|fields| fields.max_tokens)
-            .map_or(DEFAULT_TOKENS, f64::from);
+        let most = fields.and_then(|fields| fields.max_tokens).map_or(DEFAULT_TOKENS, f64::from);
         let prompt = body.len() as f64 / BYTES_PER_TOKEN * PROMPT_COST;
         let prefix = (body.len() >= PREFIX_BYTES).then(|| xxh3_64(&body[..PREFIX_BYTES]));
-        Self {
-            cost: most + prompt,
-            prefix,
-        }
+        Self { cost: most + prompt, prefix }
     }
 
     /// The cost of a request to a plain service.
     pub(super) const fn plain() -> Self {
-        Self {
-            cost: 1.0,
-            prefix: None,
-        }
+        Self { cost: 1.0, prefix: None }
     }
 }
--- a/src/entry/failure.rs
+++ b/src/entry/failure.rs
@@ -12,17 +12,11 @@
 impl Failure {
     /// The attempt did not run.
     pub const fn not_run(reason: Reason) -> Self {
-        Self {
-            outcome: Outcome::NotRun,
-            reason,
-        }
+        Self { outcome: Outcome::NotRun, reason }
     }
 
     /// It is not known whether the attempt ran.
     pub const fn unknown(reason: Reason) -> Self {
-        Self {
-            outcome: Outcome::Unknown,
-            reason,
-        }
+        Self { outcome: Outcome::Unknown, reason }
     }
 }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -78,9 +78,7 @@
             return self.look_up(&caller, &head.method, rest).await;
         }
         let account = format!("{}/{}", caller.team, caller.name);
-        let limit = self
-            .limiter
-            .admit(&account, caller.account, self.share.get())?;
+        let limit = self.limiter.admit(&account, caller.account, self.share.get())?;
         let order = read_order(head, body, &caller, account, arrived).await?;
         self.forward(order, limit).await
     }
@@ -145,8 +143,7 @@
 fn find_caller<'a>(current: &'a Snapshot, headers: &HeaderMap) -> Result<Caller<'a>, Refusal> {
     let bearer = header_str(headers, &AUTHORIZATION).and_then(|text| text.strip_prefix(BEARER));
     let key = bearer.or_else(|| headers.get(API_KEY)?.to_str().ok());
-    key.and_then(|key| current.caller(key))
-        .ok_or(Refusal::not_run(Reason::BadKey))
+    key.and_then(|key| current.caller(key)).ok_or(Refusal::not_run(Reason::BadKey))
 }
 
 async fn read_order(
@@ -156,9 +153,7 @@
     account: String,
     arrived: Instant,
 ) -> Result<Order, Refusal> {
-    let host = header_str(&head.headers, &HOST)
-        .or(head.uri.host())
-        .unwrap_or_default();
+    let host = header_str(&head.headers, &HOST).or(head.uri.host()).unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
     let route = caller.route(host, head.uri.path(), head.method.as_str());
     let route = route.ok_or(Refusal::not_run(Reason::NoRoute))?;
@@ -173,11 +168,7 @@
             CollectError::Broken | CollectError::Slow => Reason::BodyBroken,
         })
     })?;
-    let chat = if service.kind == Kind::Engine {
-        Chat::of(&body)
-    } else {
-        Chat::plain()
-    };
+    let chat = if service.kind == Kind::Engine { Chat::of(&body) } else { Chat::plain() };
     Ok(Order {
         print: fingerprint(&account, head.uri.path(), &body),
         head,
@@ -208,13 +199,8 @@
 /// The caller's idempotency key; a request that must not run twice gets one if it has none.
 fn read_key(headers: &HeaderMap, repeat: Repeat) -> Result<Option<String>, Refusal> {
     if let Some(value) = headers.get(IDEMPOTENCY_KEY) {
-        let key = value
-            .to_str()
-            .ok()
-            .filter(|key| (1..=MAX_KEY_BYTES).contains(&key.len()));
-        return key
-            .map(|key| Some(key.to_owned()))
-            .ok_or(Refusal::not_run(Reason::BadHeader));
+        let key = value.to_str().ok().filter(|key| (1..=MAX_KEY_BYTES).contains(&key.len()));
+        return key.map(|key| Some(key.to_owned())).ok_or(Refusal::not_run(Reason::BadHeader));
     }
     Ok((repeat == Repeat::Never).then(|| format!("auto-{}", Attempt::random())))
 }
--- a/src/entry/limiter.rs
+++ b/src/entry/limiter.rs
@@ -50,18 +50,9 @@
         let burst = rate.map_or(0.0, |rate| (rate * BURST_SECONDS).max(1.0));
         let mut accounts = self.lock();
         if !accounts.contains_key(name) {
-            accounts.insert(
-                name.to_owned(),
-                State {
-                    tokens: burst,
-                    filled: now,
-                    running: 0,
-                },
-            );
+            accounts.insert(name.to_owned(), State { tokens: burst, filled: now, running: 0 });
         }
-        let state = accounts
-            .get_mut(name)
-            .ok_or(Refusal::not_run(Reason::AccountRate))?;
+        let state = accounts.get_mut(name).ok_or(Refusal::not_run(Reason::AccountRate))?;
         if account.in_flight.is_some_and(|most| state.running >= most) {
             let refusal = Refusal::not_run(Reason::AccountInFlight);
             return Err(refusal.retry_after(Duration::from_secs(1)));
@@ -70,10 +61,7 @@
             state.take_token(rate, burst, now)?;
         }
         state.running += 1;
-        Ok(LimiterGuard {
-            limiter: self.clone(),
-            account: name.to_owned(),
-        })
+        Ok(LimiterGuard { limiter: self.clone(), account: name.to_owned() })
     }
 }
 
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -71,9 +71,7 @@
     /// Connects; an error tells whether the sidecar's address refused the connection at once.
     async fn connect(&self) -> Result<(WsClient, Subscription<LinkNote>), bool> {
         let url = format!("ws://{}", self.member.instance.peer);
-        let connecting = WsClientBuilder::default()
-            .connection_timeout(CONNECT_TIMEOUT)
-            .build(url);
+        let connecting = WsClientBuilder::default().connection_timeout(CONNECT_TIMEOUT).build(url);
         let client = match timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(client)) => client,
             Ok(Err(_)) => return Err(true),
@@ -117,6 +115,7 @@
         }
         info!("link: {} is lost", self.member.instance.name);
         self.meter.count(Event::LinkLost);
+        self.suspects.lost();
         let (from, prints) = self.member.unlink();
         Lost { from, prints }
     }
@@ -148,14 +147,11 @@
         let Some(from) = lost.from.filter(|from| Some(*from) != now) else {
             return;
         };
-        if lost.prints.is_empty() {
+        if lost.prints.is_empty() || !self.suspects.is_single_loss() {
             return;
         }
         let event = xxh3_64(format!("{from}-lost").as_bytes());
-        let note = CrashNote {
-            event,
-            prints: lost.prints,
-        };
+        let note = CrashNote { event, prints: lost.prints };
         self.suspects.note(&note);
         self.crashes.try_send(note).ok();
     }
--- a/src/entry/lookup.rs
+++ b/src/entry/lookup.rs
@@ -4,7 +4,8 @@
 use crate::sidecar::{ClaimKey, ClaimRow, ClaimState, StoredAnswer};
 
 /// What is known of an idempotency key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", tag = "state")]
 pub enum KeyState {
     /// No request with this key has started.
--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -28,7 +28,8 @@
 }
 
 /// What is known of a member, for operators.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberStatus {
     /// Name of the instance.
     pub name: String,
@@ -73,11 +74,7 @@
 impl Member {
     /// A member that has no link yet.
     pub fn new(instance: Instance, distance: usize) -> Self {
-        Self {
-            instance,
-            distance,
-            state: Mutex::default(),
-        }
+        Self { instance, distance, state: Mutex::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -103,9 +100,7 @@
         state.leaving = note.leaving;
         state.revision = note.revision;
         state.take_load(note.load);
-        note.cached
-            .iter()
-            .for_each(|prefix| state.remember(*prefix));
+        note.cached.iter().for_each(|prefix| state.remember(*prefix));
         note.evicted.iter().for_each(|prefix| state.forget(*prefix));
     }
 
@@ -224,9 +219,7 @@
     /// Expected requests over slots: the aged report, and what this entry sent since.
     fn occupancy(&self, now: Instant) -> f64 {
         let slots = f64::from(self.load.slots.max(1));
-        let age = self
-            .load_at
-            .map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let age = self.load_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let trust = 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64());
         let reported = f64::from(self.load.running + self.load.waiting);
         let own = f64::from(self.in_flight());
--- a/src/entry/members.rs
+++ b/src/entry/members.rs
@@ -12,50 +12,29 @@
 impl Members {
     /// The members of a service.
     pub fn of(&self, service: &str) -> Option<Arc<[Arc<Member>]>> {
-        let services = self
-            .by_service
-            .read()
-            .unwrap_or_else(PoisonError::into_inner);
+        let services = self.by_service.read().unwrap_or_else(PoisonError::into_inner);
         services.get(service).cloned()
     }
 
     /// All members.
     pub fn all(&self) -> Vec<Arc<Member>> {
-        let services = self
-            .by_service
-            .read()
-            .unwrap_or_else(PoisonError::into_inner);
-        services
-            .values()
-            .flat_map(|members| members.iter().cloned())
-            .collect()
+        let services = self.by_service.read().unwrap_or_else(PoisonError::into_inner);
+        services.values().flat_map(|members| members.iter().cloned()).collect()
     }
 
     /// Puts other members in place of all present ones.
     pub fn replace(&self, members: Vec<Arc<Member>>) {
         let mut by_service: HashMap<String, Vec<Arc<Member>>> = HashMap::new();
         for member in members {
-            by_service
-                .entry(member.instance.service.clone())
-                .or_default()
-                .push(member);
+            by_service.entry(member.instance.service.clone()).or_default().push(member);
         }
-        let by_service = by_service
-            .into_iter()
-            .map(|(name, list)| (name, list.into()))
-            .collect();
-        *self
-            .by_service
-            .write()
-            .unwrap_or_else(PoisonError::into_inner) = by_service;
+        let by_service = by_service.into_iter().map(|(name, list)| (name, list.into())).collect();
+        *self.by_service.write().unwrap_or_else(PoisonError::into_inner) = by_service;
     }
 
     /// What operators see, by name of the instance.
     pub fn status(&self) -> BTreeMap<String, MemberStatus> {
         let members = self.all();
-        members
-            .iter()
-            .map(|member| (member.instance.name.clone(), member.status()))
-            .collect()
+        members.iter().map(|member| (member.instance.name.clone(), member.status())).collect()
     }
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,8 +1,10 @@
 //! The process that callers reach: it knows nothing that lasts.
 
+mod attempt_request;
 mod budget;
 mod chat;
 mod choice;
+mod course;
 mod dispatch;
 mod entry_body;
 mod failure;
--- a/src/entry/pass.rs
+++ b/src/entry/pass.rs
@@ -50,11 +50,7 @@
 
 impl Pass {
     pub(super) const fn new(body: Incoming, in_flight: InFlight, limit: LimiterGuard) -> Self {
-        Self {
-            body,
-            _in_flight: in_flight,
-            _limit: limit,
-        }
+        Self { body, _in_flight: in_flight, _limit: limit }
     }
 }
 
@@ -66,9 +62,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body)
-            .poll_frame(cx)
-            .map_err(BodyError::from)
+        Pin::new(&mut self.body).poll_frame(cx).map_err(BodyError::from)
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/src/entry/policies.rs
+++ b/src/entry/policies.rs
@@ -19,11 +19,7 @@
 
 impl Weighed {
     fn score(view: &View) -> f64 {
-        let cached = if view.cached && view.occupancy < 1.0 {
-            CACHED_GAIN
-        } else {
-            0.0
-        };
+        let cached = if view.cached && view.occupancy < 1.0 { CACHED_GAIN } else { 0.0 };
         view.occupancy + view.distance as f64 * DISTANCE_COST - cached
     }
 }
@@ -74,7 +70,5 @@
 
 fn least(order: impl Iterator<Item = usize>, score: impl Fn(usize) -> f64) -> usize {
     let scored = order.map(|at| (at, score(at)));
-    scored
-        .min_by(|(_, left), (_, right)| left.total_cmp(right))
-        .map_or(0, |(at, _)| at)
+    scored.min_by(|(_, left), (_, right)| left.total_cmp(right)).map_or(0, |(at, _)| at)
 }
--- a/src/entry/roster.rs
+++ b/src/entry/roster.rs
@@ -62,12 +62,8 @@
     /// A platform that is down takes nobody off the list: links decide who is alive.
     fn take(&mut self, list: &[Instance]) {
         let live = |inst: &&Instance| inst.phase == Phase::Live;
-        self.share.set(
-            list.iter()
-                .filter(|inst| inst.service == ENTRY_SERVICE)
-                .filter(live)
-                .count(),
-        );
+        self.share
+            .set(list.iter().filter(|inst| inst.service == ENTRY_SERVICE).filter(live).count());
         let mut by_service: HashMap<&str, Vec<&Instance>> = HashMap::new();
         for inst in list.iter().filter(|inst| inst.service != ENTRY_SERVICE) {
             by_service.entry(&inst.service).or_default().push(inst);
@@ -76,24 +72,14 @@
             .values()
             .flat_map(|instances| {
                 let distance = |domain: &str| self.distance(domain);
-                pick_subset(
-                    self.hello.from,
-                    instances,
-                    distance,
-                    self.most(instances.len()),
-                )
+                pick_subset(self.hello.from, instances, distance, self.most(instances.len()))
             })
             .collect();
         self.drop_unwanted(&wanted);
         for inst in wanted {
             self.keep(inst);
         }
-        self.members.replace(
-            self.links
-                .values()
-                .map(|(member, _)| Arc::clone(member))
-                .collect(),
-        );
+        self.members.replace(self.links.values().map(|(member, _)| Arc::clone(member)).collect());
     }
 
     /// Links to keep for a service of so many upstreams: where entries are few, enough that every
--- a/src/entry/splice.rs
+++ b/src/entry/splice.rs
@@ -70,11 +70,7 @@
                 return Passed::ReaderGone;
             }
         }
-        if self.partial.is_empty() {
-            Passed::Whole
-        } else {
-            Passed::Broken(BodyError::Short)
-        }
+        if self.partial.is_empty() { Passed::Whole } else { Passed::Broken(BodyError::Short) }
     }
 
     /// Takes in bytes and gives back those that end with a whole event.
@@ -111,7 +107,5 @@
 }
 
 fn rfind(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes
-        .windows(pattern.len())
-        .rposition(|window| window == pattern)
+    bytes.windows(pattern.len()).rposition(|window| window == pattern)
 }
--- a/src/entry/suspects.rs
+++ b/src/entry/suspects.rs
@@ -9,6 +9,8 @@
 
 /// Crashes at which a request is held back.
 const CRASHES_TO_HOLD: usize = 2;
+/// Time in which a failure domain takes its sidecars away.
+const LOSS_WINDOW: Duration = Duration::from_secs(2);
 /// How long a crash counts.
 const MEMORY: Duration = Duration::from_secs(600);
 /// Fingerprints remembered before old ones are dropped.
@@ -32,6 +34,7 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     prints: Mutex<HashMap<u64, SmallVec<[Sighting; 2]>>>,
+    losses: Mutex<SmallVec<[Instant; 8]>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -64,14 +67,27 @@
         for print in &crash.prints {
             let seen = prints.entry(*print).or_default();
             if seen.iter().all(|sighting| sighting.event != crash.event) {
-                seen.push(Sighting {
-                    event: crash.event,
-                    at: now,
-                });
+                seen.push(Sighting { event: crash.event, at: now });
             }
         }
     }
 
+    /// Takes in that a sidecar was lost.
+    pub fn lost(&self) {
+        let now = Instant::now();
+        let mut losses = self.losses.lock().unwrap_or_else(PoisonError::into_inner);
+        losses.retain(|at| now.saturating_duration_since(*at) < LOSS_WINDOW);
+        losses.push(now);
+    }
+
+    /// Whether just one sidecar was lost of late. When several go at once it is their failure
+    /// domain, and no request is to blame.
+    pub fn is_single_loss(&self) -> bool {
+        let now = Instant::now();
+        let losses = self.losses.lock().unwrap_or_else(PoisonError::into_inner);
+        losses.iter().filter(|at| now.saturating_duration_since(**at) < LOSS_WINDOW).count() == 1
+    }
+
     /// Takes a request that ran to its end off the list.
     pub fn clear(&self, print: u64) {
         self.lock().remove(&print);
@@ -88,22 +104,14 @@
         match fresh.clone().count() {
             0 => Verdict::Clear,
             count if count < CRASHES_TO_HOLD => Verdict::Suspect,
-            _ => Verdict::Held(
-                fresh
-                    .map(|sighting| sighting.at + MEMORY)
-                    .min()
-                    .unwrap_or(now),
-            ),
+            _ => Verdict::Held(fresh.map(|sighting| sighting.at + MEMORY).min().unwrap_or(now)),
         }
     }
 
     /// Number of requests held back.
     pub fn held(&self) -> usize {
         let prints: SmallVec<[u64; 32]> = self.lock().keys().copied().collect();
-        prints
-            .iter()
-            .filter(|print| matches!(self.judge(**print), Verdict::Held(_)))
-            .count()
+        prints.iter().filter(|print| matches!(self.judge(**print), Verdict::Held(_))).count()
     }
 }
 
--- a/src/entry/suspects_row.rs
+++ b/src/entry/suspects_row.rs
@@ -20,12 +20,14 @@
 const TRIES: usize = 4;
 
 /// The crashes of the last minutes, for all entries.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 struct SuspectsRow {
     crashes: Vec<Entry>,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 struct Entry {
     note: CrashNote,
     at: u64,
@@ -49,9 +51,7 @@
         let Ok(row) = row.read::<SuspectsRow>() else {
             return;
         };
-        row.crashes
-            .iter()
-            .for_each(|entry| self.suspects.note(&entry.note));
+        row.crashes.iter().for_each(|entry| self.suspects.note(&entry.note));
     }
 
     /// Shares a crash, unless another entry has.
@@ -73,27 +73,16 @@
         let version = present.as_ref().map(|row| row.version);
         let read = present.as_ref().map(|row| row.read::<SuspectsRow>());
         let mut row = read.and_then(Result::ok).unwrap_or_default();
-        if row
-            .crashes
-            .iter()
-            .any(|entry| entry.note.event == note.event)
-        {
+        if row.crashes.iter().any(|entry| entry.note.event == note.event) {
             return true;
         }
-        let now = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |time| time.as_secs());
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs());
         row.crashes.retain(|entry| entry.at + MEMORY_SECONDS > now);
-        row.crashes.push(Entry {
-            note: note.clone(),
-            at: now,
-        });
+        row.crashes.push(Entry { note: note.clone(), at: now });
         let surplus = row.crashes.len().saturating_sub(MAX_CRASHES);
         row.crashes.drain(..surplus);
         self.meter.count(Event::TableWrite);
-        let txn = Txn::new()
-            .check(SUSPECTS_KEY, version)
-            .put(SUSPECTS_KEY, &row);
+        let txn = Txn::new().check(SUSPECTS_KEY, version).put(SUSPECTS_KEY, &row);
         self.platform.commit(&txn).await.is_ok()
     }
 }
--- a/src/group/evaluate.rs
+++ b/src/group/evaluate.rs
@@ -21,27 +21,12 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Step {
     /// A rank fetches an expert in place of one that has other places.
-    Copy {
-        rank: usize,
-        expert: usize,
-        out: usize,
-    },
+    Copy { rank: usize, expert: usize, out: usize },
     /// A rank fetches an expert in place of one that moves on to a third rank, in place of one
     /// that has other places.
-    Chain {
-        rank: usize,
-        expert: usize,
-        out: usize,
-        via: usize,
-        gone: usize,
-    },
+    Chain { rank: usize, expert: usize, out: usize, via: usize, gone: usize },
     /// Two ranks exchange an expert each.
-    Swap {
-        hot: usize,
-        expert: usize,
-        cold: usize,
-        other: usize,
-    },
+    Swap { hot: usize, expert: usize, cold: usize, other: usize },
 }
 
 /// A change and what it is worth.
@@ -97,17 +82,11 @@
 
 /// Experts of a rank, fewest tokens there first.
 fn by_tokens(state: &LayerState, rank: usize) -> SmallVec<[usize; 8]> {
-    let mut experts: SmallVec<[usize; 8]> = state
-        .held(rank)
-        .iter()
-        .map(|held| usize::from(*held))
-        .collect();
+    let mut experts: SmallVec<[usize; 8]> =
+        state.held(rank).iter().map(|held| usize::from(*held)).collect();
     let tokens = |expert: &usize| {
         let places = &state.places[*expert];
-        places
-            .iter()
-            .find(|place| place.rank == rank)
-            .map_or(0.0, |place| place.tokens)
+        places.iter().find(|place| place.rank == rank).map_or(0.0, |place| place.tokens)
     };
     experts.sort_by(|left, right| tokens(left).total_cmp(&tokens(right)));
     experts
@@ -117,12 +96,8 @@
 fn chain_ends(state: &LayerState, order: &[usize]) -> SmallVec<[(usize, usize); 8]> {
     let spare = |rank: &usize| {
         let experts = by_tokens(state, *rank).into_iter();
-        let spare = experts
-            .filter(|expert| state.places[*expert].len() > 1)
-            .take(1);
-        spare
-            .map(|expert| (*rank, expert))
-            .collect::<SmallVec<[(usize, usize); 1]>>()
+        let spare = experts.filter(|expert| state.places[*expert].len() > 1).take(1);
+        spare.map(|expert| (*rank, expert)).collect::<SmallVec<[(usize, usize); 1]>>()
     };
     order.iter().flat_map(spare).take(CHAIN_ENDS).collect()
 }
@@ -137,20 +112,10 @@
     let open = order.iter().filter(|rank| !holds(state, **rank, expert));
     for rank in open.take(CHAIN_RANKS).copied() {
         let single = |out: &usize| state.places[*out].len() == 1;
-        for out in by_tokens(state, rank)
-            .into_iter()
-            .filter(single)
-            .take(CHAIN_OUTS)
-        {
+        for out in by_tokens(state, rank).into_iter().filter(single).take(CHAIN_OUTS) {
             for (via, gone) in ends.iter().copied() {
                 if via != rank && gone != expert && !holds(state, via, out) {
-                    let step = Step::Chain {
-                        rank,
-                        expert,
-                        out,
-                        via,
-                        gone,
-                    };
+                    let step = Step::Chain { rank, expert, out, via, gone };
                     let gain = chain_gain(state, (rank, expert), out, (via, gone));
                     offer(Candidate { step, gain });
                 }
@@ -160,20 +125,14 @@
 }
 
 fn holds(state: &LayerState, rank: usize, expert: usize) -> bool {
-    state
-        .held(rank)
-        .iter()
-        .any(|held| usize::from(*held) == expert)
+    state.held(rank).iter().any(|held| usize::from(*held) == expert)
 }
 
 fn copies(state: &LayerState, rank: usize, expert: usize, offer: &mut impl FnMut(Candidate)) {
     for out in state.held(rank).iter().map(|held| usize::from(*held)) {
         if state.places[out].len() > 1 {
             let step = Step::Copy { rank, expert, out };
-            offer(Candidate {
-                step,
-                gain: copy_gain(state, rank, expert, out),
-            });
+            offer(Candidate { step, gain: copy_gain(state, rank, expert, out) });
         }
     }
 }
@@ -187,16 +146,8 @@
 ) {
     for other in state.held(cold).iter().map(|held| usize::from(*held)) {
         if !holds(state, hot, other) {
-            let step = Step::Swap {
-                hot,
-                expert,
-                cold,
-                other,
-            };
-            offer(Candidate {
-                step,
-                gain: swap_gain(state, hot, expert, cold, other),
-            });
+            let step = Step::Swap { hot, expert, cold, other };
+            offer(Candidate { step, gain: swap_gain(state, hot, expert, cold, other) });
         }
     }
 }
@@ -244,18 +195,12 @@
                 self.set(place.rank, base);
             } else {
                 ranks.push(place.rank);
-                vessels.push(Vessel {
-                    base,
-                    speed: state.speeds[place.rank],
-                });
+                vessels.push(Vessel { base, speed: state.speeds[place.rank] });
             }
         }
         if let Some(rank) = with {
             ranks.push(rank);
-            vessels.push(Vessel {
-                base: self.load(state, rank),
-                speed: state.speeds[rank],
-            });
+            vessels.push(Vessel { base: self.load(state, rank), speed: state.speeds[rank] });
         }
         let parts = fill(&vessels, state.tokens[expert]);
         for (rank, (vessel, part)) in ranks.into_iter().zip(vessels.iter().zip(parts)) {
--- a/src/group/expert_map.rs
+++ b/src/group/expert_map.rs
@@ -3,7 +3,8 @@
 use super::{LayerMap, MapError, Shape};
 
 /// The maps of all layers of a group, in force together.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ExpertMap {
     /// Greater by one after each switch.
     pub version: u64,
@@ -20,10 +21,7 @@
     /// assert!(ExpertMap::initial(&shape).check(&shape).is_ok());
     /// ```
     pub fn initial(shape: &Shape) -> Self {
-        Self {
-            version: 0,
-            layers: vec![LayerMap::initial(shape); shape.layers],
-        }
+        Self { version: 0, layers: vec![LayerMap::initial(shape); shape.layers] }
     }
 
     /// Checks every layer.
--- a/src/group/layer_map.rs
+++ b/src/group/layer_map.rs
@@ -8,7 +8,8 @@
 const SHARE_SLACK: f32 = 1e-3;
 
 /// Which rank holds which expert in one layer, and which share of its tokens each place takes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LayerMap {
     slots: usize,
     held: Vec<u16>,
@@ -16,7 +17,8 @@
 }
 
 /// Why a layer's map can't be used.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum MapError {
     /// the map has {0} places, the group has another number
     Places(usize),
@@ -39,35 +41,21 @@
     /// ```
     pub fn initial(shape: &Shape) -> Self {
         let places = shape.ranks * shape.slots;
-        let held = (0..places)
-            .map(|place| (place % shape.experts) as u16)
-            .collect();
+        let held = (0..places).map(|place| (place % shape.experts) as u16).collect();
         Self::even(shape.slots, held, shape.experts)
     }
 
     /// A map in which the places of an expert share its tokens evenly.
     pub fn even(slots: usize, held: Vec<u16>, experts: usize) -> Self {
         let mut places = vec![0_u32; experts];
-        held.iter()
-            .for_each(|expert| places[usize::from(*expert)] += 1);
-        let shares = held
-            .iter()
-            .map(|expert| 1.0 / places[usize::from(*expert)] as f32)
-            .collect();
-        Self {
-            slots,
-            held,
-            shares,
-        }
+        held.iter().for_each(|expert| places[usize::from(*expert)] += 1);
+        let shares = held.iter().map(|expert| 1.0 / places[usize::from(*expert)] as f32).collect();
+        Self { slots, held, shares }
     }
 
     /// A map with given shares.
     pub const fn with_shares(slots: usize, held: Vec<u16>, shares: Vec<f32>) -> Self {
-        Self {
-            slots,
-            held,
-            shares,
-        }
+        Self { slots, held, shares }
     }
 
     /// Experts that a rank holds.
@@ -89,9 +77,7 @@
     pub fn loads(&self, tokens: &[f64]) -> Vec<f64> {
         let load = |rank: usize| {
             let places = self.held(rank).iter().zip(self.shares(rank));
-            places
-                .map(|(expert, share)| tokens[usize::from(*expert)] * f64::from(*share))
-                .sum()
+            places.map(|(expert, share)| tokens[usize::from(*expert)] * f64::from(*share)).sum()
         };
         (0..self.ranks()).map(load).collect()
     }
@@ -99,10 +85,7 @@
     /// Experts that ranks of another map must fetch to follow this one.
     pub fn fetches_from(&self, other: &Self) -> usize {
         let fetched = |rank: usize| {
-            self.held(rank)
-                .iter()
-                .filter(|expert| !other.held(rank).contains(expert))
-                .count()
+            self.held(rank).iter().filter(|expert| !other.held(rank).contains(expert)).count()
         };
         (0..self.ranks()).map(fetched).sum()
     }
--- a/src/group/layer_state.rs
+++ b/src/group/layer_state.rs
@@ -90,9 +90,7 @@
             })
             .collect();
         let parts = fill(&vessels, self.tokens[expert]);
-        for (place, (vessel, part)) in self.places[expert]
-            .iter_mut()
-            .zip(vessels.iter().zip(parts))
+        for (place, (vessel, part)) in self.places[expert].iter_mut().zip(vessels.iter().zip(parts))
         {
             place.tokens = part;
             self.loads[place.rank] = vessel.base + part;
@@ -101,10 +99,7 @@
 
     /// Puts an expert in the place of another one on a rank.
     pub(super) fn replace(&mut self, rank: usize, out: usize, into: usize) {
-        let slot = self
-            .held(rank)
-            .iter()
-            .position(|held| usize::from(*held) == out);
+        let slot = self.held(rank).iter().position(|held| usize::from(*held) == out);
         let Some(slot) = slot else { return };
         self.held[rank * self.slots + slot] = into as u16;
         let at = self.places[out].iter().position(|place| place.rank == rank);
--- a/src/group/planner.rs
+++ b/src/group/planner.rs
@@ -50,12 +50,7 @@
     /// Knows nothing yet of a group's load.
     pub fn new(shape: Shape, options: PlannerOptions) -> Self {
         let layers = vec![Popularity::new(shape.experts); shape.layers];
-        Self {
-            shape,
-            options,
-            layers,
-            speeds: Speeds::new(shape.ranks),
-        }
+        Self { shape, options, layers, speeds: Speeds::new(shape.ranks) }
     }
 
     /// Changes how skew is weighed against moves.
@@ -119,9 +114,7 @@
             let fitting = plan.best.filter(|best| best.step.fetches() <= left);
             fitting.map_or(0.0, |best| best.worth() / self.price(plan))
         };
-        let best = layers
-            .iter_mut()
-            .max_by(|left, right| worth(left).total_cmp(&worth(right)))?;
+        let best = layers.iter_mut().max_by(|left, right| worth(left).total_cmp(&worth(right)))?;
         (worth(best) > 1.0).then_some(best)
     }
 
@@ -132,12 +125,7 @@
         let before = super::potential::Potential::new(&loads, speeds).value();
         let state = LayerState::new(&self.shape, &present.layers[layer], tokens, speeds);
         let best = best_step(&state);
-        LayerPlan {
-            layer,
-            state,
-            best,
-            before,
-        }
+        LayerPlan { layer, state, best, before }
     }
 
     fn close(&self, present: &ExpertMap, layers: &[LayerPlan], moves: Vec<Move>) -> Plan {
@@ -166,55 +154,19 @@
         match step {
             Step::Copy { rank, expert, out } => {
                 self.state.replace(rank, out, expert);
-                moves.push(Move {
-                    layer,
-                    rank,
-                    expert,
-                    evicted: out,
-                });
+                moves.push(Move { layer, rank, expert, evicted: out });
             }
-            Step::Chain {
-                rank,
-                expert,
-                out,
-                via,
-                gone,
-            } => {
+            Step::Chain { rank, expert, out, via, gone } => {
                 self.state.replace(via, gone, out);
                 self.state.replace(rank, out, expert);
-                moves.push(Move {
-                    layer,
-                    rank: via,
-                    expert: out,
-                    evicted: gone,
-                });
-                moves.push(Move {
-                    layer,
-                    rank,
-                    expert,
-                    evicted: out,
-                });
+                moves.push(Move { layer, rank: via, expert: out, evicted: gone });
+                moves.push(Move { layer, rank, expert, evicted: out });
             }
-            Step::Swap {
-                hot,
-                expert,
-                cold,
-                other,
-            } => {
+            Step::Swap { hot, expert, cold, other } => {
                 self.state.replace(cold, other, expert);
                 self.state.replace(hot, expert, other);
-                moves.push(Move {
-                    layer,
-                    rank: cold,
-                    expert,
-                    evicted: other,
-                });
-                moves.push(Move {
-                    layer,
-                    rank: hot,
-                    expert: other,
-                    evicted: expert,
-                });
+                moves.push(Move { layer, rank: cold, expert, evicted: other });
+                moves.push(Move { layer, rank: hot, expert: other, evicted: expert });
             }
         }
         self.state.sweep(LOCAL_SWEEPS);
--- a/src/group/popularity.rs
+++ b/src/group/popularity.rs
@@ -20,12 +20,7 @@
 impl Popularity {
     /// Knows nothing yet of so many experts.
     pub fn new(experts: usize) -> Self {
-        Self {
-            slow: vec![0.0; experts],
-            fast: vec![0.0; experts],
-            distance: 0.0,
-            steps: 0,
-        }
+        Self { slow: vec![0.0; experts], fast: vec![0.0; experts], distance: 0.0, steps: 0 }
     }
 
     /// Takes in the token counts of one step.
@@ -45,11 +40,7 @@
     }
 
     fn watch_shift(&mut self) {
-        let between = self
-            .slow
-            .iter()
-            .zip(&self.fast)
-            .map(|(slow, fast)| (slow - fast).abs());
+        let between = self.slow.iter().zip(&self.fast).map(|(slow, fast)| (slow - fast).abs());
         let distance = between.sum::<f64>() / self.slow.iter().sum::<f64>().max(1.0);
         let settled = f64::from(self.steps) * SLOW_GAIN > 1.0;
         if settled && distance > SHIFT_FACTOR * self.distance.max(f64::EPSILON) {
@@ -72,7 +63,5 @@
 }
 
 fn blend(mean: &mut [f64], tokens: &[f64], gain: f64) {
-    mean.iter_mut()
-        .zip(tokens)
-        .for_each(|(mean, tokens)| *mean += gain * (tokens - *mean));
+    mean.iter_mut().zip(tokens).for_each(|(mean, tokens)| *mean += gain * (tokens - *mean));
 }
--- a/src/group/potential.rs
+++ b/src/group/potential.rs
@@ -16,16 +16,9 @@
     pub(super) fn new(loads: &[f64], speeds: &[f64]) -> Self {
         let weight: f64 = speeds.iter().sum();
         let ideal = (loads.iter().sum::<f64>() / weight).max(f64::MIN_POSITIVE);
-        let mut potential = Self {
-            sum: 0.0,
-            ideal,
-            weight,
-        };
-        potential.sum = loads
-            .iter()
-            .zip(speeds)
-            .map(|(load, speed)| potential.term(*load, *speed))
-            .sum();
+        let mut potential = Self { sum: 0.0, ideal, weight };
+        potential.sum =
+            loads.iter().zip(speeds).map(|(load, speed)| potential.term(*load, *speed)).sum();
         potential
     }
 
--- a/src/group/shape.rs
+++ b/src/group/shape.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Sizes of an expert-parallel group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Shape {
     /// Ranks that step together.
     pub ranks: usize,
--- a/src/group/speeds.rs
+++ b/src/group/speeds.rs
@@ -12,9 +12,7 @@
 impl Speeds {
     /// Takes all ranks for equally fast.
     pub fn new(ranks: usize) -> Self {
-        Self {
-            speeds: vec![1.0; ranks],
-        }
+        Self { speeds: vec![1.0; ranks] }
     }
 
     /// Takes in load and time of each rank in one step. Only the ranks' relation matters, so the
@@ -28,11 +26,7 @@
     /// ```
     pub fn observe(&mut self, loads: &[f64], times: &[f64]) {
         let pace = |(load, time): (&f64, &f64)| {
-            if *load > 0.0 && *time > 0.0 {
-                Some(load / time)
-            } else {
-                None
-            }
+            if *load > 0.0 && *time > 0.0 { Some(load / time) } else { None }
         };
         let paces: Vec<Option<f64>> = loads.iter().zip(times).map(pace).collect();
         let Some(usual) = median(paces.iter().flatten().copied().collect()) else {
--- a/src/group/water.rs
+++ b/src/group/water.rs
@@ -27,8 +27,5 @@
         speed += vessels[at].speed;
         height = (tokens + base) / speed;
     }
-    vessels
-        .iter()
-        .map(|vessel| (height * vessel.speed - vessel.base).max(0.0))
-        .collect()
+    vessels.iter().map(|vessel| (height * vessel.speed - vessel.base).max(0.0)).collect()
 }
--- a/src/lease/holder.rs
+++ b/src/lease/holder.rs
@@ -17,7 +17,8 @@
 const FREE: Incarnation = Incarnation::from_raw(0);
 
 /// Why a lease was not held or renewed.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum LeaseError {
     /// another process holds the lease
     Taken,
@@ -48,14 +49,7 @@
 impl<P: Table> Lease<P> {
     /// A lease that this process does not hold yet.
     pub fn new(platform: Arc<P>, name: &str, own: Incarnation, length: Duration) -> Self {
-        Self {
-            platform,
-            key: lease_key(name),
-            own,
-            length,
-            seen: None,
-            until: None,
-        }
+        Self { platform, key: lease_key(name), own, length, seen: None, until: None }
     }
 
     /// The fencing number, if this process holds the lease at this moment.
@@ -104,30 +98,16 @@
     /// The row that this process may write, given the present one.
     fn next(&mut self, present: Option<LeaseRow>) -> Result<LeaseRow, LeaseError> {
         let Some(present) = present else {
-            return Ok(LeaseRow {
-                holder: self.own,
-                fence: 1,
-                beat: 0,
-            });
+            return Ok(LeaseRow { holder: self.own, fence: 1, beat: 0 });
         };
         if present.holder == self.own {
-            return Ok(LeaseRow {
-                beat: present.beat + 1,
-                ..present
-            });
+            return Ok(LeaseRow { beat: present.beat + 1, ..present });
         }
-        let since = self
-            .seen
-            .filter(|(row, _)| *row == present)
-            .map(|(_, since)| since);
+        let since = self.seen.filter(|(row, _)| *row == present).map(|(_, since)| since);
         let now = Instant::now();
         let stale = since.is_some_and(|since| now.saturating_duration_since(since) >= self.length);
         if stale || present.holder == FREE {
-            return Ok(LeaseRow {
-                holder: self.own,
-                fence: present.fence + 1,
-                beat: 0,
-            });
+            return Ok(LeaseRow { holder: self.own, fence: present.fence + 1, beat: 0 });
         }
         self.until = None;
         self.seen = Some((present, since.unwrap_or(now)));
@@ -142,19 +122,10 @@
         let Ok(Some(present)) = self.platform.get(&self.key).await else {
             return;
         };
-        if present
-            .read::<LeaseRow>()
-            .is_ok_and(|found| found.holder == self.own)
-        {
+        if present.read::<LeaseRow>().is_ok_and(|found| found.holder == self.own) {
             // The fencing number stays: it must never fall.
-            let freed = LeaseRow {
-                holder: FREE,
-                beat: row.beat + 1,
-                ..row
-            };
-            let txn = Txn::new()
-                .check(&self.key, Some(present.version))
-                .put(&self.key, &freed);
+            let freed = LeaseRow { holder: FREE, beat: row.beat + 1, ..row };
+            let txn = Txn::new().check(&self.key, Some(present.version)).put(&self.key, &freed);
             self.platform.commit(&txn).await.ok();
         }
     }
--- a/src/lease/lease_row.rs
+++ b/src/lease/lease_row.rs
@@ -3,7 +3,8 @@
 use crate::id::Incarnation;
 
 /// Who holds a lease.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseRow {
     /// The holder's present life.
     pub holder: Incarnation,
--- a/src/metrics/meter.rs
+++ b/src/metrics/meter.rs
@@ -12,7 +12,8 @@
 use crate::outcome::Reason;
 
 /// Metrics can't be sent to {addr}: {reason}
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub struct MeterError {
     addr: SocketAddr,
     reason: String,
@@ -50,15 +51,10 @@
         };
         let fault = |reason: String| MeterError { addr, reason };
         let socket = UdpSocket::bind("0.0.0.0:0").map_err(|err| fault(err.to_string()))?;
-        socket
-            .set_nonblocking(true)
-            .map_err(|err| fault(err.to_string()))?;
+        socket.set_nonblocking(true).map_err(|err| fault(err.to_string()))?;
         let sink =
             BufferedUdpMetricSink::from(addr, socket).map_err(|err| fault(err.to_string()))?;
-        Ok(Self::with(StatsdClient::from_sink(
-            "ebonyusher",
-            QueuingMetricSink::from(sink),
-        )))
+        Ok(Self::with(StatsdClient::from_sink("ebonyusher", QueuingMetricSink::from(sink))))
     }
 
     fn with(statsd: StatsdClient) -> Self {
@@ -73,19 +69,13 @@
     /// Counts a refusal or failure.
     pub fn refuse(&self, reason: Reason) {
         self.refusals.add(reason);
-        self.statsd
-            .count_with_tags("refusal", 1)
-            .with_tag("reason", reason.as_str())
-            .send();
+        self.statsd.count_with_tags("refusal", 1).with_tag("reason", reason.as_str()).send();
     }
 
     /// Counts a retry.
     pub fn retry(&self, reason: Reason) {
         self.retries.add(reason);
-        self.statsd
-            .count_with_tags("retry", 1)
-            .with_tag("reason", reason.as_str())
-            .send();
+        self.statsd.count_with_tags("retry", 1).with_tag("reason", reason.as_str()).send();
     }
 
     /// Counts an event.
@@ -96,9 +86,7 @@
     /// Counts an event several times.
     pub fn add(&self, event: Event, times: u64) {
         self.events[event as usize].fetch_add(times, Ordering::Relaxed);
-        self.statsd
-            .count(event.as_str(), i64::try_from(times).unwrap_or(i64::MAX))
-            .ok();
+        self.statsd.count(event.as_str(), i64::try_from(times).unwrap_or(i64::MAX)).ok();
     }
 
     /// Sends a gauge. Gauges are not kept in the process.
@@ -123,9 +111,6 @@
 
     /// Events by name.
     pub fn events(&self) -> BTreeMap<String, u64> {
-        Event::ALL
-            .map(|event| (event.as_str().to_owned(), self.get(event)))
-            .into_iter()
-            .collect()
+        Event::ALL.map(|event| (event.as_str().to_owned(), self.get(event))).into_iter().collect()
     }
 }
--- a/src/net/answer.rs
+++ b/src/net/answer.rs
@@ -11,9 +11,7 @@
     let body = serde_json::to_vec(value).unwrap_or_default();
     let mut answer = Response::new(B::from(Bytes::from(body)));
     *answer.status_mut() = status;
-    answer
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     answer
 }
 
@@ -21,9 +19,7 @@
 pub fn text_answer<B: From<Bytes>>(status: StatusCode, text: &'static str) -> Response<B> {
     let mut answer = Response::new(B::from(Bytes::from_static(text.as_bytes())));
     *answer.status_mut() = status;
-    answer
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     answer
 }
 
--- a/src/net/body_error.rs
+++ b/src/net/body_error.rs
@@ -2,7 +2,8 @@
 use thiserror::Error;
 
 /// Why a body broke off.
-#[derive(Debug, Display, Error)]
+#[derive(Debug)]
+#[derive(Display, Error)]
 pub enum BodyError {
     /// the peer broke off: {0}
     Peer(#[from] hyper::Error),
--- a/src/net/collect.rs
+++ b/src/net/collect.rs
@@ -8,7 +8,8 @@
 use tokio::time::timeout;
 
 /// Why a body could not be read whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum CollectError {
     /// the body is larger than allowed
     TooLarge,
@@ -40,9 +41,7 @@
     if announced > max_bytes {
         return Err(CollectError::TooLarge);
     }
-    timeout(patience, read_all(body, max_bytes))
-        .await
-        .unwrap_or(Err(CollectError::Slow))
+    timeout(patience, read_all(body, max_bytes)).await.unwrap_or(Err(CollectError::Slow))
 }
 
 async fn read_all<B: Body<Data = Bytes>>(body: B, max_bytes: u64) -> Result<Bytes, CollectError> {
@@ -67,9 +66,5 @@
         }
         rest.extend_from_slice(&data);
     }
-    Ok(if rest.is_empty() {
-        first
-    } else {
-        rest.freeze()
-    })
+    Ok(if rest.is_empty() { first } else { rest.freeze() })
 }
--- a/src/net/header_value.rs
+++ b/src/net/header_value.rs
@@ -16,8 +16,5 @@
 
 /// Reads a header as a number of milliseconds.
 pub fn header_millis(headers: &HeaderMap, name: &HeaderName) -> Option<Duration> {
-    header_str(headers, name)?
-        .parse()
-        .ok()
-        .map(Duration::from_millis)
+    header_str(headers, name)?.parse().ok().map(Duration::from_millis)
 }
--- a/src/net/whole_body.rs
+++ b/src/net/whole_body.rs
@@ -25,9 +25,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.0)
-            .poll_frame(cx)
-            .map_err(|never| match never {})
+        Pin::new(&mut self.0).poll_frame(cx).map_err(|never| match never {})
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/src/outcome/kind.rs
+++ b/src/outcome/kind.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What became of a request. Said in the header `ebonyusher-outcome`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// It ran, and this is its answer.
@@ -30,8 +31,6 @@
     /// assert_eq!(Outcome::from_word("maybe"), None);
     /// ```
     pub fn from_word(word: &str) -> Option<Self> {
-        [Self::Ran, Self::NotRun, Self::Unknown]
-            .into_iter()
-            .find(|kind| kind.as_str() == word)
+        [Self::Ran, Self::NotRun, Self::Unknown].into_iter().find(|kind| kind.as_str() == word)
     }
 }
--- a/src/outcome/reason.rs
+++ b/src/outcome/reason.rs
@@ -2,7 +2,8 @@
 use http::StatusCode;
 
 /// Why a request was refused, failed or tried again. The word names the counter.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Display)]
 pub enum Reason {
     /// the request names no client account that this system knows
     BadKey,
--- a/src/outcome/refusal.rs
+++ b/src/outcome/refusal.rs
@@ -19,7 +19,8 @@
 }
 
 /// Body of a refusal (RFC 9457).
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Problem {
     /// Kind of problem, as a relative reference that ends in the reason.
     #[serde(rename = "type")]
@@ -42,20 +43,12 @@
     /// assert_eq!(Refusal::not_run(Reason::Overload).outcome, Outcome::NotRun);
     /// ```
     pub const fn not_run(reason: Reason) -> Self {
-        Self {
-            outcome: Outcome::NotRun,
-            reason,
-            retry_after: None,
-        }
+        Self { outcome: Outcome::NotRun, reason, retry_after: None }
     }
 
     /// A failure that leaves open whether the request has run.
     pub const fn unknown(reason: Reason) -> Self {
-        Self {
-            outcome: Outcome::Unknown,
-            reason,
-            retry_after: None,
-        }
+        Self { outcome: Outcome::Unknown, reason, retry_after: None }
     }
 
     /// Adds when it may be worth another try.
--- a/src/peer/crash_note.rs
+++ b/src/peer/crash_note.rs
@@ -2,7 +2,8 @@
 use smallvec::SmallVec;
 
 /// Requests that were in flight when an upstream crashed.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CrashNote {
     /// Number of the crash, the same from all that tell of it.
     pub event: u64,
--- a/src/peer/follow.rs
+++ b/src/peer/follow.rs
@@ -49,18 +49,7 @@
     ) -> (HintSender, Self) {
         let (sender, hints) = mpsc::channel(HINT_BACKLOG);
         let store = Store::new(platform);
-        (
-            sender,
-            Self {
-                store,
-                publisher,
-                hints,
-                seeds,
-                key,
-                poll,
-                meter,
-            },
-        )
+        (sender, Self { store, publisher, hints, seeds, key, poll, meter })
     }
 
     /// Follows until the process ends.
@@ -90,11 +79,7 @@
         };
         let jitter = 1.0 + JITTER * (rand::random::<f64>() - 0.5);
         // Nothing in force yet: there is no reason to wait long.
-        let first = if self.publisher.current().get().revision == 0 {
-            0.2
-        } else {
-            1.0
-        };
+        let first = if self.publisher.current().get().revision == 0 { 0.2 } else { 1.0 };
         self.poll.mul_f64(factor * jitter * first)
     }
 
@@ -123,24 +108,17 @@
         let present = self.publisher.current().get();
         let answer = client.newer(self.key.clone(), Versions::of(&present)).await;
         if let Ok(Some(delta)) = answer {
-            delta
-                .apply(&present)
-                .into_iter()
-                .for_each(|snapshot| self.offer(snapshot));
+            delta.apply(&present).into_iter().for_each(|snapshot| self.offer(snapshot));
         }
     }
 
     fn offer(&self, snapshot: Snapshot) {
-        let fault = snapshot.teams.iter().find_map(|(team, doc)| {
-            check_team(&doc.settings)
-                .err()
-                .map(|err| (team.clone(), err))
-        });
+        let fault = snapshot
+            .teams
+            .iter()
+            .find_map(|(team, doc)| check_team(&doc.settings).err().map(|err| (team.clone(), err)));
         if let Some((team, err)) = fault {
-            warn!(
-                "settings: revision {} is at fault, team {team}: {err}",
-                snapshot.revision
-            );
+            warn!("settings: revision {} is at fault, team {team}: {err}", snapshot.revision);
             return;
         }
         let revision = snapshot.revision;
--- a/src/peer/link_note.rs
+++ b/src/peer/link_note.rs
@@ -7,7 +7,8 @@
 use crate::id::Incarnation;
 
 /// What an entry says of itself when it opens a link.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Hello {
     /// Secret shared by the system's own processes.
     pub key: String,
@@ -18,7 +19,8 @@
 }
 
 /// What a sidecar tells each linked entry.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LinkNote {
     /// The sidecar's present life.
     #[serde(rename = "i")]
--- a/src/peer/load.rs
+++ b/src/peer/load.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// How busy an upstream is, as its sidecar sees it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// Requests that the upstream runs at a time.
     pub slots: u32,
@@ -24,13 +25,7 @@
 
 impl fmt::Display for Load {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            slots,
-            running,
-            waiting,
-            wait_ms,
-            seq,
-        } = self;
+        let Self { slots, running, waiting, wait_ms, seq } = self;
         write!(out, "{slots},{running},{waiting},{wait_ms},{seq}")
     }
 }
--- a/src/peer/rpc_listener.rs
+++ b/src/peer/rpc_listener.rs
@@ -28,10 +28,7 @@
             .build();
         let server = ServerBuilder::with_config(config).build(addr).await?;
         let addr = server.local_addr()?;
-        Ok(Self {
-            handle: server.start(methods),
-            addr,
-        })
+        Ok(Self { handle: server.start(methods), addr })
     }
 
     /// Where it listens.
--- a/src/peer/settings_server.rs
+++ b/src/peer/settings_server.rs
@@ -29,11 +29,7 @@
         if bool::from(self.key.as_bytes().ct_eq(key.as_bytes())) {
             return Ok(());
         }
-        Err(ErrorObjectOwned::owned(
-            DENIED_CODE,
-            "the link key is wrong",
-            None::<()>,
-        ))
+        Err(ErrorObjectOwned::owned(DENIED_CODE, "the link key is wrong", None::<()>))
     }
 }
 
--- a/src/peer/versions.rs
+++ b/src/peer/versions.rs
@@ -6,7 +6,8 @@
 use crate::settings::{Snapshot, TeamDoc};
 
 /// What a process has, when it asks a peer for newer settings.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Versions {
     /// Revision of the tree.
     pub revision: u64,
@@ -15,7 +16,8 @@
 }
 
 /// The subtrees in which a newer tree differs from what the asker has.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Delta {
     /// Revision of the newer tree.
     pub revision: u64,
@@ -29,10 +31,7 @@
     /// What a snapshot has.
     pub fn of(snapshot: &Snapshot) -> Self {
         let head = snapshot.head();
-        Self {
-            revision: head.revision,
-            teams: head.teams,
-        }
+        Self { revision: head.revision, teams: head.teams }
     }
 }
 
@@ -56,11 +55,7 @@
             .iter()
             .filter(|(team, doc)| have.teams.get(*team) != Some(&doc.version))
             .map(|(team, doc)| (team.clone(), Arc::clone(doc)));
-        Some(Self {
-            revision: newest.revision,
-            docs: lacking.collect(),
-            teams: head.teams,
-        })
+        Some(Self { revision: newest.revision, docs: lacking.collect(), teams: head.teams })
     }
 
     /// Puts the newer snapshot together; nothing if a subtree is missing.
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -2,7 +2,8 @@
 use thiserror::Error;
 
 /// Why the table gave no answer, or refused.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum TableError {
     /// a checked row has another version
     Conflict,
@@ -15,14 +16,16 @@
 }
 
 /// Why the object store gave no answer.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum ObjectError {
     /// the object store is unavailable: {0}
     Unavailable(String),
 }
 
 /// Why the list of instances could not be read.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum ListError {
     /// the list of instances is unavailable: {0}
     Unavailable(String),
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -43,9 +43,8 @@
 impl HttpPlatform {
     /// Makes a client for the platform at an address. Connects on first use.
     pub fn new(addr: SocketAddr) -> Self {
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build_http();
+        let client =
+            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build_http();
         Self { client, addr }
     }
 
@@ -77,10 +76,7 @@
         })?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES);
-        let body = body
-            .collect()
-            .await
-            .map_err(|err| CallError::Lost(err.to_string()))?;
+        let body = body.collect().await.map_err(|err| CallError::Lost(err.to_string()))?;
         Ok((status, body.to_bytes()))
     }
 
@@ -112,9 +108,9 @@
         match self.call(Method::POST, COMMIT_PATH, body.into()).await {
             Ok((StatusCode::OK, body)) => parse(&body),
             Ok((StatusCode::CONFLICT, _)) => Err(TableError::Conflict),
-            Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _)) => Err(
-                TableError::Unavailable("refused by the platform".to_owned()),
-            ),
+            Ok((StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _)) => {
+                Err(TableError::Unavailable("refused by the platform".to_owned()))
+            }
             Ok((status, _)) => Err(TableError::Unknown(format!("status {status}"))),
             Err(CallError::NotSent(text)) => Err(TableError::Unavailable(text)),
             Err(CallError::Lost(text)) => Err(TableError::Unknown(text)),
@@ -140,10 +136,7 @@
 
 impl InstanceList for HttpPlatform {
     async fn list(&self) -> Result<Vec<Instance>, ListError> {
-        let body = self
-            .fetch(INSTANCES_PATH)
-            .await
-            .map_err(ListError::Unavailable)?;
+        let body = self.fetch(INSTANCES_PATH).await.map_err(ListError::Unavailable)?;
         let body = body.ok_or_else(|| ListError::Unavailable("status 404".to_owned()))?;
         serde_json::from_slice(&body).map_err(|err| ListError::Unavailable(err.to_string()))
     }
--- a/src/platform/instance.rs
+++ b/src/platform/instance.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether the platform is about to take an instance away.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Phase {
     /// The instance may get work.
@@ -13,7 +14,8 @@
 }
 
 /// One line of the platform's list of instances.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Instance {
     /// The platform's name for it.
--- a/src/platform/row.rs
+++ b/src/platform/row.rs
@@ -5,7 +5,8 @@
 use super::TableError;
 
 /// One row of the table, with the version that the table gave to its last write.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Row {
     /// Name of the row.
     pub key: String,
--- a/src/platform/txn.rs
+++ b/src/platform/txn.rs
@@ -3,7 +3,8 @@
 use smallvec::SmallVec;
 
 /// A condition of a transaction: the row has this version, or is absent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Check {
     /// Name of the row.
     pub key: String,
@@ -12,7 +13,8 @@
 }
 
 /// A change that a transaction makes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Write {
     /// Name of the row.
     pub key: String,
@@ -21,7 +23,8 @@
 }
 
 /// Writes that take effect together, and only if every check holds.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Txn {
     /// What must hold.
     pub checks: SmallVec<[Check; 3]>,
@@ -38,10 +41,7 @@
     /// Adds the condition that a row has a version, or is absent.
     #[must_use]
     pub fn check(mut self, key: &str, version: Option<u64>) -> Self {
-        self.checks.push(Check {
-            key: key.to_owned(),
-            version,
-        });
+        self.checks.push(Check { key: key.to_owned(), version });
         self
     }
 
@@ -58,20 +58,14 @@
     #[must_use]
     pub fn put<T: Serialize>(mut self, key: &str, value: &T) -> Self {
         let value = serde_json::to_value(value).expect("records are plain JSON");
-        self.writes.push(Write {
-            key: key.to_owned(),
-            value: Some(value),
-        });
+        self.writes.push(Write { key: key.to_owned(), value: Some(value) });
         self
     }
 
     /// Adds the removal of a row.
     #[must_use]
     pub fn delete(mut self, key: &str) -> Self {
-        self.writes.push(Write {
-            key: key.to_owned(),
-            value: None,
-        });
+        self.writes.push(Write { key: key.to_owned(), value: None });
         self
     }
 }
--- a/src/settings/account.rs
+++ b/src/settings/account.rs
@@ -4,7 +4,8 @@
 use super::{KeyDigest, Priority};
 
 /// Settings of one client account.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Account {
     /// Digests of the keys that name this client account.
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -28,24 +28,16 @@
 }
 
 fn fault<T>(place: String, reason: &str) -> Result<T, CheckError> {
-    Err(CheckError {
-        place,
-        reason: reason.to_owned(),
-    })
+    Err(CheckError { place, reason: reason.to_owned() })
 }
 
 fn check_name(place: &str, name: &str) -> Result<(), CheckError> {
     let fits = (1..=MAX_NAME_CHARS).contains(&name.len())
-        && name
-            .bytes()
-            .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-');
+        && name.bytes().all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-');
     if fits {
         return Ok(());
     }
-    fault(
-        format!("{place}.{name}"),
-        "expected a name of 1 to 64 of a-z, 0-9 and -",
-    )
+    fault(format!("{place}.{name}"), "expected a name of 1 to 64 of a-z, 0-9 and -")
 }
 
 fn check_service(name: &str, service: &Service) -> Result<(), CheckError> {
@@ -56,10 +48,7 @@
     if service.deadline.get().is_zero() {
         return fault(place("deadline"), "expected more than 0s");
     }
-    if service
-        .queue_wait
-        .is_some_and(|wait| wait > service.deadline)
-    {
+    if service.queue_wait.is_some_and(|wait| wait > service.deadline) {
         return fault(place("queue-wait"), "expected at most the deadline");
     }
     if service.max_body.bytes() == 0 {
@@ -68,19 +57,14 @@
     if !(0.0..=1.0).contains(&service.retry_share) {
         return fault(place("retry-share"), "expected 0 to 1");
     }
-    service
-        .group
-        .map_or(Ok(()), |group| check_group(&place("group"), &group))
+    service.group.map_or(Ok(()), |group| check_group(&place("group"), &group))
 }
 
 fn check_group(place: &str, group: &Group) -> Result<(), CheckError> {
     let sum = group.skew + group.moves;
     let sound = group.skew >= 0.0 && group.moves >= 0.0 && sum.is_finite() && sum > 0.0;
     if !sound {
-        return fault(
-            place.to_owned(),
-            "expected weights of at least 0, one above",
-        );
+        return fault(place.to_owned(), "expected weights of at least 0, one above");
     }
     if group.shape.is_some_and(|shape| !shape.is_sound()) {
         let reason = "expected sizes above 0, slots <= experts <= ranks * slots";
@@ -99,16 +83,9 @@
         return fault(place("path"), "expected a path that starts with /");
     }
     if !services.contains_key(&route.service) {
-        return fault(
-            place("service"),
-            "expected the name of a service of this team",
-        );
-    }
-    if route
-        .methods
-        .iter()
-        .all(|method| METHODS.contains(&method.as_str()))
-    {
+        return fault(place("service"), "expected the name of a service of this team");
+    }
+    if route.methods.iter().all(|method| METHODS.contains(&method.as_str())) {
         return Ok(());
     }
     fault(place("methods"), "expected methods of HTTP in capitals")
@@ -121,10 +98,7 @@
         check_account(name, account)?;
         for digest in &account.keys {
             if seen.insert(*digest, name).is_some() {
-                return fault(
-                    format!("accounts.{name}.keys"),
-                    "expected keys used only once",
-                );
+                return fault(format!("accounts.{name}.keys"), "expected keys used only once");
             }
         }
     }
@@ -136,10 +110,7 @@
     if !(account.weight.is_finite() && account.weight > 0.0) {
         return fault(place("weight"), "expected more than 0");
     }
-    if account
-        .rate
-        .is_some_and(|rate| !(rate.is_finite() && rate > 0.0))
-    {
+    if account.rate.is_some_and(|rate| !(rate.is_finite() && rate > 0.0)) {
         return fault(place("rate"), "expected more than 0");
     }
     if account.in_flight == Some(0) {
--- a/src/settings/diff.rs
+++ b/src/settings/diff.rs
@@ -2,7 +2,8 @@
 use serde_json::Value;
 
 /// One place where two documents differ.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Change {
     /// JSON path of the place.
     pub place: String,
@@ -30,21 +31,13 @@
         return;
     }
     let (Some(Value::Object(left)), Some(Value::Object(right))) = (old, new) else {
-        let change = Change {
-            place: place.to_owned(),
-            old: old.cloned(),
-            new: new.cloned(),
-        };
+        let change = Change { place: place.to_owned(), old: old.cloned(), new: new.cloned() };
         out.push(change);
         return;
     };
     let added = right.keys().filter(|name| !left.contains_key(*name));
     for name in left.keys().chain(added) {
-        let inner = if place.is_empty() {
-            name.clone()
-        } else {
-            format!("{place}.{name}")
-        };
+        let inner = if place.is_empty() { name.clone() } else { format!("{place}.{name}") };
         walk(&inner, left.get(name), right.get(name), out);
     }
 }
--- a/src/settings/entry_file.rs
+++ b/src/settings/entry_file.rs
@@ -6,7 +6,8 @@
 use crate::units::Span;
 
 /// An entry's own settings file.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct EntryFile {
     /// Name of this instance in the platform's list.
--- a/src/settings/error.rs
+++ b/src/settings/error.rs
@@ -5,7 +5,8 @@
 use crate::platform::TableError;
 
 /// A settings text that can't be read.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum ParseError {
     /// can't read {path}: {reason}
     File { path: String, reason: String },
@@ -14,7 +15,8 @@
 }
 
 /// A settings tree that reads well but makes no sense.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 #[displaydoc("{place}: {reason}")]
 pub struct CheckError {
     /// JSON path of the fault.
@@ -24,7 +26,8 @@
 }
 
 /// Why a change of settings was not accepted, or can't be told.
-#[derive(Clone, Debug, PartialEq, Display, Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Display, Error)]
 pub enum StoreError {
     /// {0}
     Check(#[from] CheckError),
--- a/src/settings/group.rs
+++ b/src/settings/group.rs
@@ -8,7 +8,8 @@
 const DEFAULT_INTERVAL: Span = Span::from_millis(400);
 
 /// Settings of an expert-parallel group.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Group {
     /// Weight of even step times.
@@ -25,7 +26,8 @@
 }
 
 /// Sizes of an expert-parallel group, one sidecar for each rank.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct GroupShape {
     /// Ranks that step together.
@@ -47,10 +49,7 @@
 impl Group {
     /// What rebalancing should favour.
     pub const fn weights(&self) -> GroupWeights {
-        GroupWeights {
-            skew: self.skew,
-            moves: self.moves,
-        }
+        GroupWeights { skew: self.skew, moves: self.moves }
     }
 }
 
--- a/src/settings/group_weights.rs
+++ b/src/settings/group_weights.rs
@@ -9,9 +9,6 @@
 
 impl Default for GroupWeights {
     fn default() -> Self {
-        Self {
-            skew: 1.0,
-            moves: 1.0,
-        }
+        Self { skew: 1.0, moves: 1.0 }
     }
 }
--- a/src/settings/head.rs
+++ b/src/settings/head.rs
@@ -6,7 +6,8 @@
 pub const HEAD_KEY: &str = "settings/head";
 
 /// The present revision of the tree and the version of each team's subtree.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Head {
     /// Greater by one after each accepted change of any team.
     pub revision: u64,
--- a/src/settings/kind.rs
+++ b/src/settings/kind.rs
@@ -2,7 +2,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What stands behind a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum Kind {
     /// A model engine that speaks the chat format.
--- a/src/settings/log_line.rs
+++ b/src/settings/log_line.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Record of one accepted change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LogLine {
     /// Revision that the change made.
     pub revision: u64,
--- a/src/settings/models.rs
+++ b/src/settings/models.rs
@@ -2,7 +2,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What the workers of a service should hold.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Models {
     /// Model to load.
--- a/src/settings/operator.rs
+++ b/src/settings/operator.rs
@@ -3,7 +3,8 @@
 use super::KeyDigest;
 
 /// A person or script that may change one team's subtree.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Operator {
     /// Name, for the list of revisions.
--- a/src/settings/parse.rs
+++ b/src/settings/parse.rs
@@ -21,10 +21,7 @@
         place: place(err.path()),
         reason: err.inner().to_string(),
     })?;
-    de.end().map_err(|err| ParseError::Json {
-        place: ".".to_owned(),
-        reason: err.to_string(),
-    })?;
+    de.end().map_err(|err| ParseError::Json { place: ".".to_owned(), reason: err.to_string() })?;
     Ok(value)
 }
 
--- a/src/settings/priority.rs
+++ b/src/settings/priority.rs
@@ -2,20 +2,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Order between classes of requests: a higher class is served first.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Serialize,
-    Deserialize,
-    JsonSchema,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum Priority {
     /// Served when nothing else waits.
@@ -52,8 +40,6 @@
     /// assert_eq!(Priority::from_word("high"), Some(Priority::High));
     /// ```
     pub fn from_word(word: &str) -> Option<Self> {
-        [Self::Low, Self::Normal, Self::High]
-            .into_iter()
-            .find(|class| class.as_str() == word)
+        [Self::Low, Self::Normal, Self::High].into_iter().find(|class| class.as_str() == word)
     }
 }
--- a/src/settings/repeat.rs
+++ b/src/settings/repeat.rs
@@ -2,7 +2,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether a request of a route may run again.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case")]
 pub enum Repeat {
     /// Idempotent: may run any number of times.
@@ -31,8 +32,6 @@
     /// assert_eq!(Repeat::from_word("never"), Some(Repeat::Never));
     /// ```
     pub fn from_word(word: &str) -> Option<Self> {
-        [Self::Free, Self::Keyed, Self::Never]
-            .into_iter()
-            .find(|kind| kind.as_str() == word)
+        [Self::Free, Self::Keyed, Self::Never].into_iter().find(|kind| kind.as_str() == word)
     }
 }
--- a/src/settings/route.rs
+++ b/src/settings/route.rs
@@ -4,7 +4,8 @@
 use super::Repeat;
 
 /// Sends matching requests to a service. The longest matching path wins.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Route {
     /// Host that the request must name, any if absent.
@@ -38,10 +39,7 @@
     /// assert!(!route.matches("any", "/ledgers", "GET"));
     /// ```
     pub fn matches(&self, host: &str, path: &str, method: &str) -> bool {
-        let host_fits = self
-            .host
-            .as_deref()
-            .is_none_or(|want| want.eq_ignore_ascii_case(host));
+        let host_fits = self.host.as_deref().is_none_or(|want| want.eq_ignore_ascii_case(host));
         let method_fits = self.methods.is_empty() || self.methods.iter().any(|m| m == method);
         host_fits && method_fits && self.covers(path)
     }
--- a/src/settings/service.rs
+++ b/src/settings/service.rs
@@ -8,7 +8,8 @@
 const DEFAULT_RETRY_SHARE: f64 = 0.1;
 
 /// Settings of one service.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Service {
     /// Engine or plain.
--- a/src/settings/sidecar_file.rs
+++ b/src/settings/sidecar_file.rs
@@ -5,7 +5,8 @@
 use crate::units::Span;
 
 /// A sidecar's own settings file.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct SidecarFile {
     /// Name of this instance in the platform's list.
--- a/src/settings/snapshot.rs
+++ b/src/settings/snapshot.rs
@@ -42,24 +42,13 @@
                 }
             }
         }
-        Self {
-            revision,
-            teams,
-            keys,
-        }
+        Self { revision, teams, keys }
     }
 
     /// The head that belongs to this snapshot.
     pub fn head(&self) -> Head {
-        let teams = self
-            .teams
-            .iter()
-            .map(|(name, doc)| (name.clone(), doc.version))
-            .collect();
-        Head {
-            revision: self.revision,
-            teams,
-        }
+        let teams = self.teams.iter().map(|(name, doc)| (name.clone(), doc.version)).collect();
+        Head { revision: self.revision, teams }
     }
 
     /// Finds the client account that a key names.
@@ -69,12 +58,7 @@
         let doc = self.teams.get(team)?;
         let account = doc.settings.accounts.get(name)?;
         let matches = account.keys.iter().any(|known| known.matches(&digest));
-        matches.then_some(Caller {
-            team,
-            name,
-            account,
-            doc,
-        })
+        matches.then_some(Caller { team, name, account, doc })
     }
 
     /// Finds a service by its full name, `team/service`.
--- a/src/settings/store.rs
+++ b/src/settings/store.rs
@@ -21,7 +21,8 @@
 }
 
 /// An accepted change.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Applied {
     /// New revision of the tree.
     pub revision: u64,
@@ -77,9 +78,7 @@
             teams.insert(team.clone(), doc);
         }
         // A subtree read after the head may be newer than it: then the next poll finds the rest.
-        let whole = teams
-            .iter()
-            .all(|(team, doc)| head.teams[team] == doc.version);
+        let whole = teams.iter().all(|(team, doc)| head.teams[team] == doc.version);
         Ok(whole.then(|| Snapshot::new(head.revision, teams)))
     }
 
@@ -89,9 +88,7 @@
     /// [`StoreError::Unavailable`] or [`StoreError::Malformed`].
     pub async fn log(&self, team: &str) -> Result<Vec<LogLine>, StoreError> {
         let rows = self.platform.scan(&format!("settings/log/{team}/")).await?;
-        rows.iter()
-            .map(|row| row.read().map_err(StoreError::from))
-            .collect()
+        rows.iter().map(|row| row.read().map_err(StoreError::from)).collect()
     }
 
     /// Replaces a team's subtree if it still has the version that the operator read.
@@ -123,29 +120,15 @@
     ) -> Result<Try, StoreError> {
         let (head_version, mut head) = self.head_row().await?;
         let team_row = self.platform.get(&team_key(&line.team)).await?;
-        let present = team_row
-            .as_ref()
-            .map(Row::read::<TeamDoc>)
-            .transpose()?
-            .unwrap_or_default();
+        let present = team_row.as_ref().map(Row::read::<TeamDoc>).transpose()?.unwrap_or_default();
         if present.version != read_version {
             return Err(stale(&present, settings));
         }
-        let applied = Applied {
-            revision: head.revision + 1,
-            version: read_version + 1,
-        };
+        let applied = Applied { revision: head.revision + 1, version: read_version + 1 };
         head.revision = applied.revision;
         head.teams.insert(line.team.clone(), applied.version);
-        let line = LogLine {
-            revision: applied.revision,
-            version: applied.version,
-            ..line.clone()
-        };
-        let doc = TeamDoc {
-            version: applied.version,
-            settings: settings.clone(),
-        };
+        let line = LogLine { revision: applied.revision, version: applied.version, ..line.clone() };
+        let doc = TeamDoc { version: applied.version, settings: settings.clone() };
         let txn = Txn::new()
             .check(HEAD_KEY, head_version)
             .check(&team_key(&line.team), team_row.map(|row| row.version))
@@ -171,9 +154,7 @@
                 Err(TableError::Unavailable(_) | TableError::Unknown(_)) => unsure = true,
             }
             if Instant::now() >= end {
-                return Err(StoreError::Unknown {
-                    change: line.change.clone(),
-                });
+                return Err(StoreError::Unknown { change: line.change.clone() });
             }
             sleep(RETRY_PAUSE).await;
         }
@@ -184,9 +165,7 @@
             .platform
             .get(&log_key(line))
             .await
-            .map_err(|_| StoreError::Unknown {
-                change: line.change.clone(),
-            })?;
+            .map_err(|_| StoreError::Unknown { change: line.change.clone() })?;
         let found = row.map(|row| row.read::<LogLine>()).transpose()?;
         Ok(found.is_some_and(|found| found.change == line.change))
     }
@@ -201,10 +180,7 @@
 fn stale(present: &TeamDoc, settings: &Team) -> StoreError {
     let value = |team: &Team| serde_json::to_value(team).unwrap_or_default();
     let changes = diff(&value(&present.settings), &value(settings));
-    StoreError::Stale {
-        version: present.version,
-        changes,
-    }
+    StoreError::Stale { version: present.version, changes }
 }
 
 fn team_key(team: &str) -> String {
--- a/src/settings/team.rs
+++ b/src/settings/team.rs
@@ -6,7 +6,8 @@
 use super::{Account, Route, Service};
 
 /// The subtree of settings that one team owns.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Team {
     /// Services by name.
--- a/src/settings/team_doc.rs
+++ b/src/settings/team_doc.rs
@@ -3,7 +3,8 @@
 use super::Team;
 
 /// A team's subtree with its version.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", deny_unknown_fields)]
 pub struct TeamDoc {
     /// Greater by one after each accepted change, 0 before the first.
--- a/src/sidecar/answer_store.rs
+++ b/src/sidecar/answer_store.rs
@@ -9,7 +9,8 @@
 const MAX_KEPT_BYTES: usize = 16 << 10;
 
 /// The answer of a request that must not run twice, kept for repeats of its key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoredAnswer {
     /// Status of the answer.
     pub status: u16,
@@ -29,10 +30,7 @@
     /// assert_eq!(kept.restore().unwrap().body(), "done");
     /// ```
     pub fn of(answer: &Response<Bytes>) -> Self {
-        let media = answer
-            .headers()
-            .get(CONTENT_TYPE)
-            .and_then(|value| value.to_str().ok());
+        let media = answer.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
         let kept = answer.body().len() <= MAX_KEPT_BYTES;
         Self {
             status: answer.status().as_u16(),
@@ -46,10 +44,8 @@
         let body = STANDARD.decode(self.body.as_deref()?).ok()?;
         let mut answer = Response::new(Bytes::from(body));
         *answer.status_mut() = StatusCode::from_u16(self.status).ok()?;
-        if let Some(value) = self
-            .media
-            .as_deref()
-            .and_then(|media| HeaderValue::from_str(media).ok())
+        if let Some(value) =
+            self.media.as_deref().and_then(|media| HeaderValue::from_str(media).ok())
         {
             answer.headers_mut().insert(CONTENT_TYPE, value);
         }
--- a/src/sidecar/call.rs
+++ b/src/sidecar/call.rs
@@ -47,10 +47,7 @@
             repeat: Repeat::from_word(text(&REPEAT)?)?,
             left: header_millis(headers, &DEADLINE_MS)?,
             cost: text(&COST)?.parse().ok().filter(|cost: &f64| *cost > 0.0)?,
-            weight: text(&WEIGHT)?
-                .parse()
-                .ok()
-                .filter(|weight: &f64| *weight > 0.0)?,
+            weight: text(&WEIGHT)?.parse().ok().filter(|weight: &f64| *weight > 0.0)?,
             priority: Priority::from_word(text(&PRIORITY)?)?,
             print: u64::from_str_radix(text(&FINGERPRINT)?, 16).ok()?,
             suspect: headers.contains_key(SUSPECT),
--- a/src/sidecar/claim.rs
+++ b/src/sidecar/claim.rs
@@ -54,12 +54,7 @@
         meter: Arc<Meter>,
         tasks: TaskTracker,
     ) -> Self {
-        Self {
-            platform,
-            owner,
-            meter,
-            tasks,
-        }
+        Self { platform, owner, meter, tasks }
     }
 
     /// Claims a key in one conditional write, sent again until the table gives a definite answer.
@@ -75,13 +70,8 @@
         deadline: Instant,
     ) -> Result<Claimed, ClaimError> {
         let row = ClaimRow::started(attempt, self.owner, digest);
-        let held = Held {
-            key: key.clone(),
-            row,
-        };
-        let txn = Txn::new()
-            .check(key.as_str(), None)
-            .put(key.as_str(), &held.row);
+        let held = Held { key: key.clone(), row };
+        let txn = Txn::new().check(key.as_str(), None).put(key.as_str(), &held.row);
         let mut pause = FIRST_PAUSE;
         let mut unsure = false;
         loop {
@@ -143,27 +133,14 @@
 
     fn spawn_withdrawal(&self, held: Held, written: bool) {
         let platform = Arc::clone(&self.platform);
-        self.tasks.spawn(
-            Settling {
-                platform,
-                held,
-                state: None,
-                written,
-            }
-            .persist(),
-        );
+        self.tasks.spawn(Settling { platform, held, state: None, written }.persist());
     }
 
     /// Tries once, and leaves the rest to a task if the table does not answer.
     async fn settle(&self, held: Held, state: Option<ClaimState>) {
         self.meter.count(Event::TableWrite);
         let platform = Arc::clone(&self.platform);
-        let settling = Settling {
-            platform,
-            held,
-            state,
-            written: true,
-        };
+        let settling = Settling { platform, held, state, written: true };
         if !settling.try_once().await {
             self.tasks.spawn(settling.persist());
         }
@@ -207,13 +184,7 @@
         }
         let txn = Txn::new().check(key, Some(present.version));
         let txn = match &self.state {
-            Some(state) => txn.put(
-                key,
-                &ClaimRow {
-                    state: state.clone(),
-                    ..row
-                },
-            ),
+            Some(state) => txn.put(key, &ClaimRow { state: state.clone(), ..row }),
             None => txn.delete(key),
         };
         self.platform.commit(&txn).await.is_ok()
--- a/src/sidecar/claim_row.rs
+++ b/src/sidecar/claim_row.rs
@@ -12,7 +12,8 @@
 pub struct ClaimKey(String);
 
 /// How far the request behind a claim has come.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ClaimState {
     /// It may run at this moment, or its sidecar died while it ran.
@@ -24,7 +25,8 @@
 }
 
 /// The claim on an idempotency key: whoever inserts it may run the request, nobody else ever.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRow {
     /// Attempt that made the claim.
     pub attempt: Attempt,
@@ -69,16 +71,8 @@
 impl ClaimRow {
     /// A claim of a request that is about to start.
     pub fn started(attempt: Attempt, owner: Incarnation, digest: &str) -> Self {
-        let at = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .map_or(0, |time| time.as_secs());
-        Self {
-            attempt,
-            owner,
-            digest: digest.to_owned(),
-            at,
-            state: ClaimState::Started,
-        }
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs());
+        Self { attempt, owner, digest: digest.to_owned(), at, state: ClaimState::Started }
     }
 
     /// Digest of what a key was used for.
--- a/src/sidecar/crash_watch.rs
+++ b/src/sidecar/crash_watch.rs
@@ -82,20 +82,14 @@
         let name = format!("{}-{serial}", self.signals.incarnation);
         warn!("sidecar: upstream crashed with {running} requests in flight");
         self.meter.count(Event::Crash);
-        self.signals.crashed(CrashNote {
-            event: xxh3_64(name.as_bytes()),
-            prints: suspects,
-        });
+        self.signals.crashed(CrashNote { event: xxh3_64(name.as_bytes()), prints: suspects });
         if !self.probe().await {
             self.refused();
         }
     }
 
     async fn probe(&self) -> bool {
-        matches!(
-            timeout(PROBE_TIMEOUT, TcpStream::connect(self.addr)).await,
-            Ok(Ok(_))
-        )
+        matches!(timeout(PROBE_TIMEOUT, TcpStream::connect(self.addr)).await, Ok(Ok(_)))
     }
 
     /// Probes the upstream while it is down, until the process ends.
--- a/src/sidecar/error.rs
+++ b/src/sidecar/error.rs
@@ -7,7 +7,8 @@
 use crate::outcome::{Reason, Refusal};
 
 /// Why a request got no slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum QueueError {
     /// the wait for a slot would be too long
     Overload,
@@ -28,14 +29,16 @@
 }
 
 /// Why a claim could not be made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum ClaimError {
     /// the platform's table gave no definite answer
     StoreDown,
 }
 
 /// How a request to the upstream went wrong.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum SendError {
     /// the upstream does not accept connections
     NotSent,
@@ -56,7 +59,8 @@
 }
 
 /// Why a process could not start.
-#[derive(Debug, Display, Error)]
+#[derive(Debug)]
+#[derive(Display, Error)]
 pub enum NodeError {
     /// can't listen: {0}
     Listen(#[from] io::Error),
--- a/src/sidecar/group_part.rs
+++ b/src/sidecar/group_part.rs
@@ -76,30 +76,19 @@
         let Some(shape) = group.shape else { return };
         let options = LeaderOptions {
             shape: shape.shape(),
-            planner: PlannerOptions {
-                weights: group.weights(),
-                ..PlannerOptions::default()
-            },
+            planner: PlannerOptions { weights: group.weights(), ..PlannerOptions::default() },
             lease: LEASE,
             interval: group.interval.get(),
             budget: FETCHES,
         };
-        let seat = Seat {
-            service: self.service,
-            key: self.key,
-            own: self.own,
-        };
-        Leader::new(self.platform, seat, options, self.current, self.meter)
-            .run()
-            .await;
+        let seat = Seat { service: self.service, key: self.key, own: self.own };
+        Leader::new(self.platform, seat, options, self.current, self.meter).run().await;
     }
 
     async fn wait_group(&mut self) -> Group {
         loop {
             let current = self.current.get();
-            let group = current
-                .service(&self.service)
-                .and_then(|service| service.group);
+            let group = current.service(&self.service).and_then(|service| service.group);
             if let Some(group) = group.filter(|group| group.shape.is_some()) {
                 return group;
             }
--- a/src/sidecar/handler.rs
+++ b/src/sidecar/handler.rs
@@ -92,23 +92,10 @@
             .await
             .map_err(|_| Refusal::not_run(Reason::BodyBroken))?;
         let turn = self.wait_alone(&call, deadline).await?;
-        let permit = self
-            .queue
-            .admit(&ticket(&call, service, deadline))
-            .await?
-            .with_turn(turn);
+        let permit = self.queue.admit(&ticket(&call, service, deadline)).await?.with_turn(turn);
         let engine = service.kind == Kind::Engine;
         let upstream = self.upstream.clone();
-        self.start(Run {
-            call,
-            head,
-            body,
-            deadline,
-            permit,
-            upstream,
-            engine,
-        })
-        .await
+        self.start(Run { call, head, body, deadline, permit, upstream, engine }).await
     }
 
     /// A request that must not run twice goes on to its end even if the entry gives up on it, so
@@ -119,20 +106,13 @@
         }
         let claims = Arc::clone(&self.claims);
         let meter = Arc::clone(&self.meter);
-        let task = self
-            .tasks
-            .spawn(async move { run.once(&claims, &meter).await });
-        task.await
-            .unwrap_or(Err(Refusal::unknown(Reason::Unsettled)))
+        let task = self.tasks.spawn(async move { run.once(&claims, &meter).await });
+        task.await.unwrap_or(Err(Refusal::unknown(Reason::Unsettled)))
     }
 
     fn admit_peer(&self, key: Option<&str>) -> Result<(), Refusal> {
         let known = key.is_some_and(|key| key.as_bytes().ct_eq(self.key.as_bytes()).into());
-        if known {
-            Ok(())
-        } else {
-            Err(Refusal::not_run(Reason::BadLink))
-        }
+        if known { Ok(()) } else { Err(Refusal::not_run(Reason::BadLink)) }
     }
 
     async fn wait_alone(
--- a/src/sidecar/in_flight.rs
+++ b/src/sidecar/in_flight.rs
@@ -24,10 +24,7 @@
     /// Puts a request on the list.
     pub fn enter(&self, attempt: Attempt, print: u64) -> InFlightGuard {
         self.lock().insert(attempt, print);
-        InFlightGuard {
-            list: self.clone(),
-            attempt,
-        }
+        InFlightGuard { list: self.clone(), attempt }
     }
 
     /// The fingerprints, each once.
