--- a/src/sidecar/link_server.rs
+++ b/src/sidecar/link_server.rs
@@ -7,10 +7,12 @@
 use jsonrpsee::{PendingSubscriptionSink, SubscriptionMessage, SubscriptionSink};
 use smallvec::SmallVec;
 use spdlog::{debug, info};
+use tokio::sync::broadcast::error::TryRecvError;
 use tokio::sync::{broadcast, mpsc};
 use tokio::time::sleep;
 
 use super::Queue;
+use super::cache_watch::CacheEvent;
 use super::signals::Signals;
 use crate::id::Incarnation;
 use crate::metrics::{Event, Meter};
@@ -49,12 +51,7 @@
 
 impl Links {
     fn enter(&self, from: Incarnation) {
-        *self
-            .0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .entry(from)
-            .or_default() += 1;
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner).entry(from).or_default() += 1;
     }
 
     fn leave(&self, from: Incarnation) {
@@ -93,12 +90,7 @@
         self.door.admit(&hello.key)?;
         self.meter.count(Event::Control);
         if revision > self.current.get().revision {
-            self.hints
-                .try_send(Hint {
-                    revision,
-                    peer: Some(hello.peer),
-                })
-                .ok();
+            self.hints.try_send(Hint { revision, peer: Some(hello.peer) }).ok();
         }
         Ok(())
     }
@@ -117,10 +109,12 @@
         let mut leaving = self.signals.leaving();
         let mut up = self.signals.up();
         let mut crashes = self.signals.crashes();
+        let mut cache = self.signals.cache_events();
         let mut current = self.current.clone();
         let mut news = SmallVec::new();
         loop {
-            if !self.send(sink, std::mem::take(&mut news)).await {
+            let note = self.note(std::mem::take(&mut news), &mut cache);
+            if !self.send(sink, &note).await {
                 return;
             }
             sleep(NOTE_PAUSE).await;
@@ -146,9 +140,18 @@
         self.current.get().service(&self.service).is_some()
     }
 
-    async fn send(&self, sink: &SubscriptionSink, crashes: SmallVec<[CrashNote; 1]>) -> bool {
-        self.meter.count(Event::Control);
-        let note = LinkNote {
+    /// A note of how things are. Changes of the cache ride along and cause no note of their own.
+    fn note(
+        &self,
+        crashes: SmallVec<[CrashNote; 1]>,
+        cache: &mut broadcast::Receiver<CacheEvent>,
+    ) -> LinkNote {
+        let (mut cached, mut evicted) = (SmallVec::new(), SmallVec::new());
+        while let Some(event) = next_event(cache) {
+            cached.extend(event.stored);
+            evicted.extend(event.removed);
+        }
+        LinkNote {
             from: self.signals.incarnation,
             leaving: self.signals.is_leaving(),
             up: self.signals.is_up() && self.has_settings(),
@@ -156,18 +159,32 @@
             next_ms: u32::try_from(self.interval().as_millis()).unwrap_or(u32::MAX),
             revision: self.current.get().revision,
             crashes,
-            cached: SmallVec::new(),
-            evicted: SmallVec::new(),
-        };
-        let Ok(text) = serde_json::value::to_raw_value(&note) else {
+            cached,
+            evicted,
+        }
+    }
+
+    async fn send(&self, sink: &SubscriptionSink, note: &LinkNote) -> bool {
+        self.meter.count(Event::Control);
+        let Ok(text) = serde_json::value::to_raw_value(note) else {
             return false;
         };
-        self.meter
-            .add(Event::ControlBytes, (text.get().len() + FRAME_BYTES) as u64);
+        self.meter.add(Event::ControlBytes, (text.get().len() + FRAME_BYTES) as u64);
         sink.send(SubscriptionMessage::from(text)).await.is_ok()
     }
 }
 
+/// The next event that is there already; those that were missed are passed over.
+fn next_event(cache: &mut broadcast::Receiver<CacheEvent>) -> Option<CacheEvent> {
+    loop {
+        match cache.try_recv() {
+            Ok(event) => return Some(event),
+            Err(TryRecvError::Lagged(_)) => {}
+            Err(TryRecvError::Empty | TryRecvError::Closed) => return None,
+        }
+    }
+}
+
 fn push(
     news: &mut SmallVec<[CrashNote; 1]>,
     crash: Result<CrashNote, broadcast::error::RecvError>,
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,6 +1,7 @@
 //! The process beside an upstream: every request and every order to the upstream passes it.
 
 mod answer_store;
+mod cache_watch;
 mod call;
 mod claim;
 mod claim_row;
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::cache_watch::CacheWatch;
 use super::claim::Claims;
 use super::error::NodeError;
 use super::group_part::GroupPart;
@@ -75,41 +76,23 @@
         let listener = TcpListener::bind(parts.file.listen).await?;
         let data = listener.local_addr()?;
         let stop = Shutdown::default();
-        let upstream = Upstream::new(
-            parts.file.upstream,
-            &parts.signals,
-            Arc::clone(&parts.meter),
-        );
+        let upstream = Upstream::new(parts.file.upstream, &parts.signals, Arc::clone(&parts.meter));
         let handler = Arc::new(parts.handler(upstream.clone()));
         tokio::spawn(serve(listener, handler, stop.clone(), parts.tasks.clone()));
         parts.spawn(follower.run());
         parts.spawn(upstream.watch());
+        parts.spawn(parts.cache_watch().run());
         parts.spawn(fit_slots(
             parts.current.clone(),
             parts.file.service.clone(),
             Arc::clone(&parts.queue),
         ));
-        parts.spawn(close_when_leaving(
-            parts.signals.clone(),
-            Arc::clone(&parts.queue),
-        ));
+        parts.spawn(close_when_leaving(parts.signals.clone(), Arc::clone(&parts.queue)));
         let gate = Arc::clone(part.gate());
         parts.spawn(part.run());
-        info!(
-            "sidecar: {} serves {} at {data}",
-            parts.file.name, parts.file.service
-        );
+        info!("sidecar: {} serves {} at {data}", parts.file.name, parts.file.service);
         let grace = parts.file.grace.get();
-        let Parts {
-            current,
-            signals,
-            queue,
-            meter,
-            links,
-            tasks,
-            ends,
-            ..
-        } = parts;
+        let Parts { current, signals, queue, meter, links, tasks, ends, .. } = parts;
         Ok(Self {
             data,
             rpc,
@@ -187,10 +170,7 @@
         self.stop.graceful.cancel();
         self.tasks.close();
         if timeout(self.grace, self.tasks.wait()).await.is_err() {
-            info!(
-                "sidecar: {} requests did not end in time",
-                self.queue.load().running
-            );
+            info!("sidecar: {} requests did not end in time", self.queue.load().running);
         }
         self.ends.cancel();
         self.rpc.close().await;
@@ -223,6 +203,11 @@
         )
     }
 
+    fn cache_watch(&self) -> CacheWatch {
+        let (current, signals) = (self.current.clone(), self.signals.clone());
+        CacheWatch::new(self.file.upstream, &self.file.service, current, signals)
+    }
+
     fn door(&self) -> SettingsServer {
         SettingsServer::new(self.current.clone(), self.file.link_key.clone())
     }
--- a/src/sidecar/queue.rs
+++ b/src/sidecar/queue.rs
@@ -33,9 +33,7 @@
     /// assert_eq!(Queue::new(4).load().slots, 4);
     /// ```
     pub fn new(slots: u32) -> Arc<Self> {
-        Arc::new(Self {
-            state: Mutex::new(QueueState::new(slots)),
-        })
+        Arc::new(Self { state: Mutex::new(QueueState::new(slots)) })
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, QueueState> {
@@ -81,9 +79,7 @@
         let Some(mut waiting) = self.enter(ticket)? else {
             return Ok(Permit::new(Arc::clone(self), ticket));
         };
-        let patience = ticket
-            .wait
-            .min(ticket.deadline.saturating_duration_since(Instant::now()));
+        let patience = ticket.wait.min(ticket.deadline.saturating_duration_since(Instant::now()));
         let granted = timeout(patience, &mut waiting.grant).await;
         match granted {
             Ok(Ok(Ok(()))) => {
@@ -122,21 +118,11 @@
             return Err(err);
         }
         let (sender, grant) = oneshot::channel();
-        let waiter = Waiter {
-            grant: sender,
-            cost: ticket.cost,
-            deadline: ticket.deadline,
-        };
+        let waiter = Waiter { grant: sender, cost: ticket.cost, deadline: ticket.deadline };
         state.push(ticket.priority, place, waiter);
         state.grant(now);
         drop(state);
-        Ok(Some(Waiting {
-            queue: self,
-            priority: ticket.priority,
-            place,
-            grant,
-            done: false,
-        }))
+        Ok(Some(Waiting { queue: self, priority: ticket.priority, place, grant, done: false }))
     }
 
     pub(super) fn release(&self, account: &str, unused: f64, ran: Option<(f64, Duration)>) {
@@ -154,11 +140,7 @@
     if wait > millis(limit) {
         return Err(QueueError::Overload);
     }
-    if wait + run > millis(left) {
-        Err(QueueError::Deadline)
-    } else {
-        Ok(())
-    }
+    if wait + run > millis(left) { Err(QueueError::Deadline) } else { Ok(()) }
 }
 
 fn millis(time: Duration) -> f64 {
--- a/src/sidecar/queue_state.rs
+++ b/src/sidecar/queue_state.rs
@@ -72,16 +72,10 @@
     /// Takes the account's next place in virtual time.
     pub(super) fn take_place(&mut self, ticket: &Ticket<'_>) -> Place {
         let length = ticket.cost / ticket.weight;
-        let start = self
-            .ends
-            .get(ticket.account)
-            .map_or(self.clock, |end| end.max(self.clock));
+        let start = self.ends.get(ticket.account).map_or(self.clock, |end| end.max(self.clock));
         self.set_end(ticket.account, start + length);
         self.arrivals += 1;
-        Place {
-            start_micros: to_micros(start),
-            arrival: self.arrivals,
-        }
+        Place { start_micros: to_micros(start), arrival: self.arrivals }
     }
 
     /// Gives the account back what a request did not use, or charges what it used beyond.
@@ -123,22 +117,14 @@
         let Some(place) = place else {
             return self.waiting_cost;
         };
-        let higher = self.classes[priority.index() + 1..]
-            .iter()
-            .flat_map(BTreeMap::values);
-        let same = self.classes[priority.index()]
-            .range(..place)
-            .map(|(_, waiter)| waiter);
+        let higher = self.classes[priority.index() + 1..].iter().flat_map(BTreeMap::values);
+        let same = self.classes[priority.index()].range(..place).map(|(_, waiter)| waiter);
         higher.chain(same).map(|waiter| waiter.cost).sum()
     }
 
     fn mean_cost(&self) -> f64 {
         let waiting = self.waiting();
-        if waiting == 0 {
-            0.0
-        } else {
-            self.waiting_cost / waiting as f64
-        }
+        if waiting == 0 { 0.0 } else { self.waiting_cost / waiting as f64 }
     }
 
     /// Estimated milliseconds that a request runs.
@@ -185,11 +171,7 @@
     }
 
     fn pop(&mut self) -> Option<(Place, Waiter)> {
-        let class = self
-            .classes
-            .iter_mut()
-            .rev()
-            .find(|class| !class.is_empty())?;
+        let class = self.classes.iter_mut().rev().find(|class| !class.is_empty())?;
         let (place, waiter) = class.pop_first()?;
         self.waiting_cost -= waiter.cost;
         Some((place, waiter))
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -59,8 +59,7 @@
         }
         if data.len() >= TAIL_BYTES {
             self.tail.clear();
-            self.tail
-                .extend_from_slice(&data[data.len() - TAIL_BYTES..]);
+            self.tail.extend_from_slice(&data[data.len() - TAIL_BYTES..]);
             return;
         }
         self.tail.extend_from_slice(data);
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -34,24 +34,11 @@
     /// Runs a request that may run again, and relays the answer as it comes.
     pub(super) async fn relay(self) -> Result<Response<SidecarBody>, Refusal> {
         let guard = self.upstream.enter(&self.call);
-        let answer = self
-            .upstream
-            .send(&self.head, self.body, self.deadline)
-            .await?;
+        let answer = self.upstream.send(&self.head, self.body, self.deadline).await?;
         let stream = self.engine && is_event_stream(&answer);
         let (parts, body) = answer.into_parts();
-        let relay = Relay::new(
-            body,
-            self.permit,
-            self.upstream,
-            guard,
-            self.deadline,
-            stream,
-        );
-        Ok(Response::from_parts(
-            parts,
-            SidecarBody::Relay(Box::new(relay)),
-        ))
+        let relay = Relay::new(body, self.permit, self.upstream, guard, self.deadline, stream);
+        Ok(Response::from_parts(parts, SidecarBody::Relay(Box::new(relay))))
     }
 
     /// Runs a request that must not run twice, under a claim on its key.
@@ -64,15 +51,9 @@
             return Err(Refusal::not_run(Reason::BadHeader));
         };
         let key = ClaimKey::new(&self.call.account, &self.call.service, key);
-        let path = self
-            .head
-            .uri
-            .path_and_query()
-            .map_or("/", |path| path.as_str());
+        let path = self.head.uri.path_and_query().map_or("/", |path| path.as_str());
         let digest = ClaimRow::digest_of(self.head.method.as_str(), path, &self.body);
-        let claimed = claims
-            .claim(&key, self.call.attempt, &digest, self.deadline)
-            .await;
+        let claimed = claims.claim(&key, self.call.attempt, &digest, self.deadline).await;
         match claimed.map_err(|_| Refusal::not_run(Reason::StoreDown))? {
             Claimed::Won(held) => self.start(claims, held).await,
             Claimed::Ended(answer) => replay(&answer, meter),
@@ -113,10 +94,7 @@
     }
 
     async fn exchange(&self) -> Result<Response<Bytes>, SendError> {
-        let answer = self
-            .upstream
-            .send(&self.head, self.body.clone(), self.deadline)
-            .await?;
+        let answer = self.upstream.send(&self.head, self.body.clone(), self.deadline).await?;
         let (parts, body) = answer.into_parts();
         let left = self.deadline.saturating_duration_since(Instant::now());
         let body = collect(body, MAX_ANSWER_BYTES, left).await.map_err(|_| {
@@ -128,20 +106,13 @@
 }
 
 fn replay(answer: &StoredAnswer, meter: &Meter) -> Result<Response<SidecarBody>, Refusal> {
-    let mut answer = answer
-        .restore()
-        .ok_or_else(|| Refusal::unknown(Reason::Unsettled))?;
-    answer
-        .headers_mut()
-        .insert(REPLAYED, http::HeaderValue::from_static("true"));
+    let mut answer = answer.restore().ok_or_else(|| Refusal::unknown(Reason::Unsettled))?;
+    answer.headers_mut().insert(REPLAYED, http::HeaderValue::from_static("true"));
     meter.count(Event::Replay);
     Ok(answer.map(SidecarBody::from))
 }
 
 fn is_event_stream<B: Body>(answer: &Response<B>) -> bool {
-    let media = answer
-        .headers()
-        .get(CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok());
+    let media = answer.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
     media.is_some_and(|media| media.starts_with(EVENT_STREAM))
 }
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -33,12 +33,7 @@
     pub fn new(addr: SocketAddr, signals: &Signals, meter: Arc<Meter>) -> Self {
         let running = InFlight::default();
         let watch = CrashWatch::new(addr, running.clone(), signals.clone(), meter);
-        Self {
-            client: h1_client(),
-            addr,
-            running,
-            watch: Arc::new(watch),
-        }
+        Self { client: h1_client(), addr, running, watch: Arc::new(watch) }
     }
 
     /// Watches the upstream's health until the process ends.
--- a/src/switch/ballot.rs
+++ b/src/switch/ballot.rs
@@ -3,7 +3,8 @@
 use super::Stand;
 
 /// Result of a vote.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Verdict {
     /// All ranks voted for it: the new map is in force from its step on.
@@ -21,9 +22,7 @@
 impl Ballot {
     /// No votes yet of so many ranks.
     pub fn new(ranks: usize) -> Self {
-        Self {
-            stands: vec![None; ranks],
-        }
+        Self { stands: vec![None; ranks] }
     }
 
     /// Takes in where a rank stands.
@@ -44,11 +43,7 @@
 
     /// Ranks whose vote is not known.
     pub fn missing(&self) -> impl Iterator<Item = usize> + '_ {
-        self.stands
-            .iter()
-            .enumerate()
-            .filter(|(_, stand)| stand.is_none())
-            .map(|(rank, _)| rank)
+        self.stands.iter().enumerate().filter(|(_, stand)| stand.is_none()).map(|(rank, _)| rank)
     }
 
     /// The result, as soon as it follows from the votes known.
--- a/src/switch/form.rs
+++ b/src/switch/form.rs
@@ -3,7 +3,8 @@
 use super::{MapId, Proposal, ProposalId};
 
 /// What a rank knows of the present epoch.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RankReport {
     /// The process's present life, as a number.
     pub life: u64,
@@ -33,28 +34,12 @@
 /// assert_eq!(choose_map(&[RankReport::default(), late]), late.map);
 /// ```
 pub fn choose_map(reports: &[RankReport]) -> MapId {
-    let epoch = reports
-        .iter()
-        .map(|report| report.epoch)
-        .max()
-        .unwrap_or_default();
-    let latest: Vec<&RankReport> = reports
-        .iter()
-        .filter(|report| report.epoch == epoch)
-        .collect();
-    let map = latest
-        .iter()
-        .map(|report| report.map)
-        .max()
-        .unwrap_or_default();
-    let open = latest
-        .iter()
-        .filter_map(|report| report.open)
-        .filter(|open| open.base == map);
+    let epoch = reports.iter().map(|report| report.epoch).max().unwrap_or_default();
+    let latest: Vec<&RankReport> = reports.iter().filter(|report| report.epoch == epoch).collect();
+    let map = latest.iter().map(|report| report.map).max().unwrap_or_default();
+    let open = latest.iter().filter_map(|report| report.open).filter(|open| open.base == map);
     let decided = open.max_by_key(|open| open.id).filter(|open| {
-        let known = latest
-            .iter()
-            .any(|report| report.open == Some(*open) && report.committed);
+        let known = latest.iter().any(|report| report.open == Some(*open) && report.committed);
         known || latest.iter().all(|report| report.open == Some(*open))
     });
     decided.map_or(map, |open| open.map)
--- a/src/switch/gate.rs
+++ b/src/switch/gate.rs
@@ -10,7 +10,8 @@
 };
 
 /// Answer to a rank at a step boundary.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum EnterReply {
     /// Enter the step with this map.
@@ -58,10 +59,7 @@
     /// what it counted in the step before.
     pub async fn enter(&self, step: u64, counts: Option<StepCounts>) -> EnterReply {
         if let Some(counts) = counts {
-            self.stats
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .add(step, counts);
+            self.stats.lock().unwrap_or_else(PoisonError::into_inner).add(step, counts);
         }
         let mut waited = false;
         loop {
--- a/src/switch/leader.rs
+++ b/src/switch/leader.rs
@@ -5,9 +5,10 @@
 use tokio::time::sleep;
 
 use super::ranks::{Ranks, whole};
+use super::term::Term;
 use super::{
-    Ballot, LeaderError, MapId, MapStore, Proposal, ProposalId, RankReport, RankStats, Refused,
-    Reply, Stand, Verdict, choose_map,
+    Ballot, LeaderError, MapId, MapStore, Proposal, ProposalId, RankReport, Refused, Reply, Stand,
+    Verdict, choose_map,
 };
 use crate::group::{ExpertMap, Planner, PlannerOptions, Shape};
 use crate::id::Incarnation;
@@ -62,17 +63,6 @@
     meter: Arc<Meter>,
 }
 
-/// One term of leadership.
-struct Term {
-    fence: u64,
-    epoch: u64,
-    serial: u32,
-    ranks: Ranks,
-    planner: Planner,
-    map: ExpertMap,
-    id: MapId,
-}
-
 impl<P: Table + ObjectStore + InstanceList> Leader<P> {
     /// A leader-to-be of a service's group.
     pub fn new(
@@ -86,16 +76,7 @@
         let name = format!("group/{service}");
         let lease = Lease::new(Arc::clone(&platform), &name, own, options.lease);
         let maps = MapStore::new(Arc::clone(&platform), &service);
-        Self {
-            platform,
-            service,
-            key,
-            options,
-            maps,
-            lease,
-            current,
-            meter,
-        }
+        Self { platform, service, key, options, maps, lease, current, meter }
     }
 
     /// Leads whenever the lease can be had, until the process ends.
@@ -116,10 +97,7 @@
     /// Leads for one term.
     async fn lead(&mut self, fence: u64) -> Result<(), LeaderError> {
         let mut term = self.open_term(fence).await?;
-        info!(
-            "group: {} is led here, fencing number {fence}",
-            self.service
-        );
+        info!("group: {} is led here, fencing number {fence}", self.service);
         loop {
             sleep(self.options.interval).await;
             self.renew(term.fence).await?;
@@ -175,14 +153,9 @@
 
     /// Settles the proposal that an earlier leader left open, if there is one.
     async fn finish_open(&self, term: &Term, reports: &[RankReport]) -> Result<(), LeaderError> {
-        let open = reports
-            .iter()
-            .filter_map(|report| report.open)
-            .max_by_key(|open| open.id);
+        let open = reports.iter().filter_map(|report| report.open).max_by_key(|open| open.id);
         let Some(open) = open else { return Ok(()) };
-        self.decide(term, open.id, Ballot::new(term.ranks.len()))
-            .await
-            .map(|_| ())
+        self.decide(term, open.id, Ballot::new(term.ranks.len())).await.map(|_| ())
     }
 
     /// Takes over the map that the ranks have or are about to have in force.
@@ -202,11 +175,7 @@
 
     /// The peers of all ranks, in the order of their names, so that every leader counts alike.
     async fn find_ranks(&self) -> Result<Ranks, LeaderError> {
-        let list = self
-            .platform
-            .list()
-            .await
-            .map_err(|_| LeaderError::StoreDown)?;
+        let list = self.platform.list().await.map_err(|_| LeaderError::StoreDown)?;
         let live = list.iter().filter(|inst| inst.phase == Phase::Live);
         let mut own: Vec<_> = live.filter(|inst| inst.service == self.service).collect();
         own.sort_by(|left, right| left.name.cmp(&right.name));
@@ -221,11 +190,7 @@
     /// Forms the group anew: stops all ranks, chooses the map, and starts them as a new epoch.
     async fn form(&mut self, term: &mut Term) -> Result<(), LeaderError> {
         // Each epoch needs a number that no other leader, and no earlier epoch, has used.
-        term.fence = self
-            .lease
-            .advance()
-            .await
-            .map_err(|_| LeaderError::LeaseLost)?;
+        term.fence = self.lease.advance().await.map_err(|_| LeaderError::LeaseLost)?;
         term.ranks = self.find_ranks().await?;
         let epoch = term.fence;
         let frozen = whole(term.ranks.freeze(epoch).await)?;
@@ -242,10 +207,7 @@
             return Err(LeaderError::Outdated);
         }
         (term.epoch, term.id, term.serial) = (epoch, id, 0);
-        info!(
-            "group: {} formed as epoch {epoch} with map {id}",
-            self.service
-        );
+        info!("group: {} formed as epoch {epoch} with map {id}", self.service);
         Ok(())
     }
 
@@ -261,10 +223,7 @@
         let Some(plan) = term.planner.plan(&term.map, self.options.budget) else {
             return Ok(());
         };
-        let map = MapId {
-            version: term.id.version + 1,
-            fence: term.fence,
-        };
+        let map = MapId { version: term.id.version + 1, fence: term.fence };
         self.maps.write(map, &plan.map).await?;
         self.prefetch(term, map).await?;
         if self.switch(term, map).await? {
@@ -276,33 +235,16 @@
 
     async fn prefetch(&self, term: &Term, map: MapId) -> Result<(), LeaderError> {
         let fetched = whole(term.ranks.prefetch(term.fence, map).await)?;
-        if fetched.contains(&false) {
-            Err(LeaderError::Outdated)
-        } else {
-            Ok(())
-        }
+        if fetched.contains(&false) { Err(LeaderError::Outdated) } else { Ok(()) }
     }
 
     /// Proposes a map that all ranks hold, and tells whether it was agreed.
     async fn switch(&self, term: &mut Term, map: MapId) -> Result<bool, LeaderError> {
         let reports = term.ranks.reports().await?;
-        let step = reports
-            .iter()
-            .map(|report| report.step)
-            .max()
-            .unwrap_or_default();
+        let step = reports.iter().map(|report| report.step).max().unwrap_or_default();
         term.serial += 1;
-        let id = ProposalId {
-            epoch: term.epoch,
-            fence: term.fence,
-            serial: term.serial,
-        };
-        let proposal = Proposal {
-            id,
-            base: term.id,
-            map,
-            from: step + LEAD_STEPS,
-        };
+        let id = ProposalId { epoch: term.epoch, fence: term.fence, serial: term.serial };
+        let proposal = Proposal { id, base: term.id, map, from: step + LEAD_STEPS };
         let mut ballot = Ballot::new(term.ranks.len());
         for (rank, reply) in term.ranks.propose(proposal).await.into_iter().enumerate() {
             match reply {
@@ -314,11 +256,7 @@
             }
         }
         let agreed = self.decide(term, id, ballot).await? == Verdict::Commit;
-        let event = if agreed {
-            Event::SwitchDone
-        } else {
-            Event::SwitchRefused
-        };
+        let event = if agreed { Event::SwitchDone } else { Event::SwitchRefused };
         self.meter.count(event);
         Ok(agreed)
     }
@@ -336,18 +274,13 @@
             }
             let stands: Vec<Option<Option<Stand>>> = term.ranks.ask(id).await;
             for (rank, stand) in stands.into_iter().enumerate() {
-                stand
-                    .flatten()
-                    .into_iter()
-                    .for_each(|stand| ballot.take(rank, stand));
+                stand.flatten().into_iter().for_each(|stand| ballot.take(rank, stand));
             }
             if ballot.verdict().is_none() {
                 sleep(ASK_PAUSE).await;
             }
         }
-        Err(LeaderError::RankLost(
-            ballot.missing().next().unwrap_or_default(),
-        ))
+        Err(LeaderError::RankLost(ballot.missing().next().unwrap_or_default()))
     }
 
     async fn tell(
@@ -357,13 +290,7 @@
         verdict: Verdict,
     ) -> Result<Verdict, LeaderError> {
         for _ in 0..ASK_TRIES {
-            if term
-                .ranks
-                .settle(id, verdict)
-                .await
-                .iter()
-                .all(Option::is_some)
-            {
+            if term.ranks.settle(id, verdict).await.iter().all(Option::is_some) {
                 return Ok(verdict);
             }
             sleep(ASK_PAUSE).await;
@@ -371,29 +298,3 @@
         Err(LeaderError::RankLost(0))
     }
 }
-
-impl Term {
-    /// Adds what all ranks counted and feeds the planner.
-    fn observe(&mut self, shape: &Shape, stats: &[RankStats]) {
-        if stats.iter().any(|rank| rank.steps == 0) {
-            return;
-        }
-        for layer in 0..shape.layers {
-            let mut tokens = vec![0.0; shape.experts];
-            let (mut loads, mut times) = (Vec::new(), Vec::new());
-            for rank in stats {
-                let Some(count) = rank.counts.layers.get(layer) else {
-                    return;
-                };
-                for (expert, counted) in count.experts.iter().zip(&count.tokens) {
-                    if let Some(sum) = tokens.get_mut(usize::from(*expert)) {
-                        *sum += counted;
-                    }
-                }
-                loads.push(count.tokens.iter().sum());
-                times.push(count.millis);
-            }
-            self.planner.observe(layer, &tokens, &loads, &times);
-        }
-    }
-}
--- a/src/switch/leader_error.rs
+++ b/src/switch/leader_error.rs
@@ -2,7 +2,8 @@
 use thiserror::Error;
 
 /// Why a leader could not go on. The group goes on with its present map.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum LeaderError {
     /// the lease has run out
     LeaseLost,
--- a/src/switch/map_id.rs
+++ b/src/switch/map_id.rs
@@ -4,9 +4,8 @@
 
 /// Names one expert map. Two leaders may plan the same version; the fencing number tells them
 /// apart.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct MapId {
     /// Greater by one with each switch.
     pub version: u64,
--- a/src/switch/map_store.rs
+++ b/src/switch/map_store.rs
@@ -16,10 +16,7 @@
 impl<P: ObjectStore> MapStore<P> {
     /// The maps of a service's group.
     pub fn new(platform: Arc<P>, service: &str) -> Self {
-        Self {
-            platform,
-            service: service.to_owned(),
-        }
+        Self { platform, service: service.to_owned() }
     }
 
     fn name(&self, id: MapId) -> String {
--- a/src/switch/mod.rs
+++ b/src/switch/mod.rs
@@ -16,6 +16,7 @@
 mod rank_server;
 mod rank_stats;
 mod ranks;
+mod term;
 mod voter;
 mod weights;
 
--- a/src/switch/proposal.rs
+++ b/src/switch/proposal.rs
@@ -3,9 +3,8 @@
 use super::MapId;
 
 /// Names one proposal. Later ones of an epoch are greater.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ProposalId {
     /// Epoch of the group.
     pub epoch: u64,
@@ -16,7 +15,8 @@
 }
 
 /// A leader proposes that all ranks use a map from a step on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Proposal {
     /// Name.
     pub id: ProposalId,
@@ -29,7 +29,8 @@
 }
 
 /// Where a rank stands on a proposal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Stand {
     /// It has promised not to enter the proposal's first step before it knows the result.
@@ -41,7 +42,8 @@
 }
 
 /// Why a rank gave no vote.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Refused {
     /// The proposal belongs to another epoch.
@@ -55,7 +57,8 @@
 }
 
 /// Answer to a proposal.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reply {
     /// The rank's vote.
--- a/src/switch/rank_server.rs
+++ b/src/switch/rank_server.rs
@@ -39,15 +39,7 @@
         meter: Arc<Meter>,
     ) -> Self {
         let weights = Arc::new(weights);
-        Self {
-            door,
-            gate,
-            fences,
-            maps,
-            weights,
-            held: Arc::default(),
-            meter,
-        }
+        Self { door, gate, fences, maps, weights, held: Arc::default(), meter }
     }
 
     fn admit_fence(&self, fence: u64) -> bool {
@@ -59,10 +51,7 @@
     }
 
     fn holds(&self, map: MapId) -> bool {
-        self.held
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .contains(&map)
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).contains(&map)
     }
 }
 
@@ -85,18 +74,11 @@
         if self.holds(map) {
             return Ok(true);
         }
-        let read = self
-            .maps
-            .read(map)
-            .await
-            .map_err(|_| unavailable("store"))?;
+        let read = self.maps.read(map).await.map_err(|_| unavailable("store"))?;
         let layers = read.ok_or_else(|| unavailable("map"))?.layers;
         let fetched = self.weights.prefetch(fence, map, &layers).await;
         fetched.map_err(|_| unavailable("engine"))?;
-        self.held
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(map);
+        self.held.lock().unwrap_or_else(PoisonError::into_inner).push(map);
         Ok(true)
     }
 
@@ -130,11 +112,7 @@
         epoch: u64,
     ) -> Result<Option<RankReport>, ErrorObjectOwned> {
         self.door.admit(&key)?;
-        Ok(if self.admit_fence(epoch) {
-            self.gate.freeze(epoch)
-        } else {
-            None
-        })
+        Ok(if self.admit_fence(epoch) { self.gate.freeze(epoch) } else { None })
     }
 
     async fn form(
--- a/src/switch/rank_stats.rs
+++ b/src/switch/rank_stats.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Tokens that a rank ran for the experts that it holds in one layer, and the time it took.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LayerCount {
     /// Experts that the rank holds.
     pub experts: Vec<u16>,
@@ -12,14 +13,16 @@
 }
 
 /// What a rank counted in one step.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct StepCounts {
     /// Counts by layer.
     pub layers: Vec<LayerCount>,
 }
 
 /// What a rank counted since it was last asked: means over the steps.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RankStats {
     /// Last step that the rank was let into.
     pub step: u64,
@@ -34,12 +37,7 @@
     pub fn add(&mut self, step: u64, counts: StepCounts) {
         self.step = step;
         let same = self.counts.layers.len() == counts.layers.len()
-            && self
-                .counts
-                .layers
-                .iter()
-                .zip(&counts.layers)
-                .all(|(l, r)| l.experts == r.experts);
+            && self.counts.layers.iter().zip(&counts.layers).all(|(l, r)| l.experts == r.experts);
         if !same || self.steps == 0 {
             self.steps = 1;
             self.counts = counts;
--- a/src/switch/ranks.rs
+++ b/src/switch/ranks.rs
@@ -26,17 +26,11 @@
     pub(super) fn new(peers: &[SocketAddr], key: &str) -> Self {
         let clients = |time: Duration| {
             let client = |peer: &SocketAddr| {
-                HttpClientBuilder::default()
-                    .request_timeout(time)
-                    .build(format!("http://{peer}"))
+                HttpClientBuilder::default().request_timeout(time).build(format!("http://{peer}"))
             };
             peers.iter().filter_map(|peer| client(peer).ok()).collect()
         };
-        Self {
-            calls: clients(CALL_TIMEOUT),
-            fetches: clients(FETCH_TIMEOUT),
-            key: key.to_owned(),
-        }
+        Self { calls: clients(CALL_TIMEOUT), fetches: clients(FETCH_TIMEOUT), key: key.to_owned() }
     }
 
     pub(super) const fn len(&self) -> usize {
@@ -65,38 +59,29 @@
     }
 
     pub(super) async fn prefetch(&self, fence: u64, map: MapId) -> Vec<Option<bool>> {
-        self.all(&self.fetches, move |to| async move {
-            to.client.prefetch(to.key, fence, map).await
-        })
+        self.all(
+            &self.fetches,
+            move |to| async move { to.client.prefetch(to.key, fence, map).await },
+        )
         .await
     }
 
     pub(super) async fn propose(&self, proposal: Proposal) -> Vec<Option<Reply>> {
-        self.all(&self.calls, move |to| async move {
-            to.client.propose(to.key, proposal).await
-        })
-        .await
+        self.all(&self.calls, move |to| async move { to.client.propose(to.key, proposal).await })
+            .await
     }
 
     pub(super) async fn ask(&self, id: ProposalId) -> Vec<Option<Option<Stand>>> {
-        self.all(&self.calls, move |to| async move {
-            to.client.ask(to.key, id).await
-        })
-        .await
+        self.all(&self.calls, move |to| async move { to.client.ask(to.key, id).await }).await
     }
 
     pub(super) async fn settle(&self, id: ProposalId, verdict: Verdict) -> Vec<Option<()>> {
-        self.all(&self.calls, move |to| async move {
-            to.client.settle(to.key, id, verdict).await
-        })
-        .await
+        self.all(&self.calls, move |to| async move { to.client.settle(to.key, id, verdict).await })
+            .await
     }
 
     pub(super) async fn freeze(&self, epoch: u64) -> Vec<Option<Option<RankReport>>> {
-        self.all(&self.calls, move |to| async move {
-            to.client.freeze(to.key, epoch).await
-        })
-        .await
+        self.all(&self.calls, move |to| async move { to.client.freeze(to.key, epoch).await }).await
     }
 
     /// Has each rank join an epoch in the life that it was frozen in.
@@ -109,18 +94,12 @@
     }
 
     pub(super) async fn reports(&self) -> Result<Vec<RankReport>, LeaderError> {
-        let reports = self.all(
-            &self.calls,
-            |to| async move { to.client.report(to.key).await },
-        );
+        let reports = self.all(&self.calls, |to| async move { to.client.report(to.key).await });
         whole(reports.await)
     }
 
     pub(super) async fn stats(&self) -> Result<Vec<RankStats>, LeaderError> {
-        let stats = self.all(
-            &self.calls,
-            |to| async move { to.client.stats(to.key).await },
-        );
+        let stats = self.all(&self.calls, |to| async move { to.client.stats(to.key).await });
         whole(stats.await)
     }
 }
--- a/src/switch/voter.rs
+++ b/src/switch/voter.rs
@@ -41,10 +41,7 @@
 impl Voter {
     /// A rank that belongs to no epoch yet, in a life of its own.
     pub fn new(life: u64) -> Self {
-        Self {
-            life,
-            ..Self::default()
-        }
+        Self { life, ..Self::default() }
     }
 
     /// Votes on a proposal; `holds` says whether the rank has all the weights.
@@ -86,10 +83,7 @@
         if !holds {
             return Reply::Refused(Refused::Weights);
         }
-        self.open = Some(Open {
-            proposal: *proposal,
-            committed: false,
-        });
+        self.open = Some(Open { proposal: *proposal, committed: false });
         Reply::Vote(Stand::Yes)
     }
 
@@ -163,13 +157,7 @@
             return self.step == 0 && self.map == map && self.open.is_none();
         }
         let fence = self.fence.max(epoch);
-        *self = Self {
-            epoch,
-            promised: epoch,
-            fence,
-            map,
-            ..Self::default()
-        };
+        *self = Self { epoch, promised: epoch, fence, map, ..Self::default() };
         true
     }
 
@@ -189,10 +177,6 @@
 
 impl Open {
     const fn stand(&self) -> Stand {
-        if self.committed {
-            Stand::Committed
-        } else {
-            Stand::Yes
-        }
+        if self.committed { Stand::Committed } else { Stand::Yes }
     }
 }
--- a/src/switch/weights.rs
+++ b/src/switch/weights.rs
@@ -18,7 +18,8 @@
 const FETCH_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// Why a rank does not hold what a map needs.
-#[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Display, Error)]
 pub enum WeightsError {
     /// the engine refused the order
     Refused,
@@ -48,7 +49,8 @@
 }
 
 /// Body of an order to prefetch.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct PrefetchOrder {
     /// Fencing number.
     pub fence: u64,
@@ -61,10 +63,7 @@
 impl HttpWeights {
     /// Orders for the engine at an address.
     pub fn new(engine: SocketAddr) -> Self {
-        Self {
-            client: h1_client(),
-            engine,
-        }
+        Self { client: h1_client(), engine }
     }
 }
 
@@ -76,11 +75,7 @@
         layers: &[LayerMap],
     ) -> Result<(), WeightsError> {
         let unreachable = |text: String| WeightsError::Unreachable(text);
-        let order = PrefetchOrder {
-            fence,
-            id,
-            layers: layers.to_vec(),
-        };
+        let order = PrefetchOrder { fence, id, layers: layers.to_vec() };
         let body = serde_json::to_vec(&order).map_err(|err| unreachable(err.to_string()))?;
         let request = Request::builder()
             .method(Method::POST)
@@ -90,10 +85,6 @@
         let sent = timeout(FETCH_TIMEOUT, self.client.request(request)).await;
         let answer = sent.map_err(|_| unreachable("timeout".to_owned()))?;
         let answer = answer.map_err(|err| unreachable(err.to_string()))?;
-        if answer.status().is_success() {
-            Ok(())
-        } else {
-            Err(WeightsError::Refused)
-        }
+        if answer.status().is_success() { Ok(()) } else { Err(WeightsError::Refused) }
     }
 }
--- a/src/units/size.rs
+++ b/src/units/size.rs
@@ -35,9 +35,7 @@
     fn deserialize<D: Deserializer<'de>>(de: D) -> Result<Self, D::Error> {
         let text = Cow::<str>::deserialize(de)?;
         text.parse().map(Self).map_err(|err| {
-            D::Error::custom(format!(
-                "expected a size such as \"64KiB\", got {text:?}: {err}"
-            ))
+            D::Error::custom(format!("expected a size such as \"64KiB\", got {text:?}: {err}"))
         })
     }
 }
--- a/src/units/span.rs
+++ b/src/units/span.rs
@@ -35,9 +35,7 @@
     fn deserialize<D: Deserializer<'de>>(de: D) -> Result<Self, D::Error> {
         let text = Cow::<str>::deserialize(de)?;
         humantime::parse_duration(&text).map(Self).map_err(|err| {
-            D::Error::custom(format!(
-                "expected a duration such as \"20s\", got {text:?}: {err}"
-            ))
+            D::Error::custom(format!("expected a duration such as \"20s\", got {text:?}: {err}"))
         })
     }
 }
--- a/standin/src/bin/ebonyusher-standin.rs
+++ b/standin/src/bin/ebonyusher-standin.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bpaf::{OptionParser, Parser, construct, long};
-use ebonyusher::cli::{EXIT_UNREACHABLE, Logs, exit_with, logs_options, stop_signal};
+use ebonyusher::cli::{EXIT_UNREACHABLE, Logs, exit_with, logs_options, read_args, stop_signal};
 use ebonyusher_standin::{
     Crash, Engine, EngineOptions, Faulty, Plain, PlainOptions, PlatformNode, UpstreamNode,
 };
@@ -16,17 +16,9 @@
 const RESTART_TIME: Duration = Duration::from_millis(500);
 
 enum Command {
-    Platform {
-        control: SocketAddr,
-    },
-    Engine {
-        slots: usize,
-        token_ms: u64,
-        ignore_fences: bool,
-    },
-    Plain {
-        work_ms: u64,
-    },
+    Platform { control: SocketAddr },
+    Engine { slots: usize, token_ms: u64, ignore_fences: bool },
+    Plain { work_ms: u64 },
 }
 
 struct Args {
@@ -39,20 +31,14 @@
     let listen = long("listen").help("Where to listen").argument("ADDR");
     let logs = logs_options();
     let command = construct!([platform(), engine(), plain()]);
-    construct!(Args {
-        listen,
-        logs,
-        command
-    })
-    .to_options()
-    .descr("Stand-ins for what the system meets")
-    .version(env!("CARGO_PKG_VERSION"))
+    construct!(Args { listen, logs, command })
+        .to_options()
+        .descr("Stand-ins for what the system meets")
+        .version(env!("CARGO_PKG_VERSION"))
 }
 
 fn platform() -> impl Parser<Command> {
-    let control = long("control")
-        .help("Where faults are switched")
-        .argument("ADDR");
+    let control = long("control").help("Where faults are switched").argument("ADDR");
     construct!(Command::Platform { control })
         .to_options()
         .descr("Table, object store and list of instances")
@@ -60,32 +46,17 @@
 }
 
 fn engine() -> impl Parser<Command> {
-    let slots = long("slots")
-        .help("Requests in a batch")
-        .argument("N")
-        .fallback(8);
-    let token_ms = long("token-ms")
-        .help("Time between two tokens")
-        .argument("MS")
-        .fallback(20);
-    let ignore_fences = long("ignore-fences")
-        .help("Accept old fencing numbers")
-        .switch();
-    construct!(Command::Engine {
-        slots,
-        token_ms,
-        ignore_fences
-    })
-    .to_options()
-    .descr("A model engine")
-    .command("engine")
+    let slots = long("slots").help("Requests in a batch").argument("N").fallback(8);
+    let token_ms = long("token-ms").help("Time between two tokens").argument("MS").fallback(20);
+    let ignore_fences = long("ignore-fences").help("Accept old fencing numbers").switch();
+    construct!(Command::Engine { slots, token_ms, ignore_fences })
+        .to_options()
+        .descr("A model engine")
+        .command("engine")
 }
 
 fn plain() -> impl Parser<Command> {
-    let work_ms = long("work-ms")
-        .help("Time that a request takes")
-        .argument("MS")
-        .fallback(5);
+    let work_ms = long("work-ms").help("Time that a request takes").argument("MS").fallback(5);
     construct!(Command::Plain { work_ms })
         .to_options()
         .descr("A plain service that records every run")
@@ -94,38 +65,27 @@
 
 #[tokio::main]
 async fn main() -> ExitCode {
-    let args = options().fallback_to_usage().run();
+    let args = match read_args(options()) {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     args.logs.start();
     let ended = match args.command {
         Command::Platform { control } => run_platform(args.listen, control).await,
-        Command::Engine {
-            slots,
-            token_ms,
-            ignore_fences,
-        } => {
+        Command::Engine { slots, token_ms, ignore_fences } => {
             let token_time = Duration::from_millis(token_ms);
             let fences = !ignore_fences;
-            let options = EngineOptions {
-                slots,
-                token_time,
-                fences,
-                ..EngineOptions::default()
-            };
+            let options = EngineOptions { slots, token_time, fences, ..EngineOptions::default() };
             let (crash, crashes) = Crash::new();
             run_upstream(args.listen, Engine::new(options, crash), crashes).await
         }
         Command::Plain { work_ms } => {
-            let options = PlainOptions {
-                work: Duration::from_millis(work_ms),
-            };
+            let options = PlainOptions { work: Duration::from_millis(work_ms) };
             let (crash, crashes) = Crash::new();
             run_upstream(args.listen, Plain::new(options, crash), crashes).await
         }
     };
-    ended.map_or_else(
-        |err| exit_with(NAME, &err, EXIT_UNREACHABLE),
-        |()| ExitCode::SUCCESS,
-    )
+    ended.map_or_else(|err| exit_with(NAME, &err, EXIT_UNREACHABLE), |()| ExitCode::SUCCESS)
 }
 
 async fn run_platform(listen: SocketAddr, control: SocketAddr) -> std::io::Result<()> {
--- a/standin/src/cache.rs
+++ b/standin/src/cache.rs
@@ -16,7 +16,8 @@
 }
 
 /// A change of the cache. Readers may miss some: the numbers then have a gap.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheEvent {
     /// Number of the event.
     pub seq: u64,
@@ -30,13 +31,7 @@
     /// An empty cache for so many prefixes.
     pub fn new(capacity: usize) -> Self {
         let (held, order, events) = (HashSet::new(), VecDeque::new(), VecDeque::new());
-        Self {
-            capacity,
-            held,
-            order,
-            events,
-            seq: 0,
-        }
+        Self { capacity, held, order, events, seq: 0 }
     }
 
     /// Uses a prefix, and tells whether it was cached.
@@ -61,11 +56,7 @@
 
     fn publish(&mut self, stored: Option<u64>, removed: Option<u64>) {
         self.seq += 1;
-        self.events.push_back(CacheEvent {
-            seq: self.seq,
-            stored,
-            removed,
-        });
+        self.events.push_back(CacheEvent { seq: self.seq, stored, removed });
         if self.events.len() > MAX_EVENTS {
             self.events.pop_front();
         }
@@ -74,14 +65,7 @@
     /// Events after a number, without the newest `late` ones and without every `gap`th.
     pub fn events_after(&self, seq: u64, late: usize, gap: u64) -> Vec<CacheEvent> {
         let shown = self.events.len().saturating_sub(late);
-        let events = self
-            .events
-            .iter()
-            .take(shown)
-            .filter(|event| event.seq > seq);
-        events
-            .filter(|event| gap == 0 || event.seq % gap != 0)
-            .cloned()
-            .collect()
+        let events = self.events.iter().take(shown).filter(|event| event.seq > seq);
+        events.filter(|event| gap == 0 || event.seq % gap != 0).cloned().collect()
     }
 }
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -63,10 +63,7 @@
             slots: Arc::new(Semaphore::new(options.slots)),
             cache: Mutex::new(PrefixCache::new(options.cache)),
             stall: Mutex::default(),
-            orders: Mutex::new(OrderLog {
-                fences: options.fences,
-                ..OrderLog::default()
-            }),
+            orders: Mutex::new(OrderLog { fences: options.fences, ..OrderLog::default() }),
             running: Arc::default(),
             starts: StartLog::default(),
             cached: AtomicU64::new(0),
@@ -107,16 +104,10 @@
     async fn chat(&self, request: Request<Incoming>) -> Response<ChannelBody> {
         let (head, body) = request.into_parts();
         let Ok(body) = collect(body, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
-            return whole(
-                StatusCode::BAD_REQUEST,
-                json!({ "error": "bad body" }).to_string(),
-            );
+            return whole(StatusCode::BAD_REQUEST, json!({ "error": "bad body" }).to_string());
         };
         let Ok(chat) = serde_json::from_slice::<Chat>(&body) else {
-            return whole(
-                StatusCode::BAD_REQUEST,
-                json!({ "error": "bad chat" }).to_string(),
-            );
+            return whole(StatusCode::BAD_REQUEST, json!({ "error": "bad chat" }).to_string());
         };
         self.starts.note(&body);
         let Ok(slot) = Arc::clone(&self.slots).acquire_owned().await else {
@@ -130,8 +121,7 @@
             std::future::pending::<()>().await;
         }
         let prefix = header_str(&head.headers, &PREFIX);
-        self.prefill(prefix.and_then(|text| u64::from_str_radix(text, 16).ok()))
-            .await;
+        self.prefill(prefix.and_then(|text| u64::from_str_radix(text, 16).ok())).await;
         let last = header_str(&head.headers, &LAST_EVENT_ID).and_then(|text| text.parse().ok());
         let first = last.map_or(0, |last: u32| last + 1);
         let most = chat.max_tokens.unwrap_or(DEFAULT_TOKENS);
@@ -177,31 +167,20 @@
     }
 
     fn cache_events(&self, query: &str) -> Response<ChannelBody> {
-        let after = query
-            .strip_prefix("after=")
-            .and_then(|text| text.parse().ok());
+        let after = query.strip_prefix("after=").and_then(|text| text.parse().ok());
         let (late, gap) = (self.options.late_events, self.options.event_gap);
         let events = lock(&self.cache).events_after(after.unwrap_or_default(), late, gap);
-        whole(
-            StatusCode::OK,
-            serde_json::to_string(&events).unwrap_or_default(),
-        )
+        whole(StatusCode::OK, serde_json::to_string(&events).unwrap_or_default())
     }
 
     async fn order(&self, request: Request<Incoming>) -> Response<ChannelBody> {
         let body = collect(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
-        let order = body
-            .ok()
-            .and_then(|body| serde_json::from_slice(&body).ok());
+        let order = body.ok().and_then(|body| serde_json::from_slice(&body).ok());
         let Some(order) = order else {
             return whole(StatusCode::BAD_REQUEST, String::new());
         };
         let taken = lock(&self.orders).take(order);
-        let status = if taken {
-            StatusCode::OK
-        } else {
-            StatusCode::CONFLICT
-        };
+        let status = if taken { StatusCode::OK } else { StatusCode::CONFLICT };
         whole(status, json!({ "done": taken }).to_string())
     }
 }
@@ -227,9 +206,7 @@
                 return;
             }
         }
-        self.sender
-            .send(Bytes::from_static(b"data: [DONE]\n\n"))
-            .await;
+        self.sender.send(Bytes::from_static(b"data: [DONE]\n\n")).await;
         self.sender.close().await;
     }
 }
@@ -264,9 +241,7 @@
     });
     let mut answer = Response::new(body);
     *answer.status_mut() = status;
-    answer
-        .headers_mut()
-        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     answer
 }
 
--- a/standin/src/faults.rs
+++ b/standin/src/faults.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Faults of the platform that are switched on.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, rename_all = "kebab-case", deny_unknown_fields)]
 pub struct Faults {
     /// Table and object store refuse everything.
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -21,7 +21,8 @@
 const GRACE: Span = Span::from_millis(10_000);
 
 /// Why a fleet could not start.
-#[derive(Debug, Display, Error)]
+#[derive(Debug)]
+#[derive(Display, Error)]
 pub enum FleetError {
     /// can't listen: {0}
     Listen(#[from] io::Error),
@@ -82,8 +83,7 @@
     /// [`FleetError`] if no port can be had.
     pub async fn plain(&self, work: Duration) -> Result<UpstreamNode<Plain>, FleetError> {
         let (crash, crashes) = Crash::new();
-        self.upstream(Plain::new(PlainOptions { work }, crash), crashes)
-            .await
+        self.upstream(Plain::new(PlainOptions { work }, crash), crashes).await
     }
 
     async fn upstream<H: Faulty>(
@@ -122,14 +122,7 @@
             (file.name.clone(), file.service.clone(), file.domain.clone());
         let node = SidecarNode::start(file, self.client()).await?;
         let (data, peer) = (node.data_addr(), node.peer_addr());
-        let inst = Instance {
-            name,
-            service,
-            domain,
-            data,
-            peer,
-            phase: Phase::Live,
-        };
+        let inst = Instance { name, service, domain, data, peer, phase: Phase::Live };
         self.platform.platform.add_instance(inst);
         Ok(node)
     }
@@ -172,14 +165,7 @@
         let node = EntryNode::start(file, self.client(), policy).await?;
         let (data, peer) = (node.data_addr(), node.peer_addr());
         let service = "entry".to_owned();
-        let inst = Instance {
-            name,
-            service,
-            domain,
-            data,
-            peer,
-            phase: Phase::Live,
-        };
+        let inst = Instance { name, service, domain, data, peer, phase: Phase::Live };
         self.platform.platform.add_instance(inst);
         Ok(node)
     }
--- a/standin/src/group_orders.rs
+++ b/standin/src/group_orders.rs
@@ -1,7 +1,8 @@
 use serde::{Deserialize, Serialize};
 
 /// An order to an engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineOrder {
     /// Fencing number of whoever gives it.
     pub fence: u64,
--- a/standin/src/lag.rs
+++ b/standin/src/lag.rs
@@ -15,9 +15,7 @@
 impl<T: Clone> Lagging<T> {
     /// Starts with a value.
     pub fn new(value: T) -> Self {
-        Self {
-            past: VecDeque::from([(Instant::now(), value)]),
-        }
+        Self { past: VecDeque::from([(Instant::now(), value)]) }
     }
 
     /// Changes the value from now on.
--- a/standin/src/lock_step.rs
+++ b/standin/src/lock_step.rs
@@ -104,13 +104,7 @@
             let (skew, counted) = self.work(&map);
             counts = counted;
             sleep(self.pace.mul_f64(skew)).await;
-            lock(&self.log).steps.push(StepRecord {
-                epoch,
-                step,
-                map: id,
-                skew,
-                entry,
-            });
+            lock(&self.log).steps.push(StepRecord { epoch, step, map: id, skew, entry });
             step += 1;
         }
     }
@@ -171,10 +165,7 @@
 }
 
 fn client(peer: SocketAddr) -> Option<HttpClient> {
-    HttpClientBuilder::default()
-        .request_timeout(ENTER_TIMEOUT)
-        .build(format!("http://{peer}"))
-        .ok()
+    HttpClientBuilder::default().request_timeout(ENTER_TIMEOUT).build(format!("http://{peer}")).ok()
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/standin/src/mem_platform.rs
+++ b/standin/src/mem_platform.rs
@@ -100,10 +100,7 @@
 
     /// Reads and writes that were asked for since the start.
     pub fn counts(&self) -> (u64, u64) {
-        (
-            self.read_count.load(Ordering::Relaxed),
-            self.write_count.load(Ordering::Relaxed),
-        )
+        (self.read_count.load(Ordering::Relaxed), self.write_count.load(Ordering::Relaxed))
     }
 
     fn change_list(&self, change: impl FnOnce(&mut Vec<Instance>)) {
@@ -161,11 +158,7 @@
             match &write.value {
                 Some(value) => {
                     let (key, version) = (write.key.clone(), self.version);
-                    let row = Row {
-                        key: key.clone(),
-                        version,
-                        value: value.clone(),
-                    };
+                    let row = Row { key: key.clone(), version, value: value.clone() };
                     self.rows.insert(key, row);
                 }
                 None => {
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -56,10 +56,7 @@
 
     /// How often each idempotency key has run.
     pub fn all_runs(&self) -> HashMap<String, u32> {
-        self.runs
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Requests that have started.
@@ -105,10 +102,7 @@
         }
         if head.method == Method::GET {
             sleep(self.options.work).await;
-            return json_answer(
-                StatusCode::OK,
-                &json!({ "balance": 42, "of": head.uri.path() }),
-            );
+            return json_answer(StatusCode::OK, &json!({ "balance": 42, "of": head.uri.path() }));
         }
         let key = header_str(&head.headers, &IDEMPOTENCY_KEY);
         self.run(key, &body).await
--- a/standin/src/platform_node.rs
+++ b/standin/src/platform_node.rs
@@ -34,12 +34,7 @@
         let control = listener.local_addr()?;
         let server = Arc::new(ControlServer(Arc::clone(&platform)));
         tokio::spawn(serve(listener, server, stop.clone(), TaskTracker::new()));
-        Ok(Self {
-            platform,
-            addr,
-            control,
-            stop,
-        })
+        Ok(Self { platform, addr, control, stop })
     }
 
     /// Where the system connects.
--- a/standin/src/platform_server.rs
+++ b/standin/src/platform_server.rs
@@ -110,8 +110,7 @@
                 serde_json::from_slice::<Instance>(&body).map(|inst| self.0.add_instance(inst))
             }
             (Method::DELETE, path) if path.starts_with("/instances/") => {
-                self.0
-                    .remove_instance(path.trim_start_matches("/instances/"));
+                self.0.remove_instance(path.trim_start_matches("/instances/"));
                 Ok(())
             }
             (Method::POST, path) if path.starts_with("/leaving/") => {
--- a/standin/src/rank_engine.rs
+++ b/standin/src/rank_engine.rs
@@ -38,12 +38,7 @@
 impl RankEngine {
     /// A rank with no weights. If `fences` is false it takes orders with an old fencing number.
     pub fn new(rank: usize, fences: bool, fetch: Duration) -> Self {
-        Self {
-            rank,
-            fences,
-            fetch,
-            state: Mutex::default(),
-        }
+        Self { rank, fences, fetch, state: Mutex::default() }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -55,9 +50,7 @@
         let mut state = self.lock();
         state.maps.insert(MapId::default(), layers.to_vec());
         for (layer, map) in layers.iter().enumerate() {
-            state
-                .held
-                .extend(map.held(self.rank).iter().map(|expert| (layer, *expert)));
+            state.held.extend(map.held(self.rank).iter().map(|expert| (layer, *expert)));
         }
     }
 
@@ -65,9 +58,7 @@
     pub fn holds(&self, layers: &[LayerMap]) -> bool {
         let state = self.lock();
         layers.iter().enumerate().all(|(layer, map)| {
-            map.held(self.rank)
-                .iter()
-                .all(|expert| state.held.contains(&(layer, *expert)))
+            map.held(self.rank).iter().all(|expert| state.held.contains(&(layer, *expert)))
         })
     }
 
@@ -97,13 +88,9 @@
             }
             state.fence = state.fence.max(order.fence);
             let needed = order.layers.iter().enumerate().flat_map(|(layer, map)| {
-                map.held(self.rank)
-                    .iter()
-                    .map(move |expert| (layer, *expert))
+                map.held(self.rank).iter().map(move |expert| (layer, *expert))
             });
-            needed
-                .filter(|place| !state.held.contains(place))
-                .collect::<Vec<_>>()
+            needed.filter(|place| !state.held.contains(place)).collect::<Vec<_>>()
         };
         let count = u32::try_from(missing.len()).unwrap_or(u32::MAX);
         sleep(self.fetch * count).await;
@@ -120,9 +107,7 @@
 
     async fn handle(&self, request: Request<Incoming>) -> Response<WholeBody> {
         let body = collect(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
-        let order = body
-            .ok()
-            .and_then(|body| serde_json::from_slice(&body).ok());
+        let order = body.ok().and_then(|body| serde_json::from_slice(&body).ok());
         let Some(order) = order else {
             return text_answer(StatusCode::BAD_REQUEST, "bad order\n");
         };
--- a/standin/src/rate.rs
+++ b/standin/src/rate.rs
@@ -12,10 +12,7 @@
 impl Rate {
     /// A bound of so many calls a second.
     pub fn new(per_second: f64) -> Self {
-        Self {
-            per_second,
-            state: Mutex::new((per_second, Instant::now())),
-        }
+        Self { per_second, state: Mutex::new((per_second, Instant::now())) }
     }
 
     /// Takes one call, and tells whether the bound allows it.
--- a/standin/src/upstream_node.rs
+++ b/standin/src/upstream_node.rs
@@ -61,11 +61,7 @@
         let ends = CancellationToken::new();
         let living = live(listener, addr, Arc::clone(&handler), crashes, restart);
         tokio::spawn(ends.clone().run_until_cancelled_owned(living));
-        Ok(Self {
-            handler,
-            addr,
-            ends,
-        })
+        Ok(Self { handler, addr, ends })
     }
 
     /// Where it listens.
@@ -89,12 +85,7 @@
     loop {
         let stop = Shutdown::default();
         let _kill = stop.abrupt.clone().drop_guard();
-        let serving = serve(
-            listener,
-            Arc::clone(&handler),
-            stop.clone(),
-            TaskTracker::new(),
-        );
+        let serving = serve(listener, Arc::clone(&handler), stop.clone(), TaskTracker::new());
         tokio::select! {
             () = serving => {}
             Some(()) = crashes.recv() => {}
--- a/tests/it/admin_api.rs
+++ b/tests/it/admin_api.rs
@@ -19,10 +19,8 @@
         })
         .collect();
 
-    let routes: BTreeSet<(String, String)> = ROUTES
-        .iter()
-        .map(|line| (line.method.to_owned(), line.path.to_owned()))
-        .collect();
+    let routes: BTreeSet<(String, String)> =
+        ROUTES.iter().map(|line| (line.method.to_owned(), line.path.to_owned())).collect();
 
     assert_eq!(documented, routes);
 }
@@ -31,11 +29,7 @@
 fn every_route_is_an_action() {
     for line in ROUTES {
         let path = line.path.replace(['{', '}'], "");
-        assert!(
-            ebonyusher::admin::Action::read(line.method, &path).is_some(),
-            "{}",
-            line.path
-        );
+        assert!(ebonyusher::admin::Action::read(line.method, &path).is_some(), "{}", line.path);
     }
 }
 
@@ -55,14 +49,9 @@
     let mut settings = team();
     settings.routes.pop();
 
-    let refused = client
-        .replace(team_name, &settings, version)
-        .await
-        .unwrap_err();
+    let refused = client.replace(team_name, &settings, version).await.unwrap_err();
 
-    let ClientError::Refused(problem) = refused else {
-        panic!("{refused}")
-    };
+    let ClientError::Refused(problem) = refused else { panic!("{refused}") };
     assert_eq!(problem.reason, reason);
     assert_eq!(site.admin().read(TEAM).await.unwrap().version, 1);
 }
@@ -75,9 +64,7 @@
 
     let refused = site.admin().replace(TEAM, &settings, 1).await.unwrap_err();
 
-    let ClientError::Refused(problem) = refused else {
-        panic!("{refused}")
-    };
+    let ClientError::Refused(problem) = refused else { panic!("{refused}") };
     assert_eq!(problem.place.as_deref(), Some("routes[0].service"));
     assert_eq!(site.admin().read(TEAM).await.unwrap().version, 1);
 }
@@ -94,17 +81,9 @@
     let (first, second) =
         tokio::join!(here.replace(TEAM, &left, 1), other.replace(TEAM, &right, 1));
 
-    let refused: Vec<ClientError> = [first, second]
-        .into_iter()
-        .filter_map(Result::err)
-        .collect();
-    let [ClientError::Refused(problem)] = refused.as_slice() else {
-        panic!("{refused:?}")
-    };
-    assert_eq!(
-        (problem.reason.as_str(), problem.version),
-        ("stale", Some(2))
-    );
+    let refused: Vec<ClientError> = [first, second].into_iter().filter_map(Result::err).collect();
+    let [ClientError::Refused(problem)] = refused.as_slice() else { panic!("{refused:?}") };
+    assert_eq!((problem.reason.as_str(), problem.version), ("stale", Some(2)));
     assert!(!problem.changes.is_empty());
 }
 
@@ -123,8 +102,5 @@
     assert_eq!(drained.upstreams["ledger-0"].revision, 1);
     assert!(drained.upstreams["chat-0"].leaving && !drained.upstreams["ledger-0"].leaving);
     let log = admin.revisions(TEAM).await.unwrap();
-    assert_eq!(
-        (log.len(), log[0].operator.as_str()),
-        (1, "akwaaba-operator")
-    );
+    assert_eq!((log.len(), log[0].operator.as_str()), (1, "akwaaba-operator"));
 }
--- a/tests/it/at_most_once.rs
+++ b/tests/it/at_most_once.rs
@@ -14,12 +14,7 @@
 
 fn claims(platform: &Arc<MemPlatform>) -> Claims<MemPlatform> {
     let meter = Arc::new(Meter::local());
-    Claims::new(
-        Arc::clone(platform),
-        Incarnation::random(),
-        meter,
-        TaskTracker::new(),
-    )
+    Claims::new(Arc::clone(platform), Incarnation::random(), meter, TaskTracker::new())
 }
 
 fn answer() -> StoredAnswer {
@@ -31,14 +26,7 @@
 }
 
 async fn try_claim(claims: &Claims<MemPlatform>) -> Result<Claimed, ClaimError> {
-    claims
-        .claim(
-            &key(),
-            Attempt::random(),
-            "digest",
-            Instant::now() + PATIENCE,
-        )
-        .await
+    claims.claim(&key(), Attempt::random(), "digest", Instant::now() + PATIENCE).await
 }
 
 #[rstest]
@@ -68,10 +56,7 @@
 #[tokio::test(start_paused = true)]
 async fn nothing_starts_while_the_store_is_down() {
     let platform = Arc::new(MemPlatform::new());
-    platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    platform.set_faults(Faults { down: true, ..Faults::default() });
 
     let claimed = try_claim(&claims(&platform)).await;
 
@@ -83,22 +68,12 @@
     let platform = Arc::new(MemPlatform::new());
     let tasks = TaskTracker::new();
     let meter = Arc::new(Meter::local());
-    let claims = Claims::new(
-        Arc::clone(&platform),
-        Incarnation::random(),
-        meter,
-        tasks.clone(),
-    );
+    let claims = Claims::new(Arc::clone(&platform), Incarnation::random(), meter, tasks.clone());
     platform.script(vec![WriteFate::AnswerLost]);
-    platform.set_faults(Faults {
-        lost_answers: 1.0,
-        ..Faults::default()
-    });
+    platform.set_faults(Faults { lost_answers: 1.0, ..Faults::default() });
     let deadline = Instant::now() + Duration::from_millis(1);
 
-    let given_up = claims
-        .claim(&key(), Attempt::random(), "digest", deadline)
-        .await;
+    let given_up = claims.claim(&key(), Attempt::random(), "digest", deadline).await;
     platform.set_faults(Faults::default());
     tasks.close();
     tasks.wait().await;
@@ -114,9 +89,7 @@
 async fn what_became_of_a_key_stays(#[case] ends: bool) {
     let platform = Arc::new(MemPlatform::new());
     let first = claims(&platform);
-    let Ok(Claimed::Won(held)) = try_claim(&first).await else {
-        panic!("not won")
-    };
+    let Ok(Claimed::Won(held)) = try_claim(&first).await else { panic!("not won") };
 
     let running = try_claim(&claims(&platform)).await;
     match ends {
@@ -125,11 +98,7 @@
     }
     let later = try_claim(&claims(&platform)).await;
 
-    let expected = if ends {
-        Claimed::Ended(answer())
-    } else {
-        Claimed::Unsettled
-    };
+    let expected = if ends { Claimed::Ended(answer()) } else { Claimed::Unsettled };
     assert_eq!((running, later), (Ok(Claimed::InProgress), Ok(expected)));
 }
 
@@ -156,12 +125,7 @@
 }
 
 fn course() -> impl Strategy<Value = Course> {
-    prop_oneof![
-        Just(Course::Ends),
-        Just(Course::Dies),
-        Just(Course::Breaks),
-        Just(Course::NotSent)
-    ]
+    prop_oneof![Just(Course::Ends), Just(Course::Dies), Just(Course::Breaks), Just(Course::NotSent)]
 }
 
 async fn send(platform: Arc<MemPlatform>, course: Course) -> u32 {
@@ -182,11 +146,7 @@
 }
 
 fn runtime() -> tokio::runtime::Runtime {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap()
+    tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap()
 }
 
 proptest! {
--- a/tests/it/fault_table.rs
+++ b/tests/it/fault_table.rs
@@ -34,10 +34,7 @@
     let mut site = Site::start(0, 1, 1).await;
     match fault {
         Fault::StoreDown => {
-            site.fleet.platform.platform.set_faults(Faults {
-                down: true,
-                ..Faults::default()
-            });
+            site.fleet.platform.platform.set_faults(Faults { down: true, ..Faults::default() });
         }
         Fault::UpstreamsGone => {
             site.plains.remove(0).close();
@@ -70,11 +67,8 @@
     for plain in &site.plains {
         plain.handler.set_stall(Duration::from_millis(300));
     }
-    let crashing: Vec<_> = site
-        .plains
-        .iter()
-        .map(|plain| std::sync::Arc::clone(&plain.handler))
-        .collect();
+    let crashing: Vec<_> =
+        site.plains.iter().map(|plain| std::sync::Arc::clone(&plain.handler)).collect();
     tokio::spawn(async move {
         until(|| crashing.iter().any(|plain| plain.runs("order") == 1)).await;
         crashing.iter().for_each(|plain| plain.crash());
@@ -86,21 +80,15 @@
     let again = site.order("order", "{}").await;
 
     assert_eq!(first.outcome, Some(Outcome::Unknown));
-    assert_eq!(
-        (again.outcome, again.reason),
-        (Some(Outcome::Unknown), Some(Reason::Unsettled))
-    );
+    assert_eq!((again.outcome, again.reason), (Some(Outcome::Unknown), Some(Reason::Unsettled)));
     assert_eq!(site.runs("order"), 1);
 }
 
 #[tokio::test]
 async fn a_crashed_engine_does_not_break_a_stream() {
     let site = Site::start(2, 0, 1).await;
-    let crashing: Vec<_> = site
-        .engines
-        .iter()
-        .map(|engine| std::sync::Arc::clone(&engine.handler))
-        .collect();
+    let crashing: Vec<_> =
+        site.engines.iter().map(|engine| std::sync::Arc::clone(&engine.handler)).collect();
     tokio::spawn(async move {
         until(|| crashing.iter().any(|engine| engine.starts().count() > 0)).await;
         sleep(Duration::from_millis(80)).await;
@@ -111,9 +99,8 @@
     let reply = site.chat(LONG_CHAT).await;
 
     let text = String::from_utf8(reply.body).unwrap();
-    let tokens: Vec<String> = (0..40)
-        .map(|at| ebonyusher_standin::token(LONG_CHAT.as_bytes(), at))
-        .collect();
+    let tokens: Vec<String> =
+        (0..40).map(|at| ebonyusher_standin::token(LONG_CHAT.as_bytes(), at)).collect();
     let seen: Vec<&str> = text
         .lines()
         .filter_map(|line| line.split("\"content\":\"").nth(1))
@@ -121,13 +108,7 @@
         .collect();
     assert!(reply.whole && text.ends_with("data: [DONE]\n\n"));
     assert_eq!(seen, tokens);
-    assert_eq!(
-        site.engines
-            .iter()
-            .map(|engine| engine.handler.starts().count())
-            .sum::<u64>(),
-        2
-    );
+    assert_eq!(site.engines.iter().map(|engine| engine.handler.starts().count()).sum::<u64>(), 2);
 }
 
 #[tokio::test]
@@ -138,20 +119,11 @@
     let first = site.chat(poison).await;
     until(|| site.entries[0].suspects().held() == 1).await;
     let again = site.chat(poison).await;
-    let innocent = site
-        .chat(r#"{"stream":true,"max_tokens":4,"messages":"b"}"#)
-        .await;
-
-    let crashes = site
-        .engines
-        .iter()
-        .map(|engine| engine.handler.starts().count())
-        .sum::<u64>();
+    let innocent = site.chat(r#"{"stream":true,"max_tokens":4,"messages":"b"}"#).await;
+
+    let crashes = site.engines.iter().map(|engine| engine.handler.starts().count()).sum::<u64>();
     assert_eq!(first.outcome, Some(Outcome::Unknown));
-    assert_eq!(
-        (again.outcome, again.reason),
-        (Some(Outcome::NotRun), Some(Reason::Poison))
-    );
+    assert_eq!((again.outcome, again.reason), (Some(Outcome::NotRun), Some(Reason::Poison)));
     assert_eq!(innocent.outcome, Some(Outcome::Ran));
     assert_eq!(crashes, 3, "two crashes and the innocent one");
 }
--- a/tests/it/group_run.rs
+++ b/tests/it/group_run.rs
@@ -29,21 +29,11 @@
 
 fn group_shape() -> GroupShape {
     let expert_size = Size::from_bytes(1 << 20);
-    GroupShape {
-        ranks: RANKS,
-        experts: EXPERTS,
-        slots: SLOTS,
-        layers: 2,
-        expert_size,
-    }
+    GroupShape { ranks: RANKS, experts: EXPERTS, slots: SLOTS, layers: 2, expert_size }
 }
 
 fn uneven() -> Vec<Vec<f64>> {
-    let layer = |hot: usize| {
-        (0..EXPERTS)
-            .map(|at| if at == hot { 700.0 } else { 10.0 })
-            .collect()
-    };
+    let layer = |hot: usize| (0..EXPERTS).map(|at| if at == hot { 700.0 } else { 10.0 }).collect();
     vec![layer(1), layer(6)]
 }
 
@@ -54,12 +44,7 @@
         let mut settings = team();
         let mut chat = service(Kind::Engine);
         let interval = Span::from_millis(60);
-        chat.group = Some(Group {
-            skew: 9.0,
-            moves: 1.0,
-            shape: Some(group_shape()),
-            interval,
-        });
+        chat.group = Some(Group { skew: 9.0, moves: 1.0, shape: Some(group_shape()), interval });
         settings.services.insert("chat".to_owned(), chat);
         let line = LogLine {
             revision: 0,
@@ -68,10 +53,7 @@
             operator: "test".to_owned(),
             change: "1".to_owned(),
         };
-        Store::new(fleet.client())
-            .replace(&line, &settings, 0)
-            .await
-            .unwrap();
+        Store::new(fleet.client()).replace(&line, &settings, 0).await.unwrap();
         let (mut engines, mut sidecars) = (Vec::new(), Vec::new());
         let initial = ExpertMap::initial(&shape);
         for rank in 0..RANKS {
@@ -83,24 +65,11 @@
             engines.push(node.unwrap());
             sidecars.push(Some(start_sidecar(&fleet, rank, &engines[rank]).await));
         }
-        let handlers = engines
-            .iter()
-            .map(|node| Arc::clone(&node.handler))
-            .collect();
-        let peers = sidecars
-            .iter()
-            .flatten()
-            .map(SidecarNode::peer_addr)
-            .collect();
+        let handlers = engines.iter().map(|node| Arc::clone(&node.handler)).collect();
+        let peers = sidecars.iter().flatten().map(SidecarNode::peer_addr).collect();
         let lock_step = LockStep::new(shape, handlers, peers, uneven(), PACE);
         let running = tokio::spawn(lock_step.clone().run());
-        Self {
-            fleet,
-            engines,
-            sidecars,
-            lock_step,
-            running,
-        }
+        Self { fleet, engines, sidecars, lock_step, running }
     }
 
     fn steps(&self) -> usize {
@@ -108,11 +77,7 @@
     }
 
     fn version(&self) -> u64 {
-        self.lock_step
-            .log()
-            .steps
-            .last()
-            .map_or(0, |step| step.map.version)
+        self.lock_step.log().steps.last().map_or(0, |step| step.map.version)
     }
 
     async fn replace_sidecar(&mut self, rank: usize) {
@@ -148,21 +113,14 @@
 
     until(|| {
         let log = ranks.lock_step.log();
-        log.steps
-            .last()
-            .is_some_and(|step| step.map.version > 0 && step.skew < 1.1)
+        log.steps.last().is_some_and(|step| step.map.version > 0 && step.skew < 1.1)
     })
     .await;
     ranks.running.abort();
 
     ranks.assert_sound();
     assert!(ranks.lock_step.log().steps[0].skew > 1.5);
-    let waits: u64 = ranks
-        .sidecars
-        .iter()
-        .flatten()
-        .map(|node| node.gate().waits())
-        .sum();
+    let waits: u64 = ranks.sidecars.iter().flatten().map(|node| node.gate().waits()).sum();
     assert_eq!(waits, 0, "a rank waited in an ordinary switch");
 }
 
@@ -182,11 +140,7 @@
     ranks.running.abort();
 
     ranks.assert_sound();
-    let stale: u64 = ranks
-        .engines
-        .iter()
-        .map(|node| node.handler.stale_orders())
-        .sum();
+    let stale: u64 = ranks.engines.iter().map(|node| node.handler.stale_orders()).sum();
     assert_eq!(stale, 0);
 }
 
@@ -196,10 +150,7 @@
     until(|| ranks.steps() > 5).await;
 
     let platform = &ranks.fleet.platform.platform;
-    platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    platform.set_faults(Faults { down: true, ..Faults::default() });
     let steps = ranks.steps();
     until(|| ranks.steps() > steps + 100).await;
     platform.set_faults(Faults::default());
--- a/tests/it/input.rs
+++ b/tests/it/input.rs
@@ -86,12 +86,7 @@
     body: usize,
 }
 
-const GOOD: Bad = Bad {
-    key: CALLER_KEY,
-    path: "/ledger/orders",
-    header: ("x", "y"),
-    body: 2,
-};
+const GOOD: Bad = Bad { key: CALLER_KEY, path: "/ledger/orders", header: ("x", "y"), body: 2 };
 
 #[rstest]
 #[case::wrong_key(Bad { key: "wrong", ..GOOD }, 401, "bad-key")]
@@ -107,15 +102,11 @@
     #[case] reason: &str,
 ) {
     let site = Site::start(0, 1, 1).await;
-    let request = Request::post(format!(
-        "http://{}{}",
-        site.entries[0].data_addr(),
-        bad.path
-    ))
-    .header("authorization", format!("Bearer {}", bad.key))
-    .header(bad.header.0, bad.header.1)
-    .body(Full::new(Bytes::from(vec![b'x'; bad.body])))
-    .unwrap();
+    let request = Request::post(format!("http://{}{}", site.entries[0].data_addr(), bad.path))
+        .header("authorization", format!("Bearer {}", bad.key))
+        .header(bad.header.0, bad.header.1)
+        .body(Full::new(Bytes::from(vec![b'x'; bad.body])))
+        .unwrap();
 
     let answer = h1_client().request(request).await.unwrap();
 
--- a/tests/it/leases.rs
+++ b/tests/it/leases.rs
@@ -9,12 +9,7 @@
 const LENGTH: Duration = Duration::from_secs(10);
 
 fn lease(platform: &Arc<MemPlatform>) -> Lease<MemPlatform> {
-    Lease::new(
-        Arc::clone(platform),
-        "group/a",
-        Incarnation::random(),
-        LENGTH,
-    )
+    Lease::new(Arc::clone(platform), "group/a", Incarnation::random(), LENGTH)
 }
 
 #[tokio::test(start_paused = true)]
@@ -28,10 +23,7 @@
     let renewed = first.hold().await;
     advance(LENGTH / 2 + Duration::from_secs(1)).await;
 
-    assert_eq!(
-        (held, taken, renewed),
-        (Ok(1), Err(LeaseError::Taken), Ok(1))
-    );
+    assert_eq!((held, taken, renewed), (Ok(1), Err(LeaseError::Taken), Ok(1)));
     assert_eq!(second.hold().await, Err(LeaseError::Taken));
 }
 
@@ -69,10 +61,7 @@
     let mut holder = lease(&platform);
     holder.hold().await.unwrap();
 
-    platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    platform.set_faults(Faults { down: true, ..Faults::default() });
     let down = holder.hold().await;
     let short = holder.fence();
     advance(LENGTH).await;
--- a/tests/it/leaving.rs
+++ b/tests/it/leaving.rs
@@ -20,18 +20,10 @@
         let to = site.entries[at % site.entries.len()].data_addr();
         tasks.spawn(async move {
             let body = Bytes::from_static(CHAT);
-            Caller::new(CALLER_KEY)
-                .send(to, Method::POST, "/chat", None, body)
-                .await
-                .unwrap()
+            Caller::new(CALLER_KEY).send(to, Method::POST, "/chat", None, body).await.unwrap()
         });
     }
-    let started = || {
-        site.engines
-            .iter()
-            .map(|engine| engine.handler.starts().count())
-            .sum::<u64>()
-    };
+    let started = || site.engines.iter().map(|engine| engine.handler.starts().count()).sum::<u64>();
     until(|| started() >= count as u64).await;
     sleep(Duration::from_millis(50)).await;
     tasks
--- a/tests/it/limits.rs
+++ b/tests/it/limits.rs
@@ -9,11 +9,7 @@
 use crate::site::account;
 
 fn limited(rate: Option<f64>, in_flight: Option<u32>) -> Account {
-    Account {
-        rate,
-        in_flight,
-        ..account("key")
-    }
+    Account { rate, in_flight, ..account("key") }
 }
 
 #[rstest]
@@ -24,13 +20,9 @@
     let limiter = Limiter::default();
     let account = limited(Some(10.0), None);
 
-    let admitted = (0..50)
-        .filter(|_| limiter.admit("a", &account, entries).is_ok())
-        .count();
+    let admitted = (0..50).filter(|_| limiter.admit("a", &account, entries).is_ok()).count();
     advance(Duration::from_secs(1)).await;
-    let later = (0..50)
-        .filter(|_| limiter.admit("a", &account, entries).is_ok())
-        .count();
+    let later = (0..50).filter(|_| limiter.admit("a", &account, entries).is_ok()).count();
 
     assert_eq!((admitted, later), (allowed, allowed));
 }
--- a/tests/it/links.rs
+++ b/tests/it/links.rs
@@ -9,11 +9,7 @@
 use crate::site::Site;
 
 fn hello(key: &str) -> Hello {
-    Hello {
-        key: key.to_owned(),
-        from: Incarnation::random(),
-        peer: loopback(),
-    }
+    Hello { key: key.to_owned(), from: Incarnation::random(), peer: loopback() }
 }
 
 async fn open(
@@ -57,13 +53,7 @@
     let drained = client.drain(hello("wrong"), true).await;
 
     assert!(opened.is_err() && settings.is_err() && drained.is_err());
-    assert!(
-        client
-            .newer(LINK_KEY.to_owned(), Versions::default())
-            .await
-            .unwrap()
-            .is_some()
-    );
+    assert!(client.newer(LINK_KEY.to_owned(), Versions::default()).await.unwrap().is_some());
 }
 
 #[tokio::test]
@@ -72,17 +62,29 @@
     let to = site.sidecars[0].data_addr();
     let caller = ebonyusher_bench::client::Caller::over_h2("x");
 
-    let reply = caller
-        .send(
-            to,
-            http::Method::GET,
-            "/ledger/1",
-            None,
-            bytes::Bytes::new(),
-        )
-        .await
-        .unwrap();
+    let reply =
+        caller.send(to, http::Method::GET, "/ledger/1", None, bytes::Bytes::new()).await.unwrap();
 
     assert_eq!(reply.status, 401);
     assert_eq!(site.plains[0].handler.starts().count(), 0);
 }
+
+#[tokio::test]
+async fn what_an_engine_caches_reaches_an_entry_that_did_not_send() {
+    let site = Site::start(1, 0, 2).await;
+    let prompt = |at: usize| format!("{at:02}").repeat(300);
+    let caller = ebonyusher_bench::client::Caller::new(crate::site::CALLER_KEY);
+    let to = site.entries[0].data_addr();
+    let bodies: Vec<String> =
+        (0..8).map(|at| format!(r#"{{"messages":"{}"}}"#, prompt(at))).collect();
+    let prefix = xxhash_rust::xxh3::xxh3_64(&bodies[0].as_bytes()[..512]);
+
+    for body in &bodies {
+        let body = body.clone().into();
+        caller.send(to, http::Method::POST, "/chat", None, body).await.unwrap();
+    }
+
+    let members = site.entries[1].members().of("akwaaba/chat").unwrap();
+    let now = tokio::time::Instant::now;
+    crate::site::until(|| members[0].view(Some(prefix), now()).cached).await;
+}
--- a/tests/it/planner.rs
+++ b/tests/it/planner.rs
@@ -3,13 +3,7 @@
 use proptest::prelude::*;
 
 fn shape(ranks: usize, slots: usize, experts: usize) -> Shape {
-    Shape {
-        ranks,
-        experts,
-        slots,
-        layers: 2,
-        expert_bytes: 1,
-    }
+    Shape { ranks, experts, slots, layers: 2, expert_bytes: 1 }
 }
 
 fn any_shape() -> impl Strategy<Value = Shape> {
@@ -24,11 +18,7 @@
 fn observe(planner: &mut Planner, map: &ExpertMap, tokens: &[f64], speeds: &[f64]) {
     for layer in 0..map.layers.len() {
         let loads = map.layers[layer].loads(tokens);
-        let times: Vec<f64> = loads
-            .iter()
-            .zip(speeds)
-            .map(|(load, speed)| load / speed)
-            .collect();
+        let times: Vec<f64> = loads.iter().zip(speeds).map(|(load, speed)| load / speed).collect();
         planner.observe(layer, tokens, &loads, &times);
     }
 }
@@ -139,18 +129,11 @@
     let tokens: Vec<f64> = (1..=32).map(|rank| 1_000.0 / f64::from(rank)).collect();
     let moves = |moves: f64| {
         let weights = GroupWeights { skew: 1.0, moves };
-        let options = PlannerOptions {
-            weights,
-            ..PlannerOptions::default()
-        };
+        let options = PlannerOptions { weights, ..PlannerOptions::default() };
         let mut planner = Planner::new(shape, options);
         let map = settle(&mut planner, &shape, &tokens, &[1.0; 16]);
         let start = ExpertMap::initial(&shape);
-        map.layers
-            .iter()
-            .zip(&start.layers)
-            .map(|(new, old)| new.fetches_from(old))
-            .sum::<usize>()
+        map.layers.iter().zip(&start.layers).map(|(new, old)| new.fetches_from(old)).sum::<usize>()
     };
 
     assert!(moves(1_000.0) < moves(0.1));
--- a/tests/it/platform_contract.rs
+++ b/tests/it/platform_contract.rs
@@ -18,10 +18,7 @@
 
 async fn table_contract<T: Table>(table: &T, prefix: &str) {
     let key = |name: &str| format!("{prefix}/{name}");
-    let first = Txn::new()
-        .check(&key("a"), None)
-        .put(&key("a"), &1)
-        .put(&key("b"), &2);
+    let first = Txn::new().check(&key("a"), None).put(&key("a"), &1).put(&key("b"), &2);
 
     let version = table.commit(&first).await.unwrap();
     let again = table.commit(&first).await;
@@ -30,45 +27,22 @@
 
     assert_eq!(again, Err(TableError::Conflict));
     assert_eq!((row.version, row.read::<u32>().unwrap()), (version, 1));
-    assert_eq!(
-        rows.iter().map(|row| row.key.clone()).collect::<Vec<_>>(),
-        [key("a"), key("b")]
-    );
-    let stale = Txn::new()
-        .check(&key("a"), Some(version + 9))
-        .put(&key("b"), &9);
+    assert_eq!(rows.iter().map(|row| row.key.clone()).collect::<Vec<_>>(), [key("a"), key("b")]);
+    let stale = Txn::new().check(&key("a"), Some(version + 9)).put(&key("b"), &9);
     assert_eq!(table.commit(&stale).await, Err(TableError::Conflict));
     let gone = Txn::new().check(&key("a"), Some(version)).delete(&key("a"));
     assert!(table.commit(&gone).await.unwrap() > version);
     assert_eq!(table.get(&key("a")).await.unwrap(), None);
-    assert_eq!(
-        table
-            .get(&key("b"))
-            .await
-            .unwrap()
-            .unwrap()
-            .read::<u32>()
-            .unwrap(),
-        2
-    );
+    assert_eq!(table.get(&key("b")).await.unwrap().unwrap().read::<u32>().unwrap(), 2);
 }
 
 async fn objects_contract<O: ObjectStore>(objects: &O, name: &str) {
     assert_eq!(objects.read(name).await.unwrap(), None);
 
-    objects
-        .write(name, Bytes::from_static(b"one"))
-        .await
-        .unwrap();
-    objects
-        .write(name, Bytes::from_static(b"two"))
-        .await
-        .unwrap();
-
-    assert_eq!(
-        objects.read(name).await.unwrap(),
-        Some(Bytes::from_static(b"two"))
-    );
+    objects.write(name, Bytes::from_static(b"one")).await.unwrap();
+    objects.write(name, Bytes::from_static(b"two")).await.unwrap();
+
+    assert_eq!(objects.read(name).await.unwrap(), Some(Bytes::from_static(b"two")));
 }
 
 async fn list_contract<L: InstanceList>(list: &L, platform: &MemPlatform) {
@@ -143,10 +117,7 @@
 #[tokio::test]
 async fn a_table_that_is_down_is_unavailable() {
     let (mem, http) = both().await;
-    mem.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    mem.set_faults(Faults { down: true, ..Faults::default() });
 
     let read = http.get("row").await;
     let written = http.commit(&Txn::new().put("row", &1)).await;
--- a/tests/it/queue.rs
+++ b/tests/it/queue.rs
@@ -24,10 +24,7 @@
 
 /// Runs one request of an account.
 async fn run(queue: Arc<Queue>, account: String, weight: f64, served: Arc<Mutex<Vec<String>>>) {
-    let ticket = Ticket {
-        weight,
-        ..ticket(&account)
-    };
+    let ticket = Ticket { weight, ..ticket(&account) };
     let Ok(permit) = queue.admit(&ticket).await else {
         return;
     };
@@ -42,21 +39,11 @@
     let served = Arc::new(Mutex::new(Vec::new()));
     let mut tasks = JoinSet::new();
     for _ in 0..50 {
-        tasks.spawn(run(
-            Arc::clone(&queue),
-            "flood".into(),
-            1.0,
-            Arc::clone(&served),
-        ));
+        tasks.spawn(run(Arc::clone(&queue), "flood".into(), 1.0, Arc::clone(&served)));
     }
     sleep(Duration::from_millis(1)).await;
 
-    tasks.spawn(run(
-        Arc::clone(&queue),
-        "quiet".into(),
-        1.0,
-        Arc::clone(&served),
-    ));
+    tasks.spawn(run(Arc::clone(&queue), "quiet".into(), 1.0, Arc::clone(&served)));
     tasks.join_all().await;
 
     let order = served.lock().unwrap();
@@ -73,13 +60,7 @@
     for priority in [Priority::Low, Priority::Normal, Priority::High] {
         let (queue, order) = (Arc::clone(&queue), Arc::clone(&order));
         tasks.spawn(async move {
-            let permit = queue
-                .admit(&Ticket {
-                    priority,
-                    ..ticket("a")
-                })
-                .await
-                .unwrap();
+            let permit = queue.admit(&Ticket { priority, ..ticket("a") }).await.unwrap();
             order.lock().unwrap().push(priority);
             permit.close(10.0);
         });
@@ -89,23 +70,12 @@
     first.close(10.0);
     tasks.join_all().await;
 
-    assert_eq!(
-        *order.lock().unwrap(),
-        [Priority::High, Priority::Normal, Priority::Low]
-    );
+    assert_eq!(*order.lock().unwrap(), [Priority::High, Priority::Normal, Priority::Low]);
 }
 
 #[rstest]
-#[case::too_long_a_wait(
-    Duration::from_millis(5),
-    Duration::from_secs(60),
-    QueueError::Overload
-)]
-#[case::past_deadline(
-    Duration::from_secs(60),
-    Duration::from_millis(5),
-    QueueError::Deadline
-)]
+#[case::too_long_a_wait(Duration::from_millis(5), Duration::from_secs(60), QueueError::Overload)]
+#[case::past_deadline(Duration::from_secs(60), Duration::from_millis(5), QueueError::Deadline)]
 #[tokio::test(start_paused = true)]
 async fn a_wait_that_can_not_be_borne_is_refused(
     #[case] wait: Duration,
@@ -116,13 +86,7 @@
     let _running = queue.admit(&ticket("a")).await.unwrap();
     let began = Instant::now();
 
-    let refused = queue
-        .admit(&Ticket {
-            wait,
-            deadline: began + left,
-            ..ticket("b")
-        })
-        .await;
+    let refused = queue.admit(&Ticket { wait, deadline: began + left, ..ticket("b") }).await;
 
     assert_eq!(refused.err(), Some(error));
     assert!(began.elapsed() <= Duration::from_millis(6));
@@ -137,12 +101,7 @@
     let began = Instant::now();
 
     let deadline = began + Duration::from_millis(50);
-    let refused = queue
-        .admit(&Ticket {
-            deadline,
-            ..ticket("a")
-        })
-        .await;
+    let refused = queue.admit(&Ticket { deadline, ..ticket("a") }).await;
 
     assert_eq!(refused.err(), Some(QueueError::Deadline));
     assert_eq!(began.elapsed(), Duration::ZERO);
@@ -164,10 +123,7 @@
     running.close(10.0);
     queue.reopen();
 
-    assert_eq!(
-        (waited, later),
-        (Some(QueueError::Closed), Some(QueueError::Closed))
-    );
+    assert_eq!((waited, later), (Some(QueueError::Closed), Some(QueueError::Closed)));
     assert!(queue.admit(&ticket("c")).await.is_ok());
 }
 
@@ -180,11 +136,7 @@
 }
 
 fn fate() -> impl Strategy<Value = Fate> {
-    prop_oneof![
-        Just(Fate::Runs),
-        Just(Fate::GivesUpWaiting),
-        Just(Fate::IsDropped)
-    ]
+    prop_oneof![Just(Fate::Runs), Just(Fate::GivesUpWaiting), Just(Fate::IsDropped)]
 }
 
 async fn suffer(queue: Arc<Queue>, account: u8, fate: Fate, start: u64) {
@@ -199,9 +151,7 @@
             }
         }
         Fate::GivesUpWaiting => {
-            tokio::time::timeout(Duration::from_millis(3), queue.admit(&ticket))
-                .await
-                .ok();
+            tokio::time::timeout(Duration::from_millis(3), queue.admit(&ticket)).await.ok();
         }
         Fate::IsDropped => {
             if let Ok(permit) = queue.admit(&ticket).await {
@@ -213,11 +163,7 @@
 }
 
 fn runtime() -> tokio::runtime::Runtime {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap()
+    tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap()
 }
 
 proptest! {
--- a/tests/it/routing.rs
+++ b/tests/it/routing.rs
@@ -12,12 +12,7 @@
 const SEED: u64 = 7;
 
 fn view(occupancy: f64) -> View {
-    View {
-        occupancy,
-        in_flight: 0,
-        distance: 0,
-        cached: false,
-    }
+    View { occupancy, in_flight: 0, distance: 0, cached: false }
 }
 
 fn instance(name: usize, domain: &str) -> Instance {
@@ -37,13 +32,7 @@
         from: Incarnation::from_raw(from),
         leaving: false,
         up: true,
-        load: Load {
-            slots: 4,
-            running,
-            waiting: 0,
-            wait_ms: 0,
-            seq,
-        },
+        load: Load { slots: 4, running, waiting: 0, wait_ms: 0, seq },
         next_ms: 2_000,
         revision: 1,
         crashes: smallvec![],
@@ -60,9 +49,7 @@
 fn of_two_the_second_is_chosen(#[case] first: View, #[case] second: View) {
     let mut rng = SmallRng::seed_from_u64(SEED);
 
-    let chosen = (0..64)
-        .filter(|_| Weighed.choose(&[first, second], &mut rng) == 1)
-        .count();
+    let chosen = (0..64).filter(|_| Weighed.choose(&[first, second], &mut rng) == 1).count();
 
     // Both draws may fall on the first one, in a quarter of the cases.
     assert!(chosen >= 38, "{chosen} of 64");
@@ -70,9 +57,7 @@
 
 #[test]
 fn if_all_queue_the_shortest_queue_is_chosen() {
-    let views: Vec<View> = (0..16)
-        .map(|at| view(1.0 + f64::from((at + 5) % 16)))
-        .collect();
+    let views: Vec<View> = (0..16).map(|at| view(1.0 + f64::from((at + 5) % 16))).collect();
     let mut rng = SmallRng::seed_from_u64(SEED);
 
     let chosen = Weighed.choose(&views, &mut rng);
@@ -101,13 +86,7 @@
     let member = Member::new(instance(0, "osu"), 0);
     member.note(&note(1, 1, 5));
 
-    member.report(Load {
-        slots: 4,
-        running: 4,
-        waiting: 9,
-        wait_ms: 0,
-        seq: 4,
-    });
+    member.report(Load { slots: 4, running: 4, waiting: 9, wait_ms: 0, seq: 4 });
 
     assert_eq!(member.status().load.running, 1);
 }
--- a/tests/it/settings_order.rs
+++ b/tests/it/settings_order.rs
@@ -21,18 +21,12 @@
 
 fn changed(at: u64) -> Team {
     let mut settings = team();
-    settings
-        .accounts
-        .insert(format!("account-{at}"), account(&format!("key-{at}")));
+    settings.accounts.insert(format!("account-{at}"), account(&format!("key-{at}")));
     settings
 }
 
 fn runtime() -> tokio::runtime::Runtime {
-    tokio::runtime::Builder::new_current_thread()
-        .enable_time()
-        .start_paused(true)
-        .build()
-        .unwrap()
+    tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build().unwrap()
 }
 
 #[tokio::test(start_paused = true)]
@@ -55,12 +49,7 @@
 
     let ended = store.replace(&line("a", 1), &team(), 0).await;
 
-    assert_eq!(
-        ended,
-        Err(StoreError::Unknown {
-            change: "1".to_owned()
-        })
-    );
+    assert_eq!(ended, Err(StoreError::Unknown { change: "1".to_owned() }));
 }
 
 fn fate() -> impl Strategy<Value = WriteFate> {
@@ -147,19 +136,14 @@
 #[tokio::test]
 async fn a_fresh_process_gets_the_greatest_revision_from_peers_while_the_store_is_down() {
     let platform = Arc::new(MemPlatform::new());
-    platform.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    platform.set_faults(Faults { down: true, ..Faults::default() });
     let mut seeds = Vec::new();
     let mut peers = Vec::new();
     for revision in [4, 9, 6] {
         let publisher = Publisher::new();
         publisher.offer(Snapshot::new(revision, Default::default()));
         let server = SettingsServer::new(publisher.current(), "key".to_owned());
-        let peer = RpcListener::open(loopback(), server.into_rpc())
-            .await
-            .unwrap();
+        let peer = RpcListener::open(loopback(), server.into_rpc()).await.unwrap();
         seeds.push(peer.addr());
         peers.push((peer, publisher));
     }
--- a/tests/it/site.rs
+++ b/tests/it/site.rs
@@ -97,8 +97,7 @@
         }
         for at in 0..entries {
             let file = site.fleet.entry_file(&format!("entry-{at}"), &[TEAM]);
-            site.entries
-                .push(site.fleet.entry(file, Weighed).await.unwrap());
+            site.entries.push(site.fleet.entry(file, Weighed).await.unwrap());
         }
         let accepted = site.admin().replace(TEAM, &team(), 0).await.unwrap();
         site.wait_revision(accepted.revision).await;
@@ -115,9 +114,7 @@
 
     pub async fn add_plain(&mut self, name: &str) {
         let plain = self.fleet.plain(Duration::from_millis(2)).await.unwrap();
-        let file = self
-            .fleet
-            .sidecar_file(name, "akwaaba/ledger", plain.addr());
+        let file = self.fleet.sidecar_file(name, "akwaaba/ledger", plain.addr());
         self.sidecars.push(self.fleet.sidecar(file).await.unwrap());
         self.plains.push(plain);
     }
@@ -127,75 +124,40 @@
     }
 
     pub async fn wait_revision(&self, revision: u64) {
-        let entries = || {
-            self.entries
-                .iter()
-                .map(|node| node.current().get().revision)
-        };
-        let sidecars = || {
-            self.sidecars
-                .iter()
-                .map(|node| node.current().get().revision)
-        };
-        until(|| {
-            entries()
-                .chain(sidecars())
-                .all(|present| present >= revision)
-        })
-        .await;
+        let entries = || self.entries.iter().map(|node| node.current().get().revision);
+        let sidecars = || self.sidecars.iter().map(|node| node.current().get().revision);
+        until(|| entries().chain(sidecars()).all(|present| present >= revision)).await;
     }
 
     pub async fn wait_links(&self) {
         let linked = |entry: &EntryNode| {
-            entry
-                .members()
-                .all()
-                .iter()
-                .filter(|member| member.is_candidate())
-                .count()
+            entry.members().all().iter().filter(|member| member.is_candidate()).count()
         };
-        until(|| {
-            self.entries
-                .iter()
-                .all(|entry| linked(entry) == self.sidecars.len())
-        })
-        .await;
+        until(|| self.entries.iter().all(|entry| linked(entry) == self.sidecars.len())).await;
     }
 
     /// How often the request with a key has run, over all plain services.
     pub fn runs(&self, key: &str) -> u32 {
-        self.plains
-            .iter()
-            .map(|plain| plain.handler.runs(key))
-            .sum()
+        self.plains.iter().map(|plain| plain.handler.runs(key)).sum()
     }
 
     pub async fn order(&self, key: &str, body: &'static str) -> Reply {
         let to = self.entries[0].data_addr();
         let body = Bytes::from_static(body.as_bytes());
         let caller = Caller::new(CALLER_KEY);
-        caller
-            .send(to, Method::POST, "/ledger/orders", Some(key), body)
-            .await
-            .unwrap()
+        caller.send(to, Method::POST, "/ledger/orders", Some(key), body).await.unwrap()
     }
 
     pub async fn look_up(&self, path: &str) -> Reply {
         let to = self.entries[0].data_addr();
         let caller = Caller::new(CALLER_KEY);
-        caller
-            .send(to, Method::GET, path, None, Bytes::new())
-            .await
-            .unwrap()
+        caller.send(to, Method::GET, path, None, Bytes::new()).await.unwrap()
     }
 
     pub async fn chat(&self, body: &'static str) -> Reply {
         let to = self.entries[0].data_addr();
         let body = Bytes::from_static(body.as_bytes());
-        Caller::new(CALLER_KEY)
-            .send(to, Method::POST, "/chat", None, body)
-            .await
-            .unwrap()
+        Caller::new(CALLER_KEY).send(to, Method::POST, "/chat", None, body).await.unwrap()
     }
 }
 
@@ -203,10 +165,7 @@
 pub async fn until(mut holds: impl FnMut() -> bool) {
     let began = tokio::time::Instant::now();
     while !holds() {
-        assert!(
-            began.elapsed() < PATIENCE,
-            "what is waited for did not come about"
-        );
+        assert!(began.elapsed() < PATIENCE, "what is waited for did not come about");
         sleep(PAUSE).await;
     }
 }
--- a/tests/it/suspects.rs
+++ b/tests/it/suspects.rs
@@ -7,10 +7,7 @@
 use tokio::time::advance;
 
 fn crash(event: u64, prints: &[u64]) -> CrashNote {
-    CrashNote {
-        event,
-        prints: prints.iter().copied().collect(),
-    }
+    CrashNote { event, prints: prints.iter().copied().collect() }
 }
 
 #[test]
@@ -48,6 +45,21 @@
     assert_eq!(suspects.judge(7), Verdict::Clear);
 }
 
+#[tokio::test(start_paused = true)]
+async fn sidecars_lost_together_blame_no_request() {
+    let suspects = Suspects::default();
+
+    suspects.lost();
+    let alone = suspects.is_single_loss();
+    suspects.lost();
+    let together = suspects.is_single_loss();
+    advance(Duration::from_secs(3)).await;
+    suspects.lost();
+
+    assert!(alone && !together);
+    assert!(suspects.is_single_loss());
+}
+
 /// Requests in flight at one upstream when it crashes: at most one of them is suspect already.
 #[derive(Clone, Debug)]
 struct Batch {
--- a/tests/it/vote_search.rs
+++ b/tests/it/vote_search.rs
@@ -46,11 +46,7 @@
 fn proposal(leader: usize) -> Proposal {
     let fence = leader as u64 + 1;
     Proposal {
-        id: ProposalId {
-            epoch: 1,
-            fence,
-            serial: 0,
-        },
+        id: ProposalId { epoch: 1, fence, serial: 0 },
         base: MapId::default(),
         map: MapId { version: 1, fence },
         from: 2,
@@ -166,10 +162,7 @@
 /// A rank enters its next step once all ranks of its epoch have ended the one before.
 fn enter(world: &mut World, rank: usize) -> Option<()> {
     let (epoch, step) = world.entered[rank];
-    let together = world
-        .entered
-        .iter()
-        .all(|(other, at)| *other == epoch && *at >= step);
+    let together = world.entered.iter().all(|(other, at)| *other == epoch && *at >= step);
     if !together || step == LAST_STEP {
         return None;
     }
@@ -199,17 +192,11 @@
     for (leader, results) in world.results.iter().enumerate() {
         assert!(!(results[0] && results[1]), "both results for {leader}");
     }
-    assert!(
-        !(world.results[0][0] && world.results[1][0]),
-        "two maps of one version agreed"
-    );
+    assert!(!(world.results[0][0] && world.results[1][0]), "two maps of one version agreed");
     let decided = (0..LEADERS).filter(|leader| world.results[*leader][0]);
     let decided = decided.map(|leader| proposal(leader).map).max();
     if let (Some(formed), Some(decided)) = (world.formed, decided) {
-        assert!(
-            formed >= decided,
-            "the decided map {decided} was undone by {formed}"
-        );
+        assert!(formed >= decided, "the decided map {decided} was undone by {formed}");
     }
 }
 
--- a/tests/it/whole_path.rs
+++ b/tests/it/whole_path.rs
@@ -46,16 +46,8 @@
     }
 
     assert_eq!(site.runs("same"), 1);
-    assert!(
-        replies
-            .iter()
-            .any(|reply| reply.outcome == Some(Outcome::Ran))
-    );
-    assert!(
-        replies
-            .iter()
-            .all(|reply| reply.outcome != Some(Outcome::NotRun))
-    );
+    assert!(replies.iter().any(|reply| reply.outcome == Some(Outcome::Ran)));
+    assert!(replies.iter().all(|reply| reply.outcome != Some(Outcome::NotRun)));
 }
 
 #[tokio::test]
@@ -77,14 +69,6 @@
     let ended = site.look_up("/ebonyusher/requests/ledger/three").await;
     let unused = site.look_up("/ebonyusher/requests/ledger/four").await;
 
-    assert!(
-        String::from_utf8(ended.body)
-            .unwrap()
-            .contains("\"state\":\"ended\"")
-    );
-    assert!(
-        String::from_utf8(unused.body)
-            .unwrap()
-            .contains("\"state\":\"free\"")
-    );
+    assert!(String::from_utf8(ended.body).unwrap().contains("\"state\":\"ended\""));
+    assert!(String::from_utf8(unused.body).unwrap().contains("\"state\":\"free\""));
 }
