Workers are brought to a service's models a few at a time; curves of skew

Cause: a service could not say what its workers should hold. Change: a sidecar takes a turn (a lease for each eight workers), drains, gives the fenced order, and opens again. Causes for taking nothing new add up now, so that a load's end does not lift an operator's drain.

--- a/bench/src/args.rs
+++ b/bench/src/args.rs
@@ -100,7 +100,7 @@
     let ranks = long("ranks").help("Ranks of a made trace").argument("N").fallback(64);
     let slots = long("slots").help("Slots of a made trace").argument("N").fallback(5);
     let layers = long("layers").help("Layers of a made trace").argument("N").fallback(2);
-    let steps = long("steps").help("Steps of a made trace").argument("N").fallback(1_000);
+    let steps = long("steps").help("Steps of a made trace").argument("N").fallback(2_000);
     let interval = long("interval").help("Steps between plans").argument("N").fallback(5);
     let least_gain = long("least-gain")
         .help("Least fall of skew for which an expert is fetched")
@@ -111,6 +111,10 @@
         .argument("X")
         .optional();
     let plot = long("plot").help("Plot the skew of each step").argument("FILE").optional();
+    let curve = long("curve")
+        .help("Plot settled skew against moves for several prices of a move")
+        .argument("FILE")
+        .optional();
     construct!(ExpertOptions {
         source,
         write,
@@ -125,7 +129,8 @@
         interval,
         least_gain,
         usual_excess,
-        plot
+        plot,
+        curve
     })
     .guard(|expert| expert.store_mbps > 0.0 && expert.interval > 0, "expected numbers above 0")
     .guard(
--- a/bench/src/expert/options.rs
+++ b/bench/src/expert/options.rs
@@ -42,4 +42,6 @@
     pub usual_excess: Option<f64>,
     /// Where to plot the skew of each step.
     pub plot: Option<PathBuf>,
+    /// Where to plot settled skew against moves for several prices of a move.
+    pub curve: Option<PathBuf>,
 }
--- a/bench/src/expert/run.rs
+++ b/bench/src/expert/run.rs
@@ -20,6 +20,12 @@
 /// Time of a step of a made trace.
 const STEP_MS: f64 = 40.0;
 
+/// Greatest skew that a plot shows.
+const MOST_SKEW: f64 = 4.0;
+const GIGABYTE: f64 = 1e9;
+/// Prices of a move in the curve, as least gains.
+const PRICES: [f64; 7] = [2e-4, 8e-4, 2e-3, 5e-3, 1e-2, 2e-2, 5e-2];
+
 /// Why an experiment could not be made.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Display, Error)]
@@ -58,6 +64,10 @@
     if let Some(path) = &options.plot {
         plot(path, &trace, &outcomes)?;
     }
+    if let Some(path) = &options.curve {
+        let own = prices(&trace, options);
+        plot_curve(path, &outcomes, own)?;
+    }
     let policies =
         outcomes.into_iter().map(|(name, outcome)| (name.to_owned(), outcome.report)).collect();
     Ok(ExpertReport { policies })
@@ -90,11 +100,46 @@
                 .path
                 .iter()
                 .enumerate()
-                .map(|(at, skew)| (seconds(at), *skew))
+                .map(|(at, skew)| (seconds(at), skew.min(MOST_SKEW)))
                 .collect(),
         })
         .collect();
-    draw(path, ("seconds", "skew"), &series, false).map_err(|reason| write_error(path, &reason))
+    draw(path, ("seconds", "skew, at most 4 shown"), &series, false)
+        .map_err(|reason| write_error(path, &reason))
+}
+
+/// Settled skew against gigabytes moved, for several prices of a move.
+fn prices(trace: &Trace, options: &ExpertOptions) -> Vec<(f64, f64)> {
+    let weights = GroupWeights { skew: options.skew_weight, moves: options.move_weight };
+    let point = |least_gain: f64| {
+        let tuned = PlannerOptions { weights, least_gain, ..PlannerOptions::default() };
+        let own = Own::new(trace.header.shape(), tuned, options.interval);
+        let sim = Sim::new(trace, own, options.store_mbps);
+        place(&sim.run(options.skew_weight, options.move_weight))
+    };
+    PRICES.into_iter().map(point).collect()
+}
+
+fn place(outcome: &Outcome) -> (f64, f64) {
+    (outcome.report.moved_bytes as f64 / GIGABYTE, outcome.report.settled_skew)
+}
+
+fn plot_curve(
+    path: &Path,
+    outcomes: &[(&str, Outcome)],
+    own: Vec<(f64, f64)>,
+) -> Result<(), ExpertError> {
+    let mut series: Vec<Series<'_>> = outcomes
+        .iter()
+        .filter(|(name, _)| *name != "ebonyusher")
+        .map(|(name, outcome)| {
+            let (moved, skew) = place(outcome);
+            Series { name, points: vec![(moved, skew.min(MOST_SKEW))] }
+        })
+        .collect();
+    series.push(Series { name: "ebonyusher", points: own });
+    let axes = ("gigabytes moved (oracle: free)", "settled skew, at most 4 shown");
+    draw(path, axes, &series, true).map_err(|reason| write_error(path, &reason))
 }
 
 fn write_error(path: &Path, reason: &str) -> ExpertError {
--- a/src/sidecar/link_server.rs
+++ b/src/sidecar/link_server.rs
@@ -13,7 +13,7 @@
 
 use super::Queue;
 use super::cache_watch::CacheEvent;
-use super::signals::Signals;
+use super::signals::{Hold, Signals};
 use crate::id::Incarnation;
 use crate::metrics::{Event, Meter};
 use crate::peer::Hint;
@@ -98,7 +98,7 @@
     async fn drain(&self, hello: Hello, drain: bool) -> Result<(), ErrorObjectOwned> {
         self.door.admit(&hello.key)?;
         info!("sidecar: drain set to {drain} by an operator");
-        self.signals.set_leaving(drain);
+        self.signals.hold(Hold::Drain, drain);
         Ok(())
     }
 }
--- /dev/null
+++ b/src/sidecar/loader.rs
@@ -0,0 +1,163 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::Full;
+use serde::{Deserialize, Serialize};
+use spdlog::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use super::Queue;
+use super::signals::{Hold, Signals};
+use crate::lease::Lease;
+use crate::metrics::{Event, Meter};
+use crate::net::{HttpClient, collect, h1_client};
+use crate::platform::{InstanceList, Phase, Table};
+use crate::settings::{Current, Models};
+
+/// Pause between two looks at what the engine holds.
+const LOOK_PAUSE: Duration = Duration::from_secs(2);
+/// One in so many workers of a service loads at a time, at least one.
+const WORKERS_FOR_ONE: usize = 8;
+/// Length of the lease under which a worker loads.
+const LEASE: Duration = Duration::from_secs(10);
+/// Longest time for one load.
+const LOAD_TIMEOUT: Duration = Duration::from_secs(600);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+const MAX_BODY_BYTES: u64 = 1 << 20;
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct LoadOrder {
+    /// Fencing number of the lease under which it is given.
+    pub fence: u64,
+    /// What the engine shall hold.
+    pub models: Models,
+}
+
+/// Brings the engine to the models, adapters and version that the service's settings name: a few
+/// workers at a time, each under a lease, and none while it runs a request.
+#[derive(Debug)]
+pub(super) struct Loader<P> {
+    pub(super) platform: Arc<P>,
+    pub(super) engine: SocketAddr,
+    pub(super) service: String,
+    pub(super) name: String,
+    pub(super) current: Current,
+    pub(super) signals: Signals,
+    pub(super) queue: Arc<Queue>,
+    pub(super) meter: Arc<Meter>,
+    pub(super) client: HttpClient,
+}
+
+impl<P: Table + InstanceList> Loader<P> {
+    /// A client for the engine.
+    pub(super) fn client() -> HttpClient {
+        h1_client()
+    }
+
+    /// Compares and loads again and again, until the process ends.
+    pub(super) async fn run(self) {
+        loop {
+            if let Some(wanted) = self.lacking().await {
+                self.load(&wanted).await;
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    /// What the settings name and the engine does not hold. An engine that does not tell what it
+    /// holds is left alone.
+    async fn lacking(&self) -> Option<Models> {
+        let current = self.current.get();
+        let wanted = current.service(&self.service)?.models.clone()?;
+        let held: Models = self.call(Method::GET, "/models", Bytes::new(), CALL_TIMEOUT).await?;
+        (held != wanted).then_some(wanted)
+    }
+
+    async fn load(&self, wanted: &Models) {
+        let Some(turn) = self.turn().await else { return };
+        let name = format!("load/{}/{turn}", self.service);
+        let own = self.signals.incarnation;
+        let mut lease = Lease::new(Arc::clone(&self.platform), &name, own, LEASE);
+        // The first look at a lease that another holds only starts the clock on it.
+        let Some(fence) = self.wait_turn(&mut lease).await else { return };
+        info!("loader: {} loads {} {}", self.name, wanted.model, wanted.version);
+        self.signals.hold(Hold::Load, true);
+        let loading = self.load_empty(fence, wanted);
+        let done = keep(&mut lease, loading).await;
+        self.signals.hold(Hold::Load, false);
+        if done != Some(true) {
+            warn!("loader: {} did not load {} {}", self.name, wanted.model, wanted.version);
+            self.meter.count(Event::FenceRefused);
+        }
+        lease.close().await;
+    }
+
+    /// Which of the turns to load is this worker's, so that enough others are left to serve.
+    async fn turn(&self) -> Option<usize> {
+        let list = self.platform.list().await.ok()?;
+        let live = list.iter().filter(|inst| inst.phase == Phase::Live);
+        let mut names: Vec<&str> = live
+            .filter(|inst| inst.service == self.service)
+            .map(|inst| inst.name.as_str())
+            .collect();
+        names.sort_unstable();
+        let own = names.iter().position(|name| *name == self.name)?;
+        Some(own % (names.len() / WORKERS_FOR_ONE).max(1))
+    }
+
+    async fn wait_turn(&self, lease: &mut Lease<P>) -> Option<u64> {
+        match lease.hold().await {
+            Ok(_) => lease.advance().await.ok(),
+            Err(_) => None,
+        }
+    }
+
+    /// Waits until nothing runs, then gives the order.
+    async fn load_empty(&self, fence: u64, wanted: &Models) -> bool {
+        while self.queue.load().running > 0 {
+            sleep(DRAIN_PAUSE).await;
+        }
+        let order = LoadOrder { fence, models: wanted.clone() };
+        let Ok(body) = serde_json::to_vec(&order) else { return false };
+        let loaded: Option<Models> =
+            self.call(Method::POST, "/models", body.into(), LOAD_TIMEOUT).await;
+        loaded.as_ref() == Some(wanted)
+    }
+
+    async fn call<T: serde::de::DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        patience: Duration,
+    ) -> Option<T> {
+        let uri = format!("http://{}{path}", self.engine);
+        let request = Request::builder().method(method).uri(uri).body(Full::new(body)).ok()?;
+        let answer = timeout(patience, self.client.request(request)).await.ok()?.ok()?;
+        if !answer.status().is_success() {
+            return None;
+        }
+        let body = collect(answer.into_body(), MAX_BODY_BYTES, CALL_TIMEOUT).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+}
+
+/// Renews a lease while something goes on; gives nothing if the lease was lost first.
+async fn keep<P: Table, T>(lease: &mut Lease<P>, task: impl Future<Output = T>) -> Option<T> {
+    let mut task = std::pin::pin!(task);
+    loop {
+        tokio::select! {
+            done = &mut task => return Some(done),
+            () = sleep(LEASE / 4) => {}
+        }
+        if lease.hold().await.is_err() && lease.fence().is_none() {
+            return None;
+        }
+    }
+}
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -15,7 +15,8 @@
 use super::error::NodeError;
 use super::group_part::GroupPart;
 use super::link_server::{LinkServer, Links};
-use super::signals::Signals;
+use super::loader::Loader;
+use super::signals::{Hold, Signals};
 use super::{Queue, SidecarHandler, Upstream};
 use crate::id::Incarnation;
 use crate::metrics::Meter;
@@ -82,6 +83,7 @@
         parts.spawn(follower.run());
         parts.spawn(upstream.watch());
         parts.spawn(parts.cache_watch().run());
+        parts.spawn(parts.loader().run());
         parts.spawn(fit_slots(
             parts.current.clone(),
             parts.file.service.clone(),
@@ -151,7 +153,7 @@
 
     /// Takes nothing new from now on, as before shutdown.
     pub fn leave(&self) {
-        self.signals.stop();
+        self.signals.hold(Hold::Shutdown, true);
     }
 
     /// Stops at once, as a process that dies: connections break and nothing is told.
@@ -165,7 +167,7 @@
     /// after the requests in flight.
     pub async fn close(self) {
         info!("sidecar: leaving");
-        self.signals.stop();
+        self.signals.hold(Hold::Shutdown, true);
         sleep(NOTICE_TIME).await;
         self.stop.graceful.cancel();
         self.tasks.close();
@@ -203,6 +205,20 @@
         )
     }
 
+    fn loader(&self) -> Loader<P> {
+        Loader {
+            platform: Arc::clone(&self.platform),
+            engine: self.file.upstream,
+            service: self.file.service.clone(),
+            name: self.file.name.clone(),
+            current: self.current.clone(),
+            signals: self.signals.clone(),
+            queue: Arc::clone(&self.queue),
+            meter: Arc::clone(&self.meter),
+            client: Loader::<P>::client(),
+        }
+    }
+
     fn cache_watch(&self) -> CacheWatch {
         let (current, signals) = (self.current.clone(), self.signals.clone());
         CacheWatch::new(self.file.upstream, &self.file.service, current, signals)
--- a/src/sidecar/signals.rs
+++ b/src/sidecar/signals.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use tokio::sync::{broadcast, watch};
 
@@ -13,6 +13,18 @@
 /// Cache events that a slow link may lag behind; it misses older ones.
 const CACHE_BACKLOG: usize = 32;
 
+/// Why a sidecar takes nothing new. Causes add up, and each is lifted by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Hold {
+    /// The process shuts down. Never lifted.
+    Shutdown = 1,
+    /// An operator has drained it.
+    Drain = 2,
+    /// The engine is loading a model.
+    Load = 4,
+}
+
 /// What the parts of a sidecar tell each other, and its links.
 #[derive(Clone, Debug)]
 pub struct Signals {
@@ -22,7 +34,7 @@
     up: Arc<watch::Sender<bool>>,
     crashes: broadcast::Sender<CrashNote>,
     cache: broadcast::Sender<CacheEvent>,
-    stopping: Arc<AtomicBool>,
+    holds: Arc<AtomicU8>,
 }
 
 impl Signals {
@@ -34,7 +46,7 @@
             up: Arc::new(watch::Sender::new(false)),
             crashes: broadcast::Sender::new(CRASH_BACKLOG),
             cache: broadcast::Sender::new(CACHE_BACKLOG),
-            stopping: Arc::new(AtomicBool::new(false)),
+            holds: Arc::default(),
         }
     }
 
@@ -43,18 +55,18 @@
         *self.leaving.borrow()
     }
 
-    /// Says whether the sidecar takes anything new. A sidecar that shuts down stays leaving.
-    pub fn set_leaving(&self, leaving: bool) {
-        let leaving = leaving || self.stopping.load(Ordering::SeqCst);
+    /// Sets or lifts one of the causes for taking nothing new.
+    pub fn hold(&self, cause: Hold, on: bool) {
+        let bit = cause as u8;
+        let before = if on {
+            self.holds.fetch_or(bit, Ordering::SeqCst)
+        } else {
+            self.holds.fetch_and(!bit, Ordering::SeqCst)
+        };
+        let leaving = if on { before | bit } else { before & !bit } != 0;
         self.leaving.send_if_modified(|present| std::mem::replace(present, leaving) != leaving);
     }
 
-    /// Says that the process shuts down.
-    pub fn stop(&self) {
-        self.stopping.store(true, Ordering::SeqCst);
-        self.set_leaving(true);
-    }
-
     /// Whether the upstream accepts connections.
     pub fn is_up(&self) -> bool {
         *self.up.borrow()
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -6,8 +6,10 @@
 use ebonyusher::net::{
     BodySender, ChannelBody, Handler, LAST_EVENT_ID, PREFIX, collect, header_str,
 };
+use ebonyusher::settings::Models;
+use ebonyusher::sidecar::LoadOrder;
 use http::header::CONTENT_TYPE;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Deserialize;
 use serde_json::json;
@@ -15,6 +17,7 @@
 use tokio::time::sleep;
 
 use crate::cache::PrefixCache;
+use crate::group_orders::EngineOrder;
 use crate::{Crash, EngineOptions, Faulty, OrderLog, StartLog, token};
 
 const MAX_BODY_BYTES: u64 = 4 << 20;
@@ -32,6 +35,7 @@
     cache: Mutex<PrefixCache>,
     stall: Mutex<Duration>,
     orders: Mutex<OrderLog>,
+    models: Mutex<Models>,
     running: Arc<AtomicU32>,
     starts: StartLog,
     cached: AtomicU64,
@@ -64,6 +68,7 @@
             cache: Mutex::new(PrefixCache::new(options.cache)),
             stall: Mutex::default(),
             orders: Mutex::new(OrderLog { fences: options.fences, ..OrderLog::default() }),
+            models: Mutex::default(),
             running: Arc::default(),
             starts: StartLog::default(),
             cached: AtomicU64::new(0),
@@ -173,6 +178,32 @@
         whole(StatusCode::OK, serde_json::to_string(&events).unwrap_or_default())
     }
 
+    /// What it holds.
+    pub fn models(&self) -> Models {
+        lock(&self.models).clone()
+    }
+
+    /// Tells what it holds, or loads what an order names.
+    async fn load(&self, request: Request<Incoming>) -> Response<ChannelBody> {
+        if request.method() == Method::POST {
+            let body = collect(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
+            let order = body.ok().and_then(|body| serde_json::from_slice::<LoadOrder>(&body).ok());
+            let Some(order) = order else { return whole(StatusCode::BAD_REQUEST, String::new()) };
+            let subject = format!("{}@{}", order.models.model, order.models.version);
+            let taken = lock(&self.orders).take(EngineOrder {
+                fence: order.fence,
+                verb: "load".to_owned(),
+                subject,
+            });
+            if !taken {
+                return whole(StatusCode::CONFLICT, String::new());
+            }
+            sleep(self.options.load_time).await;
+            *lock(&self.models) = order.models;
+        }
+        whole(StatusCode::OK, serde_json::to_string(&self.models()).unwrap_or_default())
+    }
+
     async fn order(&self, request: Request<Incoming>) -> Response<ChannelBody> {
         let body = collect(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await;
         let order = body.ok().and_then(|body| serde_json::from_slice(&body).ok());
@@ -217,6 +248,7 @@
     async fn handle(&self, request: Request<Incoming>) -> Response<ChannelBody> {
         match request.uri().path() {
             "/cache-events" => self.cache_events(request.uri().query().unwrap_or_default()),
+            "/models" => self.load(request).await,
             "/orders" => self.order(request).await,
             "/load" => {
                 let running = self.running.load(Ordering::Relaxed);
--- a/standin/src/engine_options.rs
+++ b/standin/src/engine_options.rs
@@ -13,6 +13,8 @@
     pub cache: usize,
     /// Whether it refuses orders with an old fencing number.
     pub fences: bool,
+    /// Time to load a model.
+    pub load_time: Duration,
     /// Cache events that are held back.
     pub late_events: usize,
     /// Every so manieth cache event is lost, none if 0.
@@ -27,6 +29,7 @@
             prefill_time: Duration::from_millis(20),
             cache: 64,
             fences: true,
+            load_time: Duration::from_millis(100),
             late_events: 2,
             event_gap: 7,
         }
--- a/tests/it/fault_table.rs
+++ b/tests/it/fault_table.rs
@@ -61,6 +61,25 @@
     assert_eq!(site.runs("order"), runs);
 }
 
+#[tokio::test]
+async fn an_order_whose_claim_comes_back_after_the_deadline_does_not_start() {
+    let site = Site::start(0, 1, 1).await;
+    site.fleet.platform.platform.set_faults(Faults { slow_ms: 600, ..Faults::default() });
+    let request =
+        http::Request::post(format!("http://{}/ledger/orders", site.entries[0].data_addr()))
+            .header("authorization", format!("Bearer {}", crate::site::CALLER_KEY))
+            .header("idempotency-key", "late")
+            .header("ebonyusher-deadline-ms", "300")
+            .body(http_body_util::Full::new(bytes::Bytes::from_static(b"{}")))
+            .unwrap();
+
+    let answer = ebonyusher::net::h1_client().request(request).await.unwrap();
+    sleep(Duration::from_millis(1_500)).await;
+
+    assert_ne!(answer.headers()["ebonyusher-outcome"], "ran");
+    assert_eq!(site.runs("late"), 0);
+}
+
 #[tokio::test]
 async fn an_order_that_broke_off_never_runs_again_and_stays_unknown() {
     let site = Site::start(0, 2, 1).await;
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod leaving;
 mod limits;
 mod links;
+mod models;
 mod planner;
 mod platform_contract;
 mod queue;
