Fewer ties between folders, one start for both daemons

Weights now belong to the planner, the event has a file, the command line of a daemon is read in one place, and a sidecar's parts have a file.

--- a/bench/src/expert/run.rs
+++ b/bench/src/expert/run.rs
@@ -2,8 +2,7 @@
 use std::path::Path;
 
 use displaydoc::Display;
-use ebonyusher::group::PlannerOptions;
-use ebonyusher::settings::GroupWeights;
+use ebonyusher::group::{GroupWeights, PlannerOptions};
 use thiserror::Error;
 
 use super::plot::{Series, draw};
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,8 +2,10 @@
 
 mod exit;
 mod logs;
+mod node_args;
 mod stop;
 
 pub use exit::{EXIT_INPUT, EXIT_REFUSED, EXIT_UNREACHABLE, exit_with, read_args};
 pub use logs::{LogFormat, Logs, logs_options};
+pub use node_args::read_node_file;
 pub use stop::stop_signal;
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -3,6 +3,7 @@
 
 mod evaluate;
 mod expert_map;
+mod group_weights;
 mod layer_map;
 mod layer_state;
 mod plan;
@@ -14,6 +15,7 @@
 mod water;
 
 pub use expert_map::ExpertMap;
+pub use group_weights::GroupWeights;
 pub use layer_map::{LayerMap, MapError};
 pub use plan::{Move, Plan};
 pub use planner::{Planner, PlannerOptions};
--- a/src/group/planner.rs
+++ b/src/group/planner.rs
@@ -1,7 +1,6 @@
 use super::evaluate::{Candidate, Step, best_step};
 use super::layer_state::LayerState;
-use super::{ExpertMap, Move, Plan, Popularity, Shape, Speeds};
-use crate::settings::GroupWeights;
+use super::{ExpertMap, GroupWeights, Move, Plan, Popularity, Shape, Speeds};
 
 /// Sweeps over a layer's shares after a change.
 const LOCAL_SWEEPS: usize = 2;
--- a/src/settings/group.rs
+++ b/src/settings/group.rs
@@ -1,8 +1,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-use super::GroupWeights;
-use crate::group::Shape;
+use crate::group::{GroupWeights, Shape};
 use crate::units::{Size, Span};
 
 const DEFAULT_INTERVAL: Span = Span::from_millis(400);
--- a/src/sidecar/cache_watch.rs
+++ b/src/sidecar/cache_watch.rs
@@ -4,9 +4,9 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use serde::Deserialize;
 use tokio::time::{sleep, timeout};
 
+use super::cache_event::CacheEvent;
 use super::signals::Signals;
 use crate::net::{HttpClient, collect, h1_client};
 use crate::settings::{Current, Kind};
@@ -29,18 +29,6 @@
     seen: u64,
 }
 
-/// A change of an engine's cache.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Deserialize)]
-pub struct CacheEvent {
-    /// Number of the event; a jump shows that some are missing.
-    pub seq: u64,
-    /// Prompt prefix that came in.
-    pub stored: Option<u64>,
-    /// Prompt prefix that went out.
-    pub removed: Option<u64>,
-}
-
 impl CacheWatch {
     pub(super) fn new(
         engine: SocketAddr,
--- a/src/sidecar/link_server.rs
+++ b/src/sidecar/link_server.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use super::Queue;
-use super::cache_watch::CacheEvent;
+use super::cache_event::CacheEvent;
 use super::signals::{Hold, Signals};
 use crate::id::Incarnation;
 use crate::metrics::{Event, Meter};
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -1,6 +1,7 @@
 //! The process beside an upstream: every request and every order to the upstream passes it.
 
 mod answer_store;
+mod cache_event;
 mod cache_watch;
 mod call;
 mod claim;
@@ -13,6 +14,7 @@
 mod link_server;
 mod loader;
 mod node;
+mod parts;
 mod permit;
 mod queue;
 mod queue_state;
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -2,31 +2,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jsonrpsee::RpcModule;
 use spdlog::info;
 use tokio::net::TcpListener;
-use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::cache_watch::CacheWatch;
-use super::claim::Claims;
 use super::error::NodeError;
-use super::group_part::GroupPart;
-use super::link_server::{LinkServer, Links};
-use super::loader::Loader;
+use super::link_server::Links;
+use super::parts::Parts;
 use super::signals::{Hold, Signals};
-use super::{Queue, SidecarHandler, Upstream};
+use super::{Queue, Upstream};
 use crate::id::Incarnation;
 use crate::metrics::Meter;
 use crate::net::{Shutdown, serve};
-use crate::peer::{
-    Follower, HintSender, LinkRpcServer, RpcListener, SettingsRpcServer, SettingsServer,
-};
+use crate::peer::RpcListener;
 use crate::platform::{InstanceList, ObjectStore, Table};
 use crate::settings::{Current, Publisher, SidecarFile};
-use crate::switch::{Gate, GroupRpcServer};
+use crate::switch::Gate;
 
 /// Slots before the first settings are in force. Nothing is admitted until then.
 const FIRST_SLOTS: u32 = 1;
@@ -180,112 +173,6 @@
     }
 }
 
-/// What the parts of a sidecar share.
-struct Parts<P> {
-    file: SidecarFile,
-    platform: Arc<P>,
-    current: Current,
-    signals: Signals,
-    queue: Arc<Queue>,
-    meter: Arc<Meter>,
-    links: Links,
-    tasks: TaskTracker,
-    ends: CancellationToken,
-}
-
-impl<P: Table + ObjectStore + InstanceList> Parts<P> {
-    fn follower(&self, publisher: Publisher) -> (HintSender, Follower<P>) {
-        Follower::new(
-            Arc::clone(&self.platform),
-            publisher,
-            self.file.seeds.clone(),
-            self.file.link_key.clone(),
-            self.file.poll.get(),
-            Arc::clone(&self.meter),
-        )
-    }
-
-    fn loader(&self) -> Loader<P> {
-        Loader {
-            platform: Arc::clone(&self.platform),
-            engine: self.file.upstream,
-            service: self.file.service.clone(),
-            name: self.file.name.clone(),
-            current: self.current.clone(),
-            signals: self.signals.clone(),
-            queue: Arc::clone(&self.queue),
-            meter: Arc::clone(&self.meter),
-            client: Loader::<P>::client(),
-        }
-    }
-
-    fn cache_watch(&self) -> CacheWatch {
-        let (current, signals) = (self.current.clone(), self.signals.clone());
-        CacheWatch::new(self.file.upstream, &self.file.service, current, signals)
-    }
-
-    fn door(&self) -> SettingsServer {
-        SettingsServer::new(self.current.clone(), self.file.link_key.clone())
-    }
-
-    fn group_part(&self) -> GroupPart<P> {
-        GroupPart::new(
-            Arc::clone(&self.platform),
-            &self.file,
-            self.signals.incarnation,
-            self.current.clone(),
-            Arc::clone(&self.meter),
-        )
-    }
-
-    fn methods(&self, hints: HintSender, part: &GroupPart<P>) -> RpcModule<()> {
-        let link_server = LinkServer {
-            service: self.file.service.clone(),
-            door: self.door(),
-            signals: self.signals.clone(),
-            queue: Arc::clone(&self.queue),
-            current: self.current.clone(),
-            hints,
-            report: self.file.report.get(),
-            meter: Arc::clone(&self.meter),
-            links: self.links.clone(),
-        };
-        let rank = part.rank_server(self.door());
-        let mut methods = RpcModule::new(());
-        let merged = methods
-            .merge(SettingsRpcServer::into_rpc(self.door()))
-            .and_then(|()| methods.merge(LinkRpcServer::into_rpc(link_server)))
-            .and_then(|()| methods.merge(GroupRpcServer::into_rpc(rank)));
-        merged.expect("methods have distinct names");
-        methods
-    }
-
-    fn handler(&self, upstream: Upstream) -> SidecarHandler<P> {
-        let claims = Claims::new(
-            Arc::clone(&self.platform),
-            self.signals.incarnation,
-            Arc::clone(&self.meter),
-            self.tasks.clone(),
-        );
-        SidecarHandler {
-            service: self.file.service.clone(),
-            key: self.file.link_key.clone(),
-            current: self.current.clone(),
-            queue: Arc::clone(&self.queue),
-            claims: Arc::new(claims),
-            upstream,
-            signals: self.signals.clone(),
-            meter: Arc::clone(&self.meter),
-            tasks: self.tasks.clone(),
-            suspects: Arc::new(Semaphore::new(1)),
-        }
-    }
-
-    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        tokio::spawn(self.ends.clone().run_until_cancelled_owned(task));
-    }
-}
-
 async fn fit_slots(mut current: Current, service: String, queue: Arc<Queue>) {
     loop {
         if let Some(service) = current.get().service(&service) {
--- a/src/sidecar/signals.rs
+++ b/src/sidecar/signals.rs
@@ -3,7 +3,7 @@
 
 use tokio::sync::{broadcast, watch};
 
-use super::cache_watch::CacheEvent;
+use super::cache_event::CacheEvent;
 use crate::id::Incarnation;
 use crate::peer::CrashNote;
 
--- a/tests/it/planner.rs
+++ b/tests/it/planner.rs
@@ -1,5 +1,4 @@
-use ebonyusher::group::{ExpertMap, Planner, PlannerOptions, Shape};
-use ebonyusher::settings::GroupWeights;
+use ebonyusher::group::{ExpertMap, GroupWeights, Planner, PlannerOptions, Shape};
 use proptest::prelude::*;
 
 fn shape(ranks: usize, slots: usize, experts: usize) -> Shape {
