Polls of the platform within the traffic budget; claims withdrawn before the answer

Cause: at 1,090 instances each entry read a list of 180 KB every second, which no counter showed, and notes took 3.7 KB/s of 4. Change: the list is asked for with its tag, a changed one is read at 1.2 KB/s at most, entries poll every 2 s, sidecars spend 1.2 KB/s on notes. Worked out for an entry: above 180 KB/s before, 5.4 KB/s with the tag alone, 3.96 KB/s now (budget 4); reads of the table 826 to 482 a second. Also: a claim of a request that did not start is withdrawn before the caller is told, so that the retry finds the key free; a kept connection that the upstream closed no longer marks it as down.

--- a/bench/src/args.rs
+++ b/bench/src/args.rs
@@ -7,6 +7,7 @@
 
 use crate::expert::{ExpertOptions, Source, TraceKind};
 use crate::load::{Fault, FaultAt, LoadOptions, PolicyName};
+use crate::slopes::SlopeGroup;
 
 /// What is to be measured.
 #[derive(Clone, Debug)]
@@ -16,7 +17,7 @@
     /// Policies for expert maps on a trace.
     ExpertMap(ExpertOptions),
     /// What each role costs as one quantity grows.
-    Slopes,
+    Slopes(Option<SlopeGroup>),
     /// The capacity page, from a file of slopes.
     Capacity(PathBuf),
 }
@@ -144,7 +145,11 @@
 }
 
 fn slopes() -> impl Parser<Command> {
-    bpaf::pure(Command::Slopes)
+    let only = long("only")
+        .help("Measure only: idle, traffic, settings, group, list")
+        .argument::<SlopeGroup>("NAME")
+        .optional();
+    only.map(Command::Slopes)
         .to_options()
         .descr("Measure what each role costs as one quantity grows")
         .command("slopes")
--- a/bench/src/bin/ebonyusher-bench.rs
+++ b/bench/src/bin/ebonyusher-bench.rs
@@ -7,7 +7,7 @@
 use ebonyusher::settings::read_file;
 use ebonyusher_bench::args::{Command, options};
 use ebonyusher_bench::capacity::capacity_page;
-use ebonyusher_bench::slopes::{SlopeFile, measure_all};
+use ebonyusher_bench::slopes::{SlopeFile, measure_slopes};
 use ebonyusher_bench::{expert, load};
 use serde::Serialize;
 
@@ -25,7 +25,7 @@
             Ok(report) => print(&report, report.holds()),
             Err(err) => exit_with(NAME, &err, EXIT_REFUSED),
         },
-        Command::Slopes => match measure_all().await {
+        Command::Slopes(only) => match measure_slopes(only).await {
             Ok(slopes) => print(&slopes, true),
             Err(err) => exit_with(NAME, &err, EXIT_REFUSED),
         },
--- a/bench/src/capacity/page.rs
+++ b/bench/src/capacity/page.rs
@@ -26,9 +26,10 @@
 | matter | mechanism | grows as |
 |---|---|---|
 | links | each entry links to 6 sidecars of each service (more while entries are few), so no role knows all of another | services x 6 for an entry, not entries x sidecars |
-| load reports | with every answer; notes on idle links get rarer with the number of links, so that a sidecar spends 2 KB/s on them | constant for a sidecar |
-| settings | entries poll one head row a second; sidecars are told of a revision by their entries and read only the changed subtree from one of them | entries; changes x subtree |
+| load reports | with every answer; notes on idle links get rarer with the number of links, so that a sidecar spends 1.2 KB/s on them | constant for a sidecar |
+| settings | entries poll one head row every 2 s; sidecars are told of a revision by their entries and read only the changed subtree from one of them | entries; changes x subtree |
 | orders | claim by the sidecar: two writes and one read for each | orders |
+| list of instances | polled with the head; an unchanged list is not sent again, a changed one is read at 1.2 KB/s at most, so a new instance of 1,090 is seen within 2.6 minutes, and links tell of leaving at once | constant for an entry |
 | crashing requests | one row of the last 32 crashes, read with the head | entries; crashes |
 | expert maps | one leader a group under a lease; votes and counts from 32 sidecars | sidecars of a group |
 
--- a/bench/src/capacity/rows.rs
+++ b/bench/src/capacity/rows.rs
@@ -3,6 +3,17 @@
 
 /// Measured with notes every two seconds.
 const MEASURED_NOTE_SECONDS: f64 = 2.0;
+/// Measured with polls every second.
+const MEASURED_POLL_SECONDS: f64 = 1.0;
+/// Heads of a request and its answer, and what TCP and IP add, taken as this.
+const EXCHANGE_BYTES: f64 = 350.0;
+/// What an entry asks the platform in each poll: head, crashes, list.
+const POLLED: f64 = 3.0;
+/// Changes of the list for each replaced instance: live, leaving, gone, new.
+const LIST_CHANGES: f64 = 4.0;
+/// Bytes a second that an entry spends at most on lists that have changed.
+const LIST_BUDGET: f64 = 1_200.0;
+const SECONDS_A_DAY: f64 = 86_400.0;
 const MICROS_PER_PERCENT: f64 = 10_000.0;
 const MEGABYTE: f64 = 1e6;
 
@@ -63,7 +74,16 @@
 
     fn entry_bytes(&self) -> f64 {
         let links = self.slope("entry_idle_bytes") * self.sizes.entry_links() * self.thinning();
-        links + self.settings_bytes()
+        links + self.settings_bytes() + self.poll_bytes()
+    }
+
+    /// Bytes a second of an entry's polls: mostly answers that nothing has changed, and the whole
+    /// list after a change of it, though no more often than its size allows.
+    fn poll_bytes(&self) -> f64 {
+        let sizes = &self.sizes;
+        let list = self.at("list_bytes", sizes.entries + sizes.sidecars);
+        let changes = sizes.replaced * LIST_CHANGES / SECONDS_A_DAY;
+        POLLED * EXCHANGE_BYTES / sizes.poll_seconds + (list * changes).min(LIST_BUDGET)
     }
 
     fn sidecar_bytes(&self) -> f64 {
@@ -86,7 +106,8 @@
     }
 
     fn reads(&self) -> f64 {
-        let entries = self.slope("entry_reads") * self.sizes.entries;
+        let polls = MEASURED_POLL_SECONDS / self.sizes.poll_seconds;
+        let entries = self.slope("entry_reads") * self.sizes.entries * polls;
         let sidecars = self.slope("sidecar_reads").max(0.0) * self.sizes.sidecars;
         entries + sidecars + self.slope("order_reads") * self.sizes.orders()
     }
@@ -107,7 +128,10 @@
         let (cpu, bytes) = (self.entry_control(), self.entry_bytes());
         vec![
             control_cpu("entry", cpu, "entry_idle_cpu, entry_change_cpu"),
-            control_bytes("entry", bytes, "entry_idle_bytes, settings_bytes"),
+            Row {
+                mechanism: "links, notes, settings, polls: traffic",
+                ..control_bytes("entry", bytes, "entry_idle_bytes, settings_bytes, list_bytes")
+            },
             self.memory_row("entry"),
         ]
     }
--- a/bench/src/capacity/sizes.rs
+++ b/bench/src/capacity/sizes.rs
@@ -31,6 +31,8 @@
     pub steps: f64,
     /// Seconds between two plans.
     pub plan_seconds: f64,
+    /// Seconds between two polls of an entry.
+    pub poll_seconds: f64,
     /// Instances replaced a day.
     pub replaced: f64,
 }
@@ -52,6 +54,7 @@
     layers: 60.0,
     steps: 25.0,
     plan_seconds: 10.0,
+    poll_seconds: 2.0,
     replaced: 350.0,
 };
 
@@ -69,7 +72,7 @@
     /// Seconds between two notes on a link: a sidecar spends a fixed number of bytes on them.
     pub fn note_seconds(&self) -> f64 {
         const NOTE_BYTES: f64 = 320.0;
-        const NOTE_BUDGET: f64 = 2_000.0;
+        const NOTE_BUDGET: f64 = 1_200.0;
         const LEAST_SECONDS: f64 = 2.0;
         (self.sidecar_links() * NOTE_BYTES / NOTE_BUDGET).max(LEAST_SECONDS)
     }
--- a/bench/src/slopes/measure.rs
+++ b/bench/src/slopes/measure.rs
@@ -2,7 +2,8 @@
 
 use displaydoc::Display;
 use ebonyusher::admin::ClientError;
-use ebonyusher_standin::FleetError;
+use ebonyusher::platform::{Instance, Phase};
+use ebonyusher_standin::{FleetError, loopback};
 use thiserror::Error;
 use tokio::time::sleep;
 
@@ -10,7 +11,7 @@
 use super::measure_settings::measure_settings;
 use super::measure_traffic::measure_traffic;
 use super::rig::Rig;
-use super::{Point, Slope, SlopeFile};
+use super::{Point, Slope, SlopeFile, SlopeGroup};
 
 /// Length of a measurement with nothing to do.
 const IDLE_TIME: Duration = Duration::from_secs(6);
@@ -28,18 +29,45 @@
     NoEntry,
 }
 
-/// Measures all slopes.
+/// Measures the slopes of one group, or of all.
 ///
 /// # Errors
 /// [`SlopesError`] if nodes could not be started.
-pub async fn measure_all() -> Result<SlopeFile, SlopesError> {
-    let mut slopes = measure_idle().await?;
-    slopes.extend(measure_traffic().await?);
-    slopes.extend(measure_settings().await?);
-    slopes.extend(measure_group().await);
+pub async fn measure_slopes(only: Option<SlopeGroup>) -> Result<SlopeFile, SlopesError> {
+    let mut slopes = Vec::new();
+    for group in SlopeGroup::ALL {
+        if only.is_some_and(|only| only != group) {
+            continue;
+        }
+        slopes.extend(match group {
+            SlopeGroup::Idle => measure_idle().await?,
+            SlopeGroup::Traffic => measure_traffic().await?,
+            SlopeGroup::Settings => measure_settings().await?,
+            SlopeGroup::Group => measure_group().await,
+            SlopeGroup::List => vec![measure_list()],
+        });
+    }
     Ok(SlopeFile { slopes })
 }
 
+/// Size of the platform's list.
+fn measure_list() -> Slope {
+    let inst = |at: usize| Instance {
+        name: format!("bench-assistant-{at:04}"),
+        service: "petrov/bench-assistant".to_owned(),
+        domain: "stara-zagora".to_owned(),
+        data: loopback(),
+        peer: loopback(),
+        phase: Phase::Live,
+    };
+    let size = |count: usize| {
+        let list: Vec<Instance> = (0..count).map(inst).collect();
+        let bytes = serde_json::to_vec(&list).unwrap_or_default().len();
+        Point { x: count as f64, y: bytes as f64 }
+    };
+    Slope::fit("list_bytes", "instances", "B", [50, 200, 500, 1_000].map(size).to_vec())
+}
+
 /// Nodes with nothing to do but to keep their links.
 async fn measure_idle() -> Result<Vec<Slope>, SlopesError> {
     let (mut entry_cpu, mut entry_bytes) = (Vec::new(), Vec::new());
--- a/bench/src/slopes/mod.rs
+++ b/bench/src/slopes/mod.rs
@@ -7,6 +7,8 @@
 mod measure_traffic;
 mod rig;
 mod slope;
+mod slope_group;
 
-pub use measure::{SlopesError, measure_all};
+pub use measure::{SlopesError, measure_slopes};
 pub use slope::{Point, Slope, SlopeFile};
+pub use slope_group::SlopeGroup;
--- a/src/entry/roster.rs
+++ b/src/entry/roster.rs
@@ -4,7 +4,7 @@
 
 use spdlog::{info, warn};
 use tokio::sync::mpsc;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 use tokio_util::sync::CancellationToken;
 
 use super::link::Link;
@@ -19,6 +19,10 @@
 /// Service name under which the platform lists entries.
 const ENTRY_SERVICE: &str = "entry";
 
+/// Usual size of an instance in the list.
+const LINE_BYTES: f64 = 170.0;
+/// Bytes a second that an entry spends on a list that changes again and again.
+const LIST_BUDGET: f64 = 1_200.0;
 /// Entries that should be linked to each upstream.
 const LINKS_EACH: usize = 8;
 
@@ -49,16 +53,37 @@
             suspects: Arc::clone(&self.suspects),
             meter: Arc::clone(&self.meter),
         };
+        let mut known = Vec::new();
+        let mut next = Instant::now();
         loop {
-            match self.platform.list().await {
-                Ok(list) => self.take(&list),
-                Err(err) => warn!("roster: {err}"),
+            if Instant::now() >= next {
+                next = self.read_list(&mut known).await;
             }
             share.pull().await;
             sleep(self.poll.mul_f64(rand::random_range(0.8..1.2))).await;
         }
     }
 
+    /// Reads the list, and tells when to read it again: a long list that has changed is not read
+    /// again at once, so that a large fleet's comings and goings don't fill the links.
+    async fn read_list(&mut self, known: &mut Vec<Instance>) -> Instant {
+        let now = Instant::now();
+        let list = match self.platform.list().await {
+            Ok(list) => list,
+            Err(err) => {
+                warn!("roster: {err}");
+                return now;
+            }
+        };
+        self.take(&list);
+        if list == *known {
+            return now;
+        }
+        let seconds = list.len() as f64 * LINE_BYTES / LIST_BUDGET;
+        *known = list;
+        now + Duration::from_secs_f64(seconds)
+    }
+
     /// A platform that is down takes nobody off the list: links decide who is alive.
     fn take(&mut self, list: &[Instance]) {
         let live = |inst: &&Instance| inst.phase == Phase::Live;
--- a/src/platform/http_platform.rs
+++ b/src/platform/http_platform.rs
@@ -1,9 +1,12 @@
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::header::{ETAG, IF_NONE_MATCH};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -24,6 +27,15 @@
 pub struct HttpPlatform {
     client: Client<HttpConnector, Full<Bytes>>,
     addr: SocketAddr,
+    /// The list as last read, so that an unchanged one is not sent again.
+    list: Arc<Mutex<Option<KnownList>>>,
+}
+
+/// A list of instances with the tag that the platform gave it.
+#[derive(Clone, Debug)]
+struct KnownList {
+    tag: HeaderValue,
+    instances: Vec<Instance>,
 }
 
 /// How a call went wrong, and whether it can have had an effect.
@@ -45,7 +57,7 @@
     pub fn new(addr: SocketAddr) -> Self {
         let client =
             Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build_http();
-        Self { client, addr }
+        Self { client, addr, list: Arc::default() }
     }
 
     async fn call(
@@ -136,9 +148,39 @@
 
 impl InstanceList for HttpPlatform {
     async fn list(&self) -> Result<Vec<Instance>, ListError> {
-        let body = self.fetch(INSTANCES_PATH).await.map_err(ListError::Unavailable)?;
-        let body = body.ok_or_else(|| ListError::Unavailable("status 404".to_owned()))?;
-        serde_json::from_slice(&body).map_err(|err| ListError::Unavailable(err.to_string()))
+        let known = self.list.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let mut request = Request::get(format!("http://{}{INSTANCES_PATH}", self.addr));
+        if let Some(known) = &known {
+            request = request.header(IF_NONE_MATCH, &known.tag);
+        }
+        let unavailable = |text: String| ListError::Unavailable(text);
+        let request = request.body(Full::default()).map_err(|err| unavailable(err.to_string()))?;
+        let answer = timeout(CALL_TIMEOUT, self.client.request(request)).await;
+        let answer = answer.map_err(|_| unavailable("timeout".to_owned()))?;
+        let answer = answer.map_err(|err| unavailable(err.to_string()))?;
+        match (answer.status(), known) {
+            (StatusCode::NOT_MODIFIED, Some(known)) => Ok(known.instances),
+            (StatusCode::OK, _) => self.read_list(answer).await,
+            (status, _) => Err(unavailable(format!("status {status}"))),
+        }
+    }
+}
+
+impl HttpPlatform {
+    async fn read_list(&self, answer: Response<Incoming>) -> Result<Vec<Instance>, ListError> {
+        let unavailable = |text: String| ListError::Unavailable(text);
+        let tag = answer.headers().get(ETAG).cloned();
+        let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES).collect();
+        let body = timeout(CALL_TIMEOUT, body).await;
+        let body = body.map_err(|_| unavailable("timeout".to_owned()))?;
+        let body = body.map_err(|err| unavailable(err.to_string()))?.to_bytes();
+        let instances: Vec<Instance> =
+            serde_json::from_slice(&body).map_err(|err| unavailable(err.to_string()))?;
+        if let Some(tag) = tag {
+            let known = KnownList { tag, instances: instances.clone() };
+            *self.list.lock().unwrap_or_else(PoisonError::into_inner) = Some(known);
+        }
+        Ok(instances)
     }
 }
 
--- a/src/settings/entry_file.rs
+++ b/src/settings/entry_file.rs
@@ -48,7 +48,7 @@
 }
 
 const fn default_poll() -> Span {
-    Span::from_millis(1_000)
+    Span::from_millis(2_000)
 }
 
 const fn default_subset() -> usize {
--- a/src/sidecar/claim.rs
+++ b/src/sidecar/claim.rs
@@ -126,9 +126,9 @@
         self.settle(held, Some(ClaimState::Unsettled)).await;
     }
 
-    /// Withdraws the claim of a request that did not start, without waiting for it.
-    pub fn release(&self, held: Held) {
-        self.spawn_withdrawal(held, true);
+    /// Withdraws the claim of a request that did not start, so that a retry finds the key free.
+    pub async fn release(&self, held: Held) {
+        self.settle(held, None).await;
     }
 
     fn spawn_withdrawal(&self, held: Held, written: bool) {
--- a/src/sidecar/link_server.rs
+++ b/src/sidecar/link_server.rs
@@ -25,7 +25,7 @@
 
 /// Bytes that a sidecar spends on notes to all its links, per second, when nothing changes. With
 /// many links each gets its notes more rarely; loads also come with every answer.
-const NOTE_BUDGET: f64 = 2_000.0;
+const NOTE_BUDGET: f64 = 1_200.0;
 /// Usual size of a note with its frames.
 const NOTE_BYTES: f64 = 320.0;
 /// What a note costs beside its text: JSON-RPC, WebSocket, TCP and IP.
--- a/src/sidecar/run.rs
+++ b/src/sidecar/run.rs
@@ -70,7 +70,7 @@
     ) -> Result<Response<SidecarBody>, Refusal> {
         // The process may have been paused since the claim was made.
         if Instant::now() >= self.deadline {
-            claims.release(held);
+            claims.release(held).await;
             return Err(Refusal::not_run(Reason::Deadline));
         }
         let guard = self.upstream.enter(&self.call);
@@ -83,7 +83,7 @@
                 Ok(answer.map(SidecarBody::from))
             }
             Err(SendError::NotSent) => {
-                claims.release(held);
+                claims.release(held).await;
                 Err(SendError::NotSent.into())
             }
             Err(err) => {
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -60,7 +60,10 @@
         match timeout_at(deadline, self.client.request(request)).await {
             Ok(Ok(answer)) => Ok(answer),
             Ok(Err(err)) if is_not_sent(&err) => {
-                self.watch.refused();
+                // A kept connection that the upstream closed while idle says nothing of its health.
+                if err.is_connect() {
+                    self.watch.refused();
+                }
                 Err(SendError::NotSent)
             }
             Ok(Err(_)) => {
--- a/standin/src/platform_server.rs
+++ b/standin/src/platform_server.rs
@@ -2,12 +2,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ebonyusher::entry::fingerprint;
 use ebonyusher::net::{Handler, WholeBody, collect, json_answer, text_answer};
 use ebonyusher::platform::{
     COMMIT_PATH, INSTANCES_PATH, Instance, InstanceList, OBJECTS_PATH, ObjectStore, ROWS_PATH,
     SCAN_PATH, Table, TableError, Txn,
 };
-use http::{Method, Request, Response, StatusCode};
+use http::header::{ETAG, IF_NONE_MATCH};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 
 use crate::{Faults, MemPlatform};
@@ -29,6 +31,7 @@
     async fn handle(&self, request: Request<Incoming>) -> Response<WholeBody> {
         let method = request.method().clone();
         let path = request.uri().path().to_owned();
+        let known = request.headers().get(IF_NONE_MATCH).cloned();
         let Ok(body) = collect(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await else {
             return text_answer(StatusCode::BAD_REQUEST, "bad body\n");
         };
@@ -43,16 +46,31 @@
         }
         match path.as_str() {
             COMMIT_PATH => self.commit(&body).await,
-            INSTANCES_PATH => match self.0.list().await {
-                Ok(list) => json_answer(StatusCode::OK, &list),
-                Err(_) => text_answer(StatusCode::SERVICE_UNAVAILABLE, "down\n"),
-            },
+            INSTANCES_PATH => self.list(known).await,
             _ => text_answer(StatusCode::NOT_FOUND, "no such path\n"),
         }
     }
 }
 
 impl PlatformServer {
+    /// The list with a tag; an asker that knows the tag gets no list.
+    async fn list(&self, known: Option<HeaderValue>) -> Response<WholeBody> {
+        let Ok(list) = self.0.list().await else {
+            return text_answer(StatusCode::SERVICE_UNAVAILABLE, "down\n");
+        };
+        let text = serde_json::to_string(&list).unwrap_or_default();
+        let tag = format!("\"{:016x}\"", fingerprint("", "", text.as_bytes()));
+        let Ok(tag) = HeaderValue::from_str(&tag) else {
+            return json_answer(StatusCode::OK, &list);
+        };
+        if known.as_ref() == Some(&tag) {
+            return text_answer(StatusCode::NOT_MODIFIED, "");
+        }
+        let mut answer = json_answer(StatusCode::OK, &list);
+        answer.headers_mut().insert(ETAG, tag);
+        answer
+    }
+
     async fn get(&self, key: &str) -> Response<WholeBody> {
         match self.0.get(key).await {
             Ok(None) => text_answer(StatusCode::NOT_FOUND, "no such row\n"),
--- a/tests/it/at_most_once.rs
+++ b/tests/it/at_most_once.rs
@@ -138,7 +138,7 @@
         Course::Breaks => claims.unsettle(held).await,
         Course::Dies => {}
         Course::NotSent => {
-            claims.release(held);
+            claims.release(held).await;
             return 0;
         }
     }
