A request that crashes engines in the middle of its answer is held back too

Cause: a suspect was cleared when its answer began, and each resume of a stream was a request of its own, so a stream that crashed its engine after three tokens went on to the next engine, and the next. Before/after, the new test: 4 of 4 engines crashed, 2 now, and the caller sees a broken answer. Ruled out: one resume only (streams would not outlive two crashes of others). Conclusion: clear at the whole answer; from the second resume on wait for the sidecars' word of a crash.

--- a/bench/src/capacity/mod.rs
+++ b/bench/src/capacity/mod.rs
@@ -1,6 +1,7 @@
 //! The capacity page, worked out from measured slopes.
 
 mod page;
+mod row;
 mod rows;
 mod sizes;
 
--- a/bench/src/capacity/page.rs
+++ b/bench/src/capacity/page.rs
@@ -1,6 +1,7 @@
 use std::fmt::Write;
 
-use super::rows::{Row, Worked};
+use super::row::Row;
+use super::rows::Worked;
 use super::sizes::PLAN;
 use crate::slopes::SlopeFile;
 
--- a/bench/src/capacity/rows.rs
+++ b/bench/src/capacity/rows.rs
@@ -1,4 +1,5 @@
 use super::Sizes;
+use super::row::{Row, control_bytes, control_cpu};
 use crate::slopes::SlopeFile;
 
 /// Measured with notes every two seconds.
@@ -17,32 +18,12 @@
 const MICROS_PER_PERCENT: f64 = 10_000.0;
 const MEGABYTE: f64 = 1e6;
 
-/// One line of the page: what a role spends on a mechanism, and what it may spend.
-pub(super) struct Row {
-    pub(super) role: &'static str,
-    pub(super) mechanism: &'static str,
-    pub(super) figure: f64,
-    pub(super) unit: &'static str,
-    pub(super) budget: Option<f64>,
-    pub(super) from: &'static str,
-}
-
 /// Slopes at the sizes of the plan.
 pub(super) struct Worked<'a> {
     pub(super) sizes: Sizes,
     pub(super) slopes: &'a SlopeFile,
 }
 
-fn control_cpu(role: &'static str, figure: f64, from: &'static str) -> Row {
-    let mechanism = "links, notes, settings: processor";
-    Row { role, mechanism, figure, unit: "% of a core", budget: Some(2.6), from }
-}
-
-fn control_bytes(role: &'static str, figure: f64, from: &'static str) -> Row {
-    let mechanism = "links, notes, settings: traffic";
-    Row { role, mechanism, figure, unit: "B/s", budget: Some(4_000.0), from }
-}
-
 impl Worked<'_> {
     fn slope(&self, name: &str) -> f64 {
         self.slopes.get(name).map_or(f64::NAN, |slope| slope.slope)
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -62,6 +62,16 @@
         Self { client: h2_client(), members, policy, suspects, services, meter, key }
     }
 
+    /// Says that a request has run to its end.
+    pub(super) fn ran_whole(&self, print: u64) {
+        self.suspects.clear(print);
+    }
+
+    /// The requests that were in flight at crashes.
+    pub(super) const fn suspects(&self) -> &Arc<Suspects> {
+        &self.suspects
+    }
+
     fn service(&self, name: &str) -> Arc<ServiceState> {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(state) = services.get(name) {
@@ -105,9 +115,6 @@
         let began = Instant::now();
         let sent = self.send_hedged(order, member, state, suspect).await?;
         state.latency.note(began.elapsed());
-        if suspect {
-            self.suspects.clear(order.print);
-        }
         Ok(sent)
     }
 
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -95,7 +95,8 @@
             self.splice(order, sent, limit)
         } else {
             let (parts, body) = sent.answer.into_parts();
-            let pass = Pass::new(body, sent.in_flight, limit);
+            let suspects = Arc::clone(self.dispatcher.suspects());
+            let pass = Pass::new(body, order.print, suspects, sent.in_flight, limit);
             Response::from_parts(parts, EntryBody::Pass(Box::new(pass)))
         };
         if let Some(key) = key.and_then(|key| HeaderValue::from_str(&key).ok()) {
@@ -116,6 +117,7 @@
             _limit: limit,
             partial: BytesMut::new(),
             last: None,
+            breaks: 0,
         };
         self.tasks.spawn(splice.run(sent, sender));
         answer
--- a/src/entry/pass.rs
+++ b/src/entry/pass.rs
@@ -1,12 +1,12 @@
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
-use super::{LimiterGuard, Member};
+use super::{LimiterGuard, Member, Suspects};
 use crate::id::Attempt;
 use crate::net::BodyError;
 
@@ -44,13 +44,21 @@
 #[derive(Debug)]
 pub struct Pass {
     body: Incoming,
+    print: u64,
+    suspects: Arc<Suspects>,
     _in_flight: InFlight,
     _limit: LimiterGuard,
 }
 
 impl Pass {
-    pub(super) const fn new(body: Incoming, in_flight: InFlight, limit: LimiterGuard) -> Self {
-        Self { body, _in_flight: in_flight, _limit: limit }
+    pub(super) const fn new(
+        body: Incoming,
+        print: u64,
+        suspects: Arc<Suspects>,
+        in_flight: InFlight,
+        limit: LimiterGuard,
+    ) -> Self {
+        Self { body, print, suspects, _in_flight: in_flight, _limit: limit }
     }
 }
 
@@ -62,7 +70,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx).map_err(BodyError::from)
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none() {
+            self.suspects.clear(self.print);
+        }
+        Poll::Ready(frame.map(|frame| frame.map_err(BodyError::from)))
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/src/entry/splice.rs
+++ b/src/entry/splice.rs
@@ -1,16 +1,22 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use spdlog::info;
+use tokio::time::sleep;
 
 use super::dispatch::Sent;
 use super::{Dispatcher, LimiterGuard, Order, Policy};
 use crate::metrics::{Event, Meter};
 use crate::net::{BodyError, BodySender, LAST_EVENT_ID};
 
+/// Attempts at one stream after the first.
+const MAX_RESUMES: u32 = 3;
+/// Time in which sidecars tell of a crash.
+const CRASH_NOTICE_TIME: Duration = Duration::from_millis(250);
 const EVENT_END: &[u8] = b"\n\n";
 const ID_FIELD: &[u8] = b"id:";
 
@@ -26,6 +32,8 @@
     pub(super) partial: BytesMut,
     /// Id of the last event that was passed on.
     pub(super) last: Option<Bytes>,
+    /// Attempts that broke off.
+    pub(super) breaks: u32,
 }
 
 /// How the passing on of one attempt's body ended.
@@ -46,7 +54,10 @@
             drop(sent.in_flight);
             match ended {
                 Passed::ReaderGone => return,
-                Passed::Whole => return sender.close().await,
+                Passed::Whole => {
+                    self.dispatcher.ran_whole(self.order.print);
+                    return sender.close().await;
+                }
                 Passed::Broken(err) => match self.resume().await {
                     Some(next) => sent = next,
                     None => return sender.fail(err).await,
@@ -92,6 +103,14 @@
     }
 
     async fn resume(&mut self) -> Option<Sent> {
+        self.breaks += 1;
+        if self.breaks > MAX_RESUMES {
+            return None;
+        }
+        if self.breaks > 1 {
+            // If this request crashes its upstreams, that is known before the next one is tried.
+            sleep(CRASH_NOTICE_TIME).await;
+        }
         if let Some(last) = &self.last {
             let value = HeaderValue::from_bytes(last).ok()?;
             self.order.head.headers.insert(LAST_EVENT_ID, value);
--- a/standin/src/engine.rs
+++ b/standin/src/engine.rs
@@ -25,6 +25,10 @@
 const DEFAULT_TOKENS: u32 = 64;
 /// A body that holds this word crashes the engine.
 const POISON: &[u8] = b"poison";
+/// A body that holds this word crashes the engine after a few tokens.
+const VENOM: &[u8] = b"venom";
+/// Tokens before such a crash.
+const VENOM_TOKENS: u32 = 3;
 
 /// A model engine stand-in that batches over a fixed number of slots.
 #[derive(Debug)]
@@ -120,7 +124,7 @@
         };
         self.running.fetch_add(1, Ordering::Relaxed);
         let running = Running(Arc::clone(&self.running));
-        if body.windows(POISON.len()).any(|window| window == POISON) {
+        if holds(&body, POISON) {
             sleep(self.options.token_time).await;
             self.crash.now();
             std::future::pending::<()>().await;
@@ -136,12 +140,14 @@
             return whole(StatusCode::OK, text);
         }
         let (sender, stream) = ChannelBody::new();
+        let body_copy = body.clone();
         let writer = Writer {
             body,
             first,
             most,
             pace: self.options.token_time + *lock(&self.stall),
             sender,
+            crash: holds(&body_copy, VENOM).then(|| self.crash.clone()),
             tokens: Arc::clone(&self.tokens),
         };
         tokio::spawn(async move {
@@ -223,6 +229,8 @@
     most: u32,
     pace: Duration,
     sender: BodySender,
+    /// Crashes the engine after a few tokens.
+    crash: Option<Crash>,
     tokens: Arc<AtomicU64>,
 }
 
@@ -232,6 +240,10 @@
             sleep(self.pace).await;
             let data = json!({ "choices": [{ "delta": { "content": token(&self.body, at) } }] });
             self.tokens.fetch_add(1, Ordering::Relaxed);
+            if let Some(crash) = self.crash.as_ref().filter(|_| at - self.first == VENOM_TOKENS) {
+                crash.now();
+                std::future::pending::<()>().await;
+            }
             let event = format!("id: {at}\ndata: {data}\n\n");
             if !self.sender.send(event.into()).await {
                 return;
@@ -265,6 +277,10 @@
     }
 }
 
+fn holds(body: &[u8], word: &[u8]) -> bool {
+    body.windows(word.len()).any(|window| window == word)
+}
+
 fn whole(status: StatusCode, text: String) -> Response<ChannelBody> {
     let (sender, body) = ChannelBody::new();
     tokio::spawn(async move {
--- a/tests/it/fault_table.rs
+++ b/tests/it/fault_table.rs
@@ -146,3 +146,18 @@
     assert_eq!(innocent.outcome, Some(Outcome::Ran));
     assert_eq!(crashes, 3, "two crashes and the innocent one");
 }
+
+#[tokio::test]
+async fn a_request_that_crashes_engines_in_the_middle_of_its_answer_is_held_back() {
+    let site = Site::start(4, 0, 1).await;
+    let venom = r#"{"stream":true,"max_tokens":40,"messages":"venom"}"#;
+
+    let first = site.chat(venom).await;
+    until(|| site.entries[0].suspects().held() == 1).await;
+    let again = site.chat(venom).await;
+
+    let starts = site.engines.iter().map(|engine| engine.handler.starts().count()).sum::<u64>();
+    assert!(!first.whole, "the caller must see that the answer is not whole");
+    assert_eq!((again.outcome, again.reason), (Some(Outcome::NotRun), Some(Reason::Poison)));
+    assert_eq!(starts, 2, "two engines crashed");
+}
