--- a/bench/src/capacity/mod.rs
+++ b/bench/src/capacity/mod.rs
@@ -1,5 +1,6 @@
 //! The capacity page, worked out from measured slopes.
 
+mod bad_days;
 mod page;
 mod row;
 mod rows;
--- a/bench/src/capacity/rows.rs
+++ b/bench/src/capacity/rows.rs
@@ -37,11 +37,11 @@
 }
 
 impl Worked<'_> {
-    fn slope(&self, name: &str) -> f64 {
+    pub(super) fn slope(&self, name: &str) -> f64 {
         self.slopes.get(name).map_or(f64::NAN, |slope| slope.slope)
     }
 
-    fn at(&self, name: &str, x: f64) -> f64 {
+    pub(super) fn at(&self, name: &str, x: f64) -> f64 {
         self.slopes.get(name).map_or(f64::NAN, |slope| slope.at(x))
     }
 
@@ -98,7 +98,7 @@
         self.at("plan_cpu_layers", self.sizes.layers)
     }
 
-    fn reads(&self) -> f64 {
+    pub(super) fn reads(&self) -> f64 {
         self.table_use().iter().map(|line| line.reads).sum()
     }
 
@@ -252,73 +252,4 @@
             ),
         ]
     }
-
-    pub(super) fn bad_days(&self) -> Vec<Row> {
-        let row = |mechanism, figure, unit, budget, from| Row {
-            role: "",
-            mechanism,
-            figure,
-            unit,
-            budget,
-            from,
-        };
-        let sizes = &self.sizes;
-        let tree = self.at("settings_bytes", sizes.accounts);
-        let fresh = sizes.teams + 1.0;
-        // While the store is down nodes poll half as often; when it is back the first polls come
-        // spread over their intervals.
-        let back = self.reads() - self.slope("order_reads") * sizes.orders();
-        vec![
-            row(
-                "all entries restart within a minute: reads of the table",
-                sizes.entries * fresh / 60.0 + self.reads(),
-                "reads/s",
-                Some(2_000.0),
-                "entry_reads",
-            ),
-            row(
-                "all entries restart within a minute: links opened at one sidecar",
-                sizes.sidecar_links() / 60.0,
-                "links/s",
-                None,
-                "sizes",
-            ),
-            row(
-                "a fifth of the sidecars restarts within a minute: reads of the table",
-                sizes.sidecars / 5.0 * fresh / 60.0 + self.reads(),
-                "reads/s",
-                Some(2_000.0),
-                "sidecar_reads",
-            ),
-            row(
-                "the store is back after an hour: reads in the first second",
-                back,
-                "reads/s",
-                Some(2_000.0),
-                "entry_reads, sidecar_reads",
-            ),
-            row(
-                "350 replaced a day: settings read by fresh nodes",
-                tree * sizes.replaced / 86_400.0,
-                "B/s over all",
-                None,
-                "settings_bytes",
-            ),
-            row(
-                "a change to everybody: bytes from the table",
-                self.at("settings_bytes", sizes.accounts / sizes.teams) * sizes.entries,
-                "B",
-                None,
-                "settings_bytes",
-            ),
-            row(
-                "a change to everybody: bytes that one entry gives to sidecars",
-                self.at("settings_bytes", sizes.accounts / sizes.teams) * sizes.sidecars
-                    / sizes.entries,
-                "B",
-                None,
-                "settings_bytes",
-            ),
-        ]
-    }
 }
--- a/src/switch/leader.rs
+++ b/src/switch/leader.rs
@@ -6,25 +6,16 @@
 
 use super::ranks::{Ranks, whole};
 use super::term::Term;
-use super::{
-    Ballot, LeaderError, MapId, MapStore, Proposal, ProposalId, RankReport, Refused, Reply, Stand,
-    Verdict, choose_map,
-};
+use super::{Ballot, LeaderError, MapId, MapStore, RankReport, choose_map};
 use crate::group::{ExpertMap, Planner, PlannerOptions, Shape};
 use crate::id::Incarnation;
 use crate::lease::{Lease, LeaseError};
-use crate::metrics::{Event, Meter};
+use crate::metrics::Meter;
 use crate::platform::{InstanceList, ObjectStore, Phase, Table};
 use crate::settings::Current;
 
 /// Renewals of the lease in its length.
 const RENEWALS: u32 = 4;
-/// Steps between a proposal and its first step, so that no rank waits in the ordinary case.
-const LEAD_STEPS: u64 = 8;
-/// Pause between two tries to learn missing votes.
-const ASK_PAUSE: Duration = Duration::from_millis(50);
-/// Tries to learn missing votes before the group is formed anew.
-const ASK_TRIES: usize = 20;
 
 /// How a group is led.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -55,14 +46,14 @@
 /// Leads a group while it holds the group's lease. Every sidecar of the group runs one.
 #[derive(Debug)]
 pub struct Leader<P> {
-    platform: Arc<P>,
-    service: String,
-    key: String,
-    options: LeaderOptions,
-    maps: MapStore<P>,
-    lease: Lease<P>,
-    current: Current,
-    meter: Arc<Meter>,
+    pub(super) platform: Arc<P>,
+    pub(super) service: String,
+    pub(super) key: String,
+    pub(super) options: LeaderOptions,
+    pub(super) maps: MapStore<P>,
+    pub(super) lease: Lease<P>,
+    pub(super) current: Current,
+    pub(super) meter: Arc<Meter>,
 }
 
 impl<P: Table + ObjectStore + InstanceList> Leader<P> {
@@ -258,64 +249,4 @@
         let fetched = whole(term.ranks.prefetch(term.fence, map).await)?;
         if fetched.contains(&false) { Err(LeaderError::Outdated) } else { Ok(()) }
     }
-
-    /// Proposes a map that all ranks hold, and tells whether it was agreed.
-    async fn switch(&self, term: &mut Term, map: MapId) -> Result<bool, LeaderError> {
-        let reports = term.ranks.reports().await?;
-        let step = reports.iter().map(|report| report.step).max().unwrap_or_default();
-        term.serial += 1;
-        let id = ProposalId { epoch: term.epoch, fence: term.fence, serial: term.serial };
-        let proposal = Proposal { id, base: term.id, map, from: step + LEAD_STEPS };
-        let mut ballot = Ballot::new(term.ranks.len());
-        for (rank, reply) in term.ranks.propose(proposal).await.into_iter().enumerate() {
-            match reply {
-                Some(Reply::Vote(stand)) => ballot.take(rank, stand),
-                Some(Reply::Refused(Refused::Fence | Refused::Epoch)) => {
-                    return Err(LeaderError::Outdated);
-                }
-                Some(Reply::Refused(Refused::Busy(_) | Refused::Weights)) | None => {}
-            }
-        }
-        let agreed = self.decide(term, id, ballot).await? == Verdict::Commit;
-        let event = if agreed { Event::SwitchDone } else { Event::SwitchRefused };
-        self.meter.count(event);
-        Ok(agreed)
-    }
-
-    /// Learns the missing votes and tells all ranks the result.
-    async fn decide(
-        &self,
-        term: &Term,
-        id: ProposalId,
-        mut ballot: Ballot,
-    ) -> Result<Verdict, LeaderError> {
-        for _ in 0..ASK_TRIES {
-            if let Some(verdict) = ballot.verdict() {
-                return self.tell(term, id, verdict).await;
-            }
-            let stands: Vec<Option<Option<Stand>>> = term.ranks.ask(id).await;
-            for (rank, stand) in stands.into_iter().enumerate() {
-                stand.flatten().into_iter().for_each(|stand| ballot.take(rank, stand));
-            }
-            if ballot.verdict().is_none() {
-                sleep(ASK_PAUSE).await;
-            }
-        }
-        Err(LeaderError::RankLost(ballot.missing().next().unwrap_or_default()))
-    }
-
-    async fn tell(
-        &self,
-        term: &Term,
-        id: ProposalId,
-        verdict: Verdict,
-    ) -> Result<Verdict, LeaderError> {
-        for _ in 0..ASK_TRIES {
-            if term.ranks.settle(id, verdict).await.iter().all(Option::is_some) {
-                return Ok(verdict);
-            }
-            sleep(ASK_PAUSE).await;
-        }
-        Err(LeaderError::RankLost(0))
-    }
 }
--- a/src/switch/mod.rs
+++ b/src/switch/mod.rs
@@ -10,6 +10,7 @@
 mod group_rpc;
 mod leader;
 mod leader_error;
+mod leader_vote;
 mod map_id;
 mod map_store;
 mod proposal;
