--- a/src/sidecar/loader.rs
+++ b/src/sidecar/loader.rs
@@ -12,8 +12,7 @@
 use super::Queue;
 use super::signals::{Hold, Signals};
 use crate::lease::Lease;
-use crate::metrics::{Event, Meter};
-use crate::net::{HttpClient, collect, h1_client};
+use crate::net::{HttpClient, collect};
 use crate::platform::{InstanceList, Phase, Table};
 use crate::settings::{Current, Models};
 
@@ -50,16 +49,10 @@
     pub(super) current: Current,
     pub(super) signals: Signals,
     pub(super) queue: Arc<Queue>,
-    pub(super) meter: Arc<Meter>,
     pub(super) client: HttpClient,
 }
 
 impl<P: Table + InstanceList> Loader<P> {
-    /// A client for the engine.
-    pub(super) fn client() -> HttpClient {
-        h1_client()
-    }
-
     /// Compares and loads again and again, until the process ends.
     pub(super) async fn run(self) {
         loop {
@@ -93,7 +86,6 @@
         self.signals.hold(Hold::Load, false);
         if done != Some(true) {
             warn!("loader: {} did not load {} {}", self.name, wanted.model, wanted.version);
-            self.meter.count(Event::FenceRefused);
         }
         lease.close().await;
     }
--- a/src/sidecar/parts.rs
+++ b/src/sidecar/parts.rs
@@ -13,6 +13,7 @@
 use super::signals::Signals;
 use super::{Queue, SidecarHandler, Upstream};
 use crate::metrics::Meter;
+use crate::net::h1_client;
 use crate::peer::{Follower, HintSender, LinkRpcServer, SettingsRpcServer, SettingsServer};
 use crate::platform::{InstanceList, ObjectStore, Table};
 use crate::settings::{Current, Publisher, SidecarFile};
@@ -51,8 +52,7 @@
             current: self.current.clone(),
             signals: self.signals.clone(),
             queue: Arc::clone(&self.queue),
-            meter: Arc::clone(&self.meter),
-            client: Loader::<P>::client(),
+            client: h1_client(),
         }
     }
 
