--- /dev/null
+++ b/src/direct/direct_meter.rs
@@ -0,0 +1,129 @@
+use std::fmt;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use crate::outcome::{Outcome, Reason};
+
+/// Upper bound of the first bucket of the histograms, in seconds.
+const FIRST_BUCKET_S: f64 = 0.005;
+/// Factor between two buckets, and their number.
+const BUCKET_FACTOR: f64 = 2.0;
+const BUCKETS: u16 = 12;
+
+/// What became of a request, and why.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct Ending {
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+/// Why something was done.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct Cause {
+    reason: &'static str,
+}
+
+/// Counters and latencies of an entry, read in the text format of OpenMetrics.
+pub struct DirectMeter {
+    registry: Registry,
+    ended: Family<Ending, Counter>,
+    retries: Family<Cause, Counter>,
+    first_byte: Histogram,
+    whole: Histogram,
+    in_flight: Gauge,
+    revision: Gauge,
+}
+
+impl fmt::Debug for DirectMeter {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.debug_struct("DirectMeter").finish_non_exhaustive()
+    }
+}
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, BUCKET_FACTOR, BUCKETS))
+}
+
+impl DirectMeter {
+    /// Makes counters that stand at zero.
+    ///
+    /// ```
+    /// # use ebonyusher::direct::DirectMeter;
+    /// # use ebonyusher::outcome::{Outcome, Reason};
+    /// let meter = DirectMeter::new();
+    /// meter.ended(Outcome::NotRun, Some(Reason::Overload));
+    /// assert!(meter.text().contains("outcome=\"not-run\",reason=\"overload\"} 1"));
+    /// ```
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("ebonyusher");
+        let ended = Family::default();
+        registry.register("requests_ended", "Requests by outcome and reason", ended.clone());
+        let retries = Family::default();
+        registry.register("retries", "Attempts after the first, by reason", retries.clone());
+        let first_byte = histogram();
+        let help = "Time from a request's arrival to the first byte of its answer";
+        registry.register("first_byte_seconds", help, first_byte.clone());
+        let whole = histogram();
+        let help = "Time from a request's arrival to the end of its answer";
+        registry.register("answer_seconds", help, whole.clone());
+        let in_flight = Gauge::default();
+        registry.register("in_flight", "Requests in flight", in_flight.clone());
+        let revision = Gauge::default();
+        registry.register("settings_revision", "Revision in force", revision.clone());
+        Self { registry, ended, retries, first_byte, whole, in_flight, revision }
+    }
+
+    /// Counts the end of a request.
+    pub fn ended(&self, outcome: Outcome, reason: Option<Reason>) {
+        let reason = reason.map_or("", Reason::as_str);
+        self.ended.get_or_create(&Ending { outcome: outcome.as_str(), reason }).inc();
+    }
+
+    /// Counts an attempt after the first.
+    pub fn retried(&self, reason: Reason) {
+        self.retries.get_or_create(&Cause { reason: reason.as_str() }).inc();
+    }
+
+    /// Notes the time to the first byte of an answer.
+    pub fn first_byte(&self, time: Duration) {
+        self.first_byte.observe(time.as_secs_f64());
+    }
+
+    /// Notes the time to the end of an answer.
+    pub fn whole(&self, time: Duration) {
+        self.whole.observe(time.as_secs_f64());
+    }
+
+    /// Counts a request as in flight, or as no longer in flight.
+    pub fn in_flight(&self, change: i64) {
+        self.in_flight.inc_by(change);
+    }
+
+    /// Notes the revision in force.
+    pub fn revision(&self, revision: u64) {
+        self.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+    }
+
+    /// All counters as text.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        encode(&mut text, &self.registry).ok();
+        text
+    }
+}
+
+impl Default for DirectMeter {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/direct/event.rs
@@ -0,0 +1,61 @@
+use serde::Serialize;
+
+/// A line of an entry's log.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "kebab-case")]
+pub(super) enum Event<'a> {
+    /// The process has started.
+    Started { version: &'a str, listen: String, domain: &'a str },
+    /// The process may be sent callers, or no longer.
+    Readiness { ready: bool, reason: &'a str },
+    /// The process was told to stop.
+    Stopping { grace_ms: u64 },
+    /// The process ends.
+    Stopped { unfinished: usize },
+    /// The process read its own settings file again.
+    Reloaded { ok: bool, detail: &'a str },
+    /// Settings were put in force.
+    SettingsInForce { revision: u64, before: u64 },
+    /// Settings were written that can't be used; the former ones stay in force.
+    SettingsUnusable { reason: &'a str, in_force: u64 },
+    /// The platform answers again, or no longer.
+    Platform { topic: &'a str, up: bool, detail: &'a str, down_ms: u64 },
+    /// The list of upstreams changed.
+    Upstream { upstream: &'a str, service: &'a str, change: &'a str, cursor: u64 },
+    /// An upstream was chosen for a request.
+    Sent {
+        id: &'a str,
+        attempt: u32,
+        route: &'a str,
+        account: &'a str,
+        upstream: &'a str,
+        revision: u64,
+        settings_age_ms: u64,
+        own: u32,
+        others: f64,
+        load_age_ms: Option<u64>,
+        left_ms: u64,
+    },
+    /// An attempt brought no answer that can be passed on.
+    Failed {
+        id: &'a str,
+        attempt: u32,
+        upstream: &'a str,
+        outcome: &'a str,
+        reason: &'a str,
+        detail: String,
+        took_ms: u64,
+    },
+    /// The caller has its final answer, or has left.
+    Ended {
+        id: &'a str,
+        status: u16,
+        outcome: &'a str,
+        reason: &'a str,
+        attempts: u32,
+        first_ms: Option<u64>,
+        took_ms: u64,
+        retry_after_ms: Option<u64>,
+    },
+}
--- /dev/null
+++ b/src/direct/freshness.rs
@@ -0,0 +1,50 @@
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use crate::units::BootTime;
+
+/// How long ago the settings in force here were certainly the newest ones.
+///
+/// An answer of the platform shows the state at some moment after its call was sent, so the moment
+/// of sending is what counts. It is kept on a clock that runs on while the machine is suspended: a
+/// machine that wakes must not take old settings for fresh ones.
+#[derive(Debug)]
+pub struct Freshness {
+    bound: Option<Duration>,
+    proven: Mutex<Option<BootTime>>,
+}
+
+impl Freshness {
+    /// Nothing is proven yet. Without a bound the age does not matter.
+    pub const fn new(bound: Option<Duration>) -> Self {
+        Self { bound, proven: Mutex::new(None) }
+    }
+
+    /// Takes in that a call sent at this moment was answered.
+    pub fn prove(&self, sent: BootTime) {
+        let mut proven = self.proven.lock().unwrap_or_else(PoisonError::into_inner);
+        *proven = (*proven).max(Some(sent));
+    }
+
+    /// Age of the settings, nothing before the first proof.
+    pub fn age(&self, now: BootTime) -> Option<Duration> {
+        let proven = *self.proven.lock().unwrap_or_else(PoisonError::into_inner);
+        proven.map(|proven| now.since(proven))
+    }
+
+    /// Whether keys may be judged by the settings in force.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use ebonyusher::{direct::Freshness, units::BootTime};
+    /// let at = |s| BootTime::from_start(Duration::from_secs(s));
+    /// let freshness = Freshness::new(Some(Duration::from_secs(5)));
+    /// assert!(!freshness.is_fresh(at(100)));
+    /// freshness.prove(at(100));
+    /// assert!(freshness.is_fresh(at(104)));
+    /// assert!(!freshness.is_fresh(at(106)));
+    /// ```
+    pub fn is_fresh(&self, now: BootTime) -> bool {
+        self.age(now).is_some_and(|age| self.bound.is_none_or(|bound| age < bound))
+    }
+}
--- /dev/null
+++ b/src/direct/node.rs
@@ -0,0 +1,222 @@
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::time::{sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::dispatcher::Dispatcher;
+use super::event::Event;
+use super::follow_routing::FollowRouting;
+use super::follow_upstreams::FollowUpstreams;
+use super::handler::DirectHandler;
+use super::ledger::millis;
+use super::side_handler::{MetricsHandler, ReadinessHandler};
+use super::watch::RoutingPublisher;
+use super::{DirectMeter, Directory, Freshness, RetryLimits, Roster, Wire};
+use crate::event_log::{EventLog, Level};
+use crate::net::{H1Limits, Shutdown, serve_h1};
+use crate::settings::{DirectFile, ParseError, RetryFile};
+
+/// Time in which the balancer notices that the process is no longer ready.
+const NOTICE_TIME: Duration = Duration::from_millis(3_200);
+/// Part of the grace time that is kept for ending.
+const END_TIME: Duration = Duration::from_millis(400);
+/// How long callers may keep an idle connection. Settings that allow less may change at any time,
+/// and a connection that closes under a request loses it.
+const IDLE_TIME: Duration = Duration::from_secs(90);
+/// Margin by which keys are judged by younger settings than the bound asks for.
+const KEY_AGE_MARGIN: Duration = Duration::from_millis(100);
+/// Largest request head that is read.
+const HEAD_BYTES: usize = 64 << 10;
+
+/// An entry that sends straight to upstreams.
+#[derive(Debug)]
+pub struct DirectNode {
+    file: DirectFile,
+    addr: SocketAddr,
+    readiness: SocketAddr,
+    metrics: Option<SocketAddr>,
+    leaving: Arc<AtomicBool>,
+    front: Shutdown,
+    side: Shutdown,
+    tasks: TaskTracker,
+    followers: CancellationToken,
+    grace: Duration,
+    log: EventLog,
+}
+
+impl DirectNode {
+    /// Starts listening and following the directory. It is ready once it knows settings and
+    /// upstreams.
+    ///
+    /// # Errors
+    /// If an address can't be listened on.
+    pub async fn start<D: Directory>(
+        file: &DirectFile,
+        wire: Wire,
+        directory: Arc<D>,
+        log: EventLog,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(file.listen).await?;
+        let readiness = TcpListener::bind(file.readiness).await?;
+        let metrics = match file.metrics {
+            Some(addr) => Some(TcpListener::bind(addr).await?),
+            None => None,
+        };
+        let mut node = Self {
+            file: file.clone(),
+            addr: listener.local_addr()?,
+            readiness: readiness.local_addr()?,
+            metrics: metrics.as_ref().map(TcpListener::local_addr).transpose()?,
+            leaving: Arc::default(),
+            front: Shutdown::default(),
+            side: Shutdown::default(),
+            tasks: TaskTracker::new(),
+            followers: CancellationToken::new(),
+            grace: Duration::from_secs_f64(file.grace_seconds),
+            log,
+        };
+        node.run(file, wire, directory, Listeners { listener, readiness, metrics });
+        let listen = node.addr.to_string();
+        let version = env!("CARGO_PKG_VERSION");
+        let event = Event::Started { version, listen, domain: &file.domain };
+        node.log.write(Level::Info, &event);
+        Ok(node)
+    }
+
+    fn run<D: Directory>(
+        &mut self,
+        file: &DirectFile,
+        wire: Wire,
+        directory: Arc<D>,
+        listeners: Listeners,
+    ) {
+        let key_age = file.key_age_ms.map(|ms| Duration::from_secs_f64(ms / 1e3));
+        let key_age = key_age.map(|age| age.saturating_sub(KEY_AGE_MARGIN));
+        let freshness = Arc::new(Freshness::new(key_age));
+        let roster = Arc::new(Roster::default());
+        let meter = Arc::new(DirectMeter::new());
+        let (publisher, routing) = RoutingPublisher::new();
+        let dispatcher = Arc::new(Dispatcher {
+            wire,
+            domain: file.domain.clone(),
+            roster: Arc::clone(&roster),
+            freshness: Arc::clone(&freshness),
+            limits: retry_limits(&file.retries),
+            budgets: std::sync::Mutex::default(),
+            meter: Arc::clone(&meter),
+            log: self.log.clone(),
+        });
+        let follow_routing = FollowRouting {
+            directory: Arc::clone(&directory),
+            publisher,
+            freshness: Arc::clone(&freshness),
+            meter: Arc::clone(&meter),
+            log: self.log.clone(),
+        };
+        let follow_upstreams =
+            FollowUpstreams::new(directory, Arc::clone(&roster), self.log.clone());
+        let stop = &self.followers;
+        tokio::spawn(stop.clone().run_until_cancelled_owned(follow_routing.run()));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(follow_upstreams.run()));
+        let ready = ReadinessHandler {
+            routing: routing.clone(),
+            roster,
+            freshness,
+            leaving: Arc::clone(&self.leaving),
+            ready: AtomicBool::new(false),
+            log: self.log.clone(),
+        };
+        let handler = DirectHandler {
+            routing,
+            dispatcher,
+            meter: Arc::clone(&meter),
+            tasks: self.tasks.clone(),
+            leaving: Arc::clone(&self.leaving),
+        };
+        let limits = H1Limits { idle_time: IDLE_TIME, head_bytes: HEAD_BYTES };
+        let Listeners { listener, readiness, metrics } = listeners;
+        let (front, side) = (self.front.clone(), self.side.clone());
+        tokio::spawn(serve_h1(listener, Arc::new(handler), limits, front, self.tasks.clone()));
+        let apart = TaskTracker::new();
+        tokio::spawn(serve_h1(readiness, Arc::new(ready), limits, side.clone(), apart.clone()));
+        if let Some(metrics) = metrics {
+            let handler = Arc::new(MetricsHandler { meter });
+            tokio::spawn(serve_h1(metrics, handler, limits, side, apart));
+        }
+    }
+
+    /// Where callers connect.
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Where readiness is asked for.
+    pub const fn readiness_addr(&self) -> SocketAddr {
+        self.readiness
+    }
+
+    /// Where counters are read.
+    pub const fn metrics_addr(&self) -> Option<SocketAddr> {
+        self.metrics
+    }
+
+    /// Takes in that the process's own settings file was read again. The file in force stays until
+    /// the next start; a faulty one is told at once.
+    pub fn reload(&self, read: &Result<DirectFile, ParseError>) {
+        let detail = match read {
+            Ok(file) if *file == self.file => "unchanged".to_owned(),
+            Ok(_) => "changed, in force from the next start".to_owned(),
+            Err(err) => err.to_string(),
+        };
+        let event = Event::Reloaded { ok: read.is_ok(), detail: &detail };
+        self.log.write(Level::Info, &event);
+    }
+
+    /// Shuts down gracefully: says that it is not ready, goes on serving until the balancer has
+    /// noticed, then ends after the requests in flight.
+    pub async fn close(self) {
+        self.log.write(Level::Info, &Event::Stopping { grace_ms: millis(self.grace) });
+        self.leaving.store(true, Ordering::Relaxed);
+        let notice = NOTICE_TIME.min(self.grace / 2);
+        sleep(notice).await;
+        self.front.graceful.cancel();
+        self.tasks.close();
+        let left = self.grace.saturating_sub(notice + END_TIME);
+        let ended = timeout(left, self.tasks.wait()).await;
+        let unfinished = if ended.is_ok() { 0 } else { self.tasks.len() };
+        self.front.abrupt.cancel();
+        self.side.abrupt.cancel();
+        self.followers.cancel();
+        self.log.write(Level::Info, &Event::Stopped { unfinished });
+        self.log.close();
+    }
+
+    /// Stops at once, as a process that dies: connections break and nothing is told.
+    pub fn kill(self) {
+        self.front.abrupt.cancel();
+        self.side.abrupt.cancel();
+        self.followers.cancel();
+    }
+}
+
+/// The listeners of an entry.
+struct Listeners {
+    listener: TcpListener,
+    readiness: TcpListener,
+    metrics: Option<TcpListener>,
+}
+
+/// What this entry alone may send again: its part of what all together may.
+fn retry_limits(file: &RetryFile) -> RetryLimits {
+    RetryLimits {
+        share: file.share,
+        window: Duration::from_secs_f64(file.window_seconds),
+        slack: file.slack / file.entries.max(1.0),
+    }
+}
--- /dev/null
+++ b/src/direct/order.rs
@@ -0,0 +1,103 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri};
+use http_body_util::Full;
+use tokio::time::Instant;
+
+use super::{Account, Route, Service, Upstream, Wire};
+use crate::net::LAST_EVENT_ID;
+
+/// Headers that concern only one connection (RFC 9110, 7.6.1), and the caller's key.
+const NOT_PASSED_ON: [HeaderName; 9] = [
+    AUTHORIZATION,
+    CONNECTION,
+    CONTENT_LENGTH,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+/// The least urgent of the numbers that upstreams know.
+const LAST_URGENCY: u8 = 9;
+/// Obsolete, but still in use.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// A caller's request, checked and read whole.
+#[derive(Clone, Debug)]
+pub(super) struct Order {
+    /// Id of the caller's attempt.
+    pub(super) id: HeaderValue,
+    pub(super) method: Method,
+    pub(super) uri: Uri,
+    /// Headers that are passed on.
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) account: Option<Arc<Account>>,
+    pub(super) route: Arc<Route>,
+    pub(super) service: Arc<Service>,
+    /// Revision of the settings that route and service are taken from.
+    pub(super) revision: u64,
+    pub(super) deadline: Instant,
+}
+
+impl Order {
+    /// Rank of the request, 0 is the most urgent.
+    fn priority(&self) -> u8 {
+        let own = self.account.as_ref().and_then(|account| account.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// The request as it goes to an upstream; `last_event` is the last event that the caller has
+    /// had of a stream.
+    pub(super) fn request_for(
+        &self,
+        upstream: &Upstream,
+        wire: &Wire,
+        last_event: Option<&Bytes>,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        let headers = request.headers_mut();
+        headers.clone_from(&self.headers);
+        let left = self.deadline.saturating_duration_since(Instant::now()).as_millis();
+        let left = u64::try_from(left).unwrap_or(u64::MAX);
+        headers.insert(wire.attempt.clone(), self.id.clone());
+        headers.insert(wire.deadline.clone(), HeaderValue::from(left));
+        if let Ok(id) = HeaderValue::from_str(&upstream.listed.id) {
+            headers.insert(wire.upstream.clone(), id);
+        }
+        headers.insert(
+            wire.urgency.clone(),
+            HeaderValue::from(u16::from(self.priority().min(LAST_URGENCY))),
+        );
+        let account = self.account.as_ref().map(|account| HeaderValue::from_str(&account.name));
+        match account {
+            Some(Ok(name)) => headers.insert(wire.account.clone(), name),
+            _ => headers.remove(&wire.account),
+        };
+        if let Some(Ok(last)) = last_event.map(|last| HeaderValue::from_bytes(last)) {
+            headers.insert(LAST_EVENT_ID, last);
+        }
+        request
+    }
+}
+
+/// Takes off the headers that must not be passed on.
+pub(super) fn strip(headers: &mut HeaderMap) {
+    let named = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    let named: Vec<HeaderName> = named
+        .flat_map(|names| names.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&NOT_PASSED_ON).chain([&KEEP_ALIVE]) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/src/direct/routing.rs
@@ -0,0 +1,94 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Route, Service};
+use crate::settings::KeyDigest;
+
+/// A client account, found by one of its keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Account {
+    /// Its name, which upstreams are told.
+    pub name: String,
+    /// Rank of its requests, in place of the route's.
+    pub priority: Option<u8>,
+}
+
+/// What callers may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest request head in bytes.
+    pub head_bytes: u32,
+    /// Largest request body in bytes.
+    pub body_bytes: u64,
+    /// Longest time for a request head to arrive.
+    pub head_time: Duration,
+    /// How long a connection may be idle.
+    pub idle_time: Duration,
+}
+
+/// All routes, services and client accounts at one revision.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Routing {
+    /// Greater with each change.
+    pub revision: u64,
+    /// What callers may send.
+    pub limits: Limits,
+    hosts: HashMap<String, Vec<Arc<Route>>>,
+    services: HashMap<String, Arc<Service>>,
+    /// Accounts by key; nothing if requests need no key.
+    accounts: Option<HashMap<KeyDigest, Arc<Account>>>,
+}
+
+impl Routing {
+    /// Indexes routes by host, services by name and accounts by key. Without a list of accounts
+    /// requests need no key.
+    pub fn new(
+        revision: u64,
+        limits: Limits,
+        routes: impl IntoIterator<Item = (String, Route)>,
+        services: impl IntoIterator<Item = Service>,
+        accounts: Option<Vec<(KeyDigest, Arc<Account>)>>,
+    ) -> Self {
+        let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        for (host, route) in routes {
+            hosts.entry(host.to_ascii_lowercase()).or_default().push(Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = services.into_iter().map(|service| (service.name.clone(), service.into()));
+        Self {
+            revision,
+            limits,
+            hosts,
+            services: services.collect(),
+            accounts: accounts.map(|accounts| accounts.into_iter().collect()),
+        }
+    }
+
+    /// The route with the longest prefix that a path lies under.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let host = host.split(':').next().unwrap_or_default();
+        let routes = match self.hosts.get(host) {
+            Some(routes) => routes,
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+        };
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The client account that a key names.
+    pub fn account(&self, key: &str) -> Option<&Arc<Account>> {
+        self.accounts.as_ref()?.get(&KeyDigest::of(key))
+    }
+
+    /// A service by its name.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// Whether requests need a key, unless their route says otherwise.
+    pub const fn needs_key(&self) -> bool {
+        self.accounts.is_some()
+    }
+}
--- /dev/null
+++ b/src/direct/upstream.rs
@@ -0,0 +1,209 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::connection::Connection;
+use super::{Listed, View};
+
+/// Time after which a report of load counts half.
+const REPORT_HALF_LIFE: Duration = Duration::from_millis(800);
+/// First pause after a failure that speaks against the upstream, doubled with each further one.
+const FIRST_REST: Duration = Duration::from_millis(150);
+const LONGEST_REST: Duration = Duration::from_secs(2);
+/// Requests without an answer, one after the other, from which the upstream rests.
+const LOSSES_TO_REST: u32 = 3;
+/// Idle connections that are kept.
+const MAX_IDLE: usize = 4;
+/// Idle time after which a connection is not used again, below what upstreams commonly allow.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
+
+/// What an upstream said of its load in an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at a time.
+    pub slots: u32,
+}
+
+/// One life of an upstream, as this entry sees it.
+#[derive(Debug)]
+pub struct Upstream {
+    /// What the platform's list says of it.
+    pub listed: Listed,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    draining: bool,
+    in_flight: u32,
+    load: Option<Report>,
+    losses: u32,
+    rest: Duration,
+    rests_until: Option<Instant>,
+    idle: Vec<Connection>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    load: Load,
+    at: Instant,
+    /// Requests of this entry that the report counts.
+    own: u32,
+}
+
+/// A request counted as in flight at an upstream until dropped.
+#[derive(Debug)]
+pub(super) struct InFlight(Arc<Upstream>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut state = self.0.lock();
+        state.in_flight = state.in_flight.saturating_sub(1);
+        if let Some(report) = &mut state.load {
+            report.own = report.own.saturating_sub(1);
+        }
+    }
+}
+
+impl Load {
+    /// Reads the three numbers of a load header.
+    ///
+    /// ```
+    /// # use ebonyusher::direct::Load;
+    /// let load = Load { running: 3, waiting: 0, slots: 8 };
+    /// assert_eq!(Load::parse("3,0,8"), Some(load));
+    /// assert_eq!(Load::parse("3,0"), None);
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
+        let load =
+            Self { running: numbers.next()??, waiting: numbers.next()??, slots: numbers.next()?? };
+        numbers.next().is_none().then_some(load)
+    }
+}
+
+impl Upstream {
+    /// An upstream that nothing is known of but its entry in the list.
+    pub fn new(listed: Listed) -> Self {
+        let state = State { draining: listed.draining, ..State::default() };
+        Self { listed, state: Mutex::new(state) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Where it takes requests.
+    pub const fn addr(&self) -> SocketAddr {
+        self.listed.addr
+    }
+
+    /// Whether a line of the list speaks of this life of it.
+    pub fn is_same_life(&self, listed: &Listed) -> bool {
+        let known = &self.listed;
+        known.addr == listed.addr && known.born == listed.born && known.service == listed.service
+    }
+
+    /// Takes in that it is leaving. That holds for this life.
+    pub(super) fn drain(&self) {
+        let mut state = self.lock();
+        state.draining = true;
+        state.idle.clear();
+    }
+
+    /// Whether new requests may go there.
+    pub fn is_draining(&self) -> bool {
+        self.lock().draining
+    }
+
+    /// Counts a request as in flight there.
+    pub(super) fn enter(self: &Arc<Self>) -> InFlight {
+        self.lock().in_flight += 1;
+        InFlight(Arc::clone(self))
+    }
+
+    /// Takes in what an answer said of its load.
+    pub(super) fn report(&self, load: Load) {
+        let mut state = self.lock();
+        let own = state.in_flight;
+        state.load = Some(Report { load, at: Instant::now(), own });
+    }
+
+    /// Takes in a sound answer.
+    pub(super) fn answered(&self) {
+        let mut state = self.lock();
+        state.losses = 0;
+        state.rest = Duration::ZERO;
+        state.rests_until = None;
+    }
+
+    /// Takes in that it can't be reached, or takes nothing at present.
+    pub(super) fn refused(&self) {
+        self.lock().begin_rest();
+    }
+
+    /// Takes in that a request got no sound answer.
+    pub(super) fn lost(&self) {
+        let mut state = self.lock();
+        state.losses += 1;
+        if state.losses >= LOSSES_TO_REST {
+            state.begin_rest();
+        }
+    }
+
+    /// What choosing looks at.
+    pub fn view(&self, now: Instant) -> View {
+        let state = self.lock();
+        View {
+            own: state.in_flight,
+            others: state.others(now),
+            slots: state.load.map_or(0, |report| report.load.slots),
+            rests_until: state.rests_until.filter(|until| *until > now),
+        }
+    }
+
+    /// Age of the last report of load, and the report.
+    pub fn last_load(&self, now: Instant) -> Option<(Duration, Load)> {
+        let report = self.lock().load?;
+        Some((now.saturating_duration_since(report.at), report.load))
+    }
+
+    /// Takes a connection that may be used again.
+    pub(super) fn take_idle(&self) -> Option<Connection> {
+        let mut state = self.lock();
+        state.idle.retain(|conn| conn.is_usable(MAX_IDLE_TIME));
+        state.idle.pop()
+    }
+
+    /// Keeps a connection for later requests.
+    pub(super) fn put_idle(&self, conn: Connection) {
+        let mut state = self.lock();
+        state.idle.retain(|conn| conn.is_usable(MAX_IDLE_TIME));
+        if !state.draining && state.idle.len() < MAX_IDLE {
+            state.idle.push(conn);
+        }
+    }
+}
+
+impl State {
+    fn begin_rest(&mut self) {
+        self.rest = (self.rest * 2).clamp(FIRST_REST, LONGEST_REST);
+        self.rests_until = Some(Instant::now() + self.rest);
+        self.losses = 0;
+    }
+
+    /// Requests of other callers there, by a report that counts less with its age.
+    fn others(&self, now: Instant) -> f64 {
+        let Some(report) = self.load else { return 0.0 };
+        let age = now.saturating_duration_since(report.at);
+        let trust = 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64());
+        let reported = report.load.running + report.load.waiting;
+        f64::from(reported.saturating_sub(report.own)) * trust
+    }
+}
--- /dev/null
+++ b/src/direct/watch.rs
@@ -0,0 +1,43 @@
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use super::Routing;
+
+/// The settings in force in this process, for reading.
+#[derive(Clone, Debug)]
+pub(super) struct CurrentRouting(watch::Receiver<Option<Arc<Routing>>>);
+
+/// The only way to put settings in force in this process.
+#[derive(Debug)]
+pub(super) struct RoutingPublisher(watch::Sender<Option<Arc<Routing>>>);
+
+impl RoutingPublisher {
+    /// Starts without settings.
+    pub(super) fn new() -> (Self, CurrentRouting) {
+        let (sender, receiver) = watch::channel(None);
+        (Self(sender), CurrentRouting(receiver))
+    }
+
+    /// Puts settings in force if they are newer than the present ones, whose revision it gives.
+    pub(super) fn offer(&self, routing: Routing) -> Option<u64> {
+        let mut before = None;
+        self.0.send_if_modified(|present| {
+            let known = present.as_ref().map_or(0, |present| present.revision);
+            let newer = present.is_none() || routing.revision > known;
+            if newer {
+                before = Some(known);
+                *present = Some(Arc::new(routing));
+            }
+            newer
+        });
+        before
+    }
+}
+
+impl CurrentRouting {
+    /// What is in force now, nothing before the first settings.
+    pub(super) fn get(&self) -> Option<Arc<Routing>> {
+        self.0.borrow().clone()
+    }
+}
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -1,7 +1,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use http::header::{AUTHORIZATION, CONTENT_TYPE, HOST};
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
@@ -19,8 +18,8 @@
 use crate::id::Attempt;
 use crate::metrics::{Event, Meter};
 use crate::net::{
-    ChannelBody, CollectError, DEADLINE_MS, Handler, IDEMPOTENCY_KEY, collect, header_millis,
-    header_str, json_answer, refusal_answer,
+    ChannelBody, CollectError, DEADLINE_MS, EventCutter, Handler, IDEMPOTENCY_KEY, collect,
+    header_millis, header_str, json_answer, refusal_answer,
 };
 use crate::outcome::{Reason, Refusal};
 use crate::platform::Table;
@@ -115,8 +114,7 @@
             order,
             meter: Arc::clone(&self.meter),
             _limit: limit,
-            partial: BytesMut::new(),
-            last: None,
+            cutter: EventCutter::default(),
             breaks: 0,
         };
         self.tasks.spawn(splice.run(sent, sender));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod admin;
 pub mod cli;
 pub mod ctl;
+pub mod direct;
 pub mod entry;
+pub mod event_log;
 pub mod group;
 pub mod id;
 pub mod lease;
@@ -17,6 +19,7 @@
 pub mod outcome;
 pub mod peer;
 pub mod platform;
+pub mod remap;
 pub mod settings;
 pub mod sidecar;
 pub mod switch;
--- /dev/null
+++ b/src/net/event_cutter.rs
@@ -0,0 +1,61 @@
+use bytes::{Bytes, BytesMut};
+
+const EVENT_END: &[u8] = b"\n\n";
+const ID_FIELD: &[u8] = b"id:";
+
+/// Cuts a stream of server-sent events at the ends of whole events.
+#[derive(Clone, Debug, Default)]
+pub struct EventCutter {
+    /// Bytes of an event that is not whole yet.
+    partial: BytesMut,
+    /// Id of the last whole event.
+    last: Option<Bytes>,
+}
+
+impl EventCutter {
+    /// Takes in bytes and gives back those that end with a whole event.
+    ///
+    /// ```
+    /// # use ebonyusher::net::EventCutter;
+    /// let mut cutter = EventCutter::default();
+    /// assert_eq!(cutter.push("id: 1\n\nid: 2".into()).unwrap(), "id: 1\n\n");
+    /// assert_eq!(cutter.last_id().unwrap(), "1");
+    /// assert!(!cutter.is_at_end());
+    /// ```
+    pub fn push(&mut self, data: Bytes) -> Option<Bytes> {
+        let events = self.whole_events(data)?;
+        let id = events.split(|byte| *byte == b'\n').rev().find_map(|l| l.strip_prefix(ID_FIELD));
+        if let Some(id) = id {
+            self.last = Some(Bytes::copy_from_slice(id.trim_ascii()));
+        }
+        Some(events)
+    }
+
+    fn whole_events(&mut self, data: Bytes) -> Option<Bytes> {
+        if self.partial.is_empty() && data.ends_with(EVENT_END) {
+            return Some(data);
+        }
+        self.partial.extend_from_slice(&data);
+        let end = rfind(&self.partial, EVENT_END)? + EVENT_END.len();
+        Some(self.partial.split_to(end).freeze())
+    }
+
+    /// Id of the last whole event.
+    pub const fn last_id(&self) -> Option<&Bytes> {
+        self.last.as_ref()
+    }
+
+    /// Whether the bytes taken in end with a whole event.
+    pub fn is_at_end(&self) -> bool {
+        self.partial.is_empty()
+    }
+
+    /// Drops the bytes of an event that will not become whole.
+    pub fn drop_partial(&mut self) {
+        self.partial.clear();
+    }
+}
+
+fn rfind(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
+    bytes.windows(pattern.len()).rposition(|window| window == pattern)
+}
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -7,6 +7,7 @@
 use http::{Request, Response};
 use http_body::Body;
 use hyper::body::Incoming;
+use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
@@ -48,6 +49,15 @@
     pub abrupt: CancellationToken,
 }
 
+/// What callers of a listener for HTTP/1.1 alone may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct H1Limits {
+    /// How long a connection may be idle, or take for the head of a request.
+    pub idle_time: Duration,
+    /// Largest head of a request in bytes.
+    pub head_bytes: usize,
+}
+
 /// Accepts connections until told to stop, one task each.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
@@ -56,6 +66,41 @@
     tasks: TaskTracker,
 ) {
     let builder = Arc::new(builder());
+    let graceful = stop.graceful.clone();
+    let connect = move |stream| {
+        connection(stream, Arc::clone(&builder), Arc::clone(&handler), graceful.clone())
+    };
+    accept(listener, connect, stop, tasks).await;
+}
+
+/// Accepts connections that speak HTTP/1.1 alone until told to stop, one task each.
+pub async fn serve_h1<H: Handler>(
+    listener: TcpListener,
+    handler: Arc<H>,
+    limits: H1Limits,
+    stop: Shutdown,
+    tasks: TaskTracker,
+) {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time)
+        .max_buf_size(limits.head_bytes);
+    let graceful = stop.graceful.clone();
+    let connect = move |stream| {
+        h1_connection(stream, builder.clone(), Arc::clone(&handler), graceful.clone())
+    };
+    accept(listener, connect, stop, tasks).await;
+}
+
+async fn accept<F>(
+    listener: TcpListener,
+    connect: impl Fn(TcpStream) -> F,
+    stop: Shutdown,
+    tasks: TaskTracker,
+) where
+    F: Future<Output = ()> + Send + 'static,
+{
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -66,9 +111,7 @@
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let graceful = stop.graceful.clone();
-        let task = connection(stream, Arc::clone(&builder), Arc::clone(&handler), graceful);
-        tasks.spawn(stop.abrupt.clone().run_until_cancelled_owned(task));
+        tasks.spawn(stop.abrupt.clone().run_until_cancelled_owned(connect(stream)));
     }
 }
 
@@ -116,3 +159,22 @@
     }
     conn.await.ok();
 }
+
+async fn h1_connection<H: Handler>(
+    stream: TcpStream,
+    builder: http1::Builder,
+    handler: Arc<H>,
+    stop: CancellationToken,
+) {
+    stream.set_nodelay(true).ok();
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let mut conn = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        _ = conn.as_mut() => return,
+        () = stop.cancelled() => conn.as_mut().graceful_shutdown(),
+    }
+    conn.await.ok();
+}
--- a/src/outcome/reason.rs
+++ b/src/outcome/reason.rs
@@ -55,11 +55,17 @@
     NoSettings,
     /// a second upstream is asked since the first is slow
     Hedge,
+    /// the settings are too old to judge keys by
+    StaleSettings,
+    /// the caller left before the answer
+    CallerGone,
+    /// the upstream ran the request and failed it
+    UpstreamFailed,
 }
 
 impl Reason {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 28] = [
         Self::BadKey,
         Self::NoRoute,
         Self::BadHeader,
@@ -85,6 +91,9 @@
         Self::BadLink,
         Self::NoSettings,
         Self::Hedge,
+        Self::StaleSettings,
+        Self::CallerGone,
+        Self::UpstreamFailed,
     ];
 
     /// The stable word of the reason.
@@ -115,6 +124,9 @@
             Self::BadLink => "bad-link",
             Self::NoSettings => "no-settings",
             Self::Hedge => "hedge",
+            Self::StaleSettings => "stale-settings",
+            Self::CallerGone => "caller-gone",
+            Self::UpstreamFailed => "upstream-failed",
         }
     }
 
@@ -139,7 +151,9 @@
             Self::Deadline | Self::UpstreamTimeout => StatusCode::GATEWAY_TIMEOUT,
             Self::KeyReused | Self::Poison => StatusCode::UNPROCESSABLE_ENTITY,
             Self::InProgress | Self::Unsettled => StatusCode::CONFLICT,
-            Self::UpstreamLost | Self::LinkLost | Self::WrongAnswer => StatusCode::BAD_GATEWAY,
+            Self::UpstreamLost | Self::UpstreamFailed | Self::LinkLost | Self::WrongAnswer => {
+                StatusCode::BAD_GATEWAY
+            }
             Self::NoUpstream
             | Self::Overload
             | Self::Leaving
@@ -147,6 +161,8 @@
             | Self::UpstreamDown
             | Self::WrongService
             | Self::NoSettings
+            | Self::StaleSettings
+            | Self::CallerGone
             | Self::Hedge => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- /dev/null
+++ b/src/remap/crew.rs
@@ -0,0 +1,137 @@
+use futures_util::future::join_all;
+
+use super::{Held, RankCommand, RankCounts, RankError, RankOrder, RankPort, RankState};
+
+/// Orders that one leader may give before its numbers reach those of the next one.
+const ORDERS_OF_TERM: u64 = 1 << 24;
+
+/// What a leader knows of its own orders at a rank.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Mark {
+    /// The rank has taken an order of this leader, and so refuses earlier leaders.
+    pub fenced: bool,
+    /// An order without an answer may still be carried out.
+    pub unsure: bool,
+    /// The rank holds the group by an order of this leader.
+    pub holds: bool,
+}
+
+/// The ranks of a group in one epoch, as their leader reaches them.
+#[derive(Debug)]
+pub struct Crew<P> {
+    ports: Vec<P>,
+    marks: Vec<Mark>,
+    epoch: u64,
+    fence: u64,
+}
+
+/// Another leader has given orders since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Deposed;
+
+/// The first number for the orders of a term.
+///
+/// ```
+/// # use ebonyusher::remap::first_fence;
+/// assert!(first_fence(2) > first_fence(1) + 1_000_000);
+/// ```
+pub const fn first_fence(term: u64) -> u64 {
+    term * ORDERS_OF_TERM
+}
+
+impl<P: RankPort> Crew<P> {
+    /// The ranks in their order; orders are numbered from `fence` on.
+    pub fn new(ports: Vec<P>, epoch: u64, fence: u64) -> Self {
+        let marks = vec![Mark::default(); ports.len()];
+        Self { ports, marks, epoch, fence }
+    }
+
+    /// Epoch that the group is in.
+    pub const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Number of the last order.
+    pub const fn fence(&self) -> u64 {
+        self.fence
+    }
+
+    /// What is known of the orders at each rank.
+    pub fn marks(&self) -> &[Mark] {
+        &self.marks
+    }
+
+    /// Ranks of the group.
+    pub const fn len(&self) -> usize {
+        self.ports.len()
+    }
+
+    /// Whether there are no ranks.
+    pub const fn is_empty(&self) -> bool {
+        self.ports.is_empty()
+    }
+
+    /// Reads the states of all ranks at once; nothing for a rank without an answer.
+    pub async fn states(&self) -> Vec<Option<RankState>> {
+        join_all(self.ports.iter().map(|port| async { port.state().await.ok() })).await
+    }
+
+    /// Reads the states of all ranks, and takes the ways to them apart again.
+    pub async fn states_and_ports(self) -> Vec<(Option<RankState>, P)> {
+        let states = self.states().await;
+        states.into_iter().zip(self.ports).collect()
+    }
+
+    /// Reads what all ranks counted.
+    pub async fn counts(&self) -> Vec<Option<RankCounts>> {
+        join_all(self.ports.iter().map(|port| async { port.counts().await.ok() })).await
+    }
+
+    /// Reads what all ranks hold.
+    pub async fn held(&self) -> Vec<Option<Vec<Held>>> {
+        join_all(self.ports.iter().map(|port| async { port.held().await.ok() })).await
+    }
+
+    /// Gives orders to ranks at once, each with a number of its own, and tells how each ended.
+    ///
+    /// # Errors
+    /// [`Deposed`] if a rank has taken orders of another leader since.
+    pub async fn command(
+        &mut self,
+        orders: Vec<(usize, RankOrder)>,
+    ) -> Result<Vec<Result<(), RankError>>, Deposed> {
+        let commands: Vec<(usize, RankCommand)> = orders
+            .into_iter()
+            .map(|(rank, order)| {
+                // A greater number at each order: once a rank has taken one, it refuses those
+                // before it that come late.
+                self.fence += 1;
+                (rank, RankCommand { order, epoch: self.epoch, fence: self.fence })
+            })
+            .collect();
+        let ports = &self.ports;
+        let given = commands.iter().map(|(rank, command)| ports[*rank].command(command));
+        let ended = join_all(given).await;
+        for ((rank, command), ended) in commands.iter().zip(&ended) {
+            self.note(*rank, &command.order, *ended);
+        }
+        if ended.contains(&Err(RankError::Fenced)) { Err(Deposed) } else { Ok(ended) }
+    }
+
+    fn note(&mut self, rank: usize, order: &RankOrder, ended: Result<(), RankError>) {
+        let mark = &mut self.marks[rank];
+        match ended {
+            Ok(()) => {
+                mark.fenced = true;
+                mark.unsure = false;
+                match order {
+                    RankOrder::Hold { .. } => mark.holds = true,
+                    RankOrder::Release { .. } => mark.holds = false,
+                    _ => {}
+                }
+            }
+            Err(RankError::Unknown) => mark.unsure = true,
+            Err(RankError::Refused | RankError::Fenced) => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/remap/group_map.rs
@@ -0,0 +1,57 @@
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+/// Experts that one rank holds in one set of layers.
+pub type Held = SmallVec<[u16; 8]>;
+
+/// Which rank holds which experts, for each set of layers. The ranks that hold an expert share its
+/// tokens evenly.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct GroupMap {
+    /// By set and rank.
+    pub sets: Vec<Vec<Held>>,
+}
+
+impl GroupMap {
+    /// Puts together what each rank says that it holds, by rank and set.
+    ///
+    /// ```
+    /// # use ebonyusher::remap::{GroupMap, Held};
+    /// let held = |experts: &[u16]| -> Held { experts.iter().copied().collect() };
+    /// let map = GroupMap::from_ranks(&[vec![held(&[0])], vec![held(&[1])]]);
+    /// assert_eq!(map.sets.len(), 1);
+    /// assert!(map.is_complete(2));
+    /// assert!(!map.is_complete(3));
+    /// ```
+    pub fn from_ranks(ranks: &[Vec<Held>]) -> Self {
+        let sets = ranks.first().map_or(0, Vec::len);
+        let of_set = |set: usize| {
+            ranks.iter().map(|held| held.get(set).cloned().unwrap_or_default()).collect()
+        };
+        Self { sets: (0..sets).map(of_set).collect() }
+    }
+
+    /// Whether each of so many experts has a rank in every set.
+    pub fn is_complete(&self, experts: usize) -> bool {
+        self.sets.iter().all(|ranks| {
+            let mut found = vec![false; experts];
+            for expert in ranks.iter().flatten() {
+                if let Some(found) = found.get_mut(usize::from(*expert)) {
+                    *found = true;
+                }
+            }
+            found.iter().all(|found| *found)
+        })
+    }
+
+    /// Experts that ranks have to copy to follow another map.
+    pub fn copies_to(&self, other: &Self) -> usize {
+        let new = |(own, other): (&Held, &Held)| other.iter().filter(|e| !own.contains(e)).count();
+        let of_set = |(own, other): (&Vec<Held>, &Vec<Held>)| -> usize {
+            own.iter().zip(other).map(new).sum()
+        };
+        self.sets.iter().zip(&other.sets).map(of_set).sum()
+    }
+}
--- /dev/null
+++ b/src/remap/lead.rs
@@ -0,0 +1,251 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use super::event::Event;
+use super::switch::{SwitchError, settle_all, switch};
+use super::{
+    Crew, Demand, GroupMap, PeerRank, Placement, PlacementLimits, RankDial, RankState, first_fence,
+    improve,
+};
+use crate::direct::{Directory, Experts, ListChange, RoutingChange};
+use crate::event_log::{EventLog, Level};
+use crate::settings::RebalanceFile;
+
+/// Pause before the ranks of a group that is not whole are looked for again.
+const GATHER_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two readings of what was counted.
+const OBSERVE_PAUSE: Duration = Duration::from_millis(150);
+/// Failures of switches in a row after which the next plan waits longer.
+const FAILURE_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Leads a group for one term: reads demand, plans maps and switches to them.
+#[derive(Debug)]
+pub(super) struct Lead<D, R: RankDial> {
+    pub(super) directory: Arc<D>,
+    pub(super) dial: Arc<R>,
+    pub(super) own: SocketAddr,
+    pub(super) peer_port: u16,
+    pub(super) service: String,
+    pub(super) term: u64,
+    pub(super) rebalance: RebalanceFile,
+    pub(super) log: EventLog,
+}
+
+/// A group that is whole, with its present map.
+struct Group<P> {
+    crew: Crew<PeerRank<P>>,
+    near: usize,
+    map: GroupMap,
+    version: u64,
+    demand: Demand,
+    next_plan: Instant,
+}
+
+impl<D: Directory, R: RankDial> Lead<D, R> {
+    /// Leads until another leader has taken over.
+    pub(super) async fn run(self) {
+        let mut fence = first_fence(self.term);
+        let Some(experts) = self.experts().await else { return };
+        loop {
+            let Some(mut group) = self.gather(&experts, fence).await else {
+                sleep(GATHER_PAUSE).await;
+                continue;
+            };
+            let ended = self.attend(&mut group, &experts).await;
+            fence = group.crew.fence();
+            if ended == SwitchError::Deposed {
+                let event = Event::Deposed { term: self.term, reason: "a rank has a newer leader" };
+                return self.log.write(Level::Warn, &event);
+            }
+        }
+    }
+
+    /// Sizes of the group, from the settings.
+    async fn experts(&self) -> Option<Experts> {
+        loop {
+            let read = self.directory.read_routing().await;
+            let changes = match read {
+                Ok(changes) => changes,
+                Err(err) => {
+                    self.log.write(Level::Warn, &Event::PlatformDown { detail: err.to_string() });
+                    sleep(GATHER_PAUSE * 4).await;
+                    continue;
+                }
+            };
+            let routing = changes.items.into_iter().find_map(|change| match change {
+                RoutingChange::Written(routing) => Some(routing),
+                RoutingChange::Unusable(_) => None,
+            });
+            if let Some(routing) = routing {
+                let service = routing.service(&self.service);
+                return service.and_then(|service| service.engine).and_then(|e| e.experts);
+            }
+            sleep(GATHER_PAUSE).await;
+        }
+    }
+
+    /// Finds all ranks of the group and brings it to where no switch is under way.
+    async fn gather(&self, experts: &Experts, fence: u64) -> Option<Group<R::Port>> {
+        let addrs = self.rank_addrs().await?;
+        let ports: Vec<PeerRank<R::Port>> =
+            addrs.iter().filter_map(|addr| self.way_to(*addr)).collect();
+        let read = Crew::new(ports, 0, fence).states_and_ports().await;
+        let mut known: Vec<(RankState, PeerRank<R::Port>)> =
+            read.into_iter().filter_map(|(state, port)| Some((state?, port))).collect();
+        known.sort_by_key(|(state, _)| state.rank);
+        let (size, epoch) = known.first().map(|(state, _)| (state.size, state.epoch))?;
+        let fits = |(at, (state, _)): (usize, &(RankState, PeerRank<R::Port>))| {
+            state.rank == at && state.epoch == epoch && state.open
+        };
+        if known.len() != size || !known.iter().enumerate().all(fits) {
+            let open = known.iter().filter(|(state, _)| state.open).count();
+            let event = Event::GroupIncomplete { known: known.len(), open, size };
+            self.log.write(Level::Info, &event);
+            return None;
+        }
+        let near = known.iter().position(|(_, port)| port.is_own()).unwrap_or_default();
+        let ports = known.into_iter().map(|(_, port)| port).collect();
+        let mut crew = Crew::new(ports, epoch, fence);
+        let map = self.read_map(&crew, experts).await?;
+        self.settle(&mut crew, near, &map).await.ok()?;
+        // What was switched to in the meantime counts.
+        let map = self.read_map(&crew, experts).await?;
+        let states = crew.states().await.into_iter().collect::<Option<Vec<RankState>>>()?;
+        if states.iter().any(|state| state.map != states[0].map || !state.is_quiet()) {
+            return None;
+        }
+        let version = states.iter().flat_map(|s| [Some(s.map), s.prepared]).flatten().max()?;
+        let event = Event::Group { epoch, ranks: size, map: states[0].map };
+        self.log.write(Level::Info, &event);
+        let demand = Demand::new(size, experts.sets, experts.count);
+        Some(Group { crew, near, map, version, demand, next_plan: Instant::now() })
+    }
+
+    async fn rank_addrs(&self) -> Option<Vec<SocketAddr>> {
+        let changes = match self.directory.read_upstreams().await {
+            Ok(changes) => changes,
+            Err(err) => {
+                self.log.write(Level::Warn, &Event::PlatformDown { detail: err.to_string() });
+                return None;
+            }
+        };
+        let of_service = changes.items.into_iter().filter_map(|change| match change {
+            ListChange::Listed(line) if line.service == self.service => Some(line.addr),
+            _ => None,
+        });
+        Some(of_service.collect())
+    }
+
+    fn way_to(&self, addr: SocketAddr) -> Option<PeerRank<R::Port>> {
+        let direct = Arc::new(self.dial.dial(addr));
+        if addr == self.own {
+            return Some(PeerRank::own(direct, self.term));
+        }
+        let sidecar = SocketAddr::new(addr.ip(), self.peer_port);
+        PeerRank::beside(direct, sidecar, self.term).ok()
+    }
+
+    async fn read_map(
+        &self,
+        crew: &Crew<PeerRank<R::Port>>,
+        experts: &Experts,
+    ) -> Option<GroupMap> {
+        let held = crew.held().await.into_iter().collect::<Option<Vec<_>>>()?;
+        let map = GroupMap::from_ranks(&held);
+        (map.sets.len() == experts.sets && map.is_complete(experts.count)).then_some(map)
+    }
+
+    /// Undoes what is left of a switch.
+    async fn settle(
+        &self,
+        crew: &mut Crew<PeerRank<R::Port>>,
+        near: usize,
+        map: &GroupMap,
+    ) -> Result<(), SwitchError> {
+        let began = Instant::now();
+        let states = crew.states().await;
+        let newest = states.iter().flatten().flat_map(|s| [Some(s.map), s.prepared]).flatten();
+        let version = newest.max().unwrap_or_default() + 1;
+        let commands = settle_all(crew, near, |_| Some((version, map.clone()))).await?;
+        if commands > 0 {
+            let took_ms = millis(began);
+            let event = Event::Settled { epoch: crew.epoch(), took_ms, commands };
+            self.log.write(Level::Warn, &event);
+        }
+        Ok(())
+    }
+
+    /// Follows demand until the group is formed anew or has another leader.
+    async fn attend(&self, group: &mut Group<R::Port>, experts: &Experts) -> SwitchError {
+        loop {
+            sleep(OBSERVE_PAUSE).await;
+            let states = group.crew.states().await;
+            let anew = |state: &RankState| state.epoch != group.crew.epoch() || !state.open;
+            if states.iter().flatten().any(anew) || states[group.near].is_none() {
+                return SwitchError::Failed("observe", "the group is formed anew".to_owned());
+            }
+            group.demand.observe(&group.crew.counts().await);
+            if states.contains(&None) || Instant::now() < group.next_plan {
+                continue;
+            }
+            if let Err(err) = self.plan(group, experts).await {
+                return err;
+            }
+        }
+    }
+
+    /// Plans a map and switches to it if it is worth it.
+    async fn plan(&self, group: &mut Group<R::Port>, experts: &Experts) -> Result<(), SwitchError> {
+        let limits = PlacementLimits {
+            places: experts.places,
+            spare: experts.spare,
+            copy_cost: self.rebalance.copy_cost,
+        };
+        let plan = improve(&group.map, |set| group.demand.of_set(set), &limits);
+        if plan.before - plan.after < self.rebalance.least_gain {
+            return Ok(());
+        }
+        let began = Instant::now();
+        let version = group.version + 1;
+        group.version = version;
+        self.log_plan(version, &plan);
+        match switch(&mut group.crew, group.near, version, &plan.map).await {
+            Ok(pass) => {
+                let epoch = group.crew.epoch();
+                group.map = plan.map;
+                let event = Event::Switched { version, pass, epoch, took_ms: millis(began) };
+                self.log.write(Level::Info, &event);
+                group.next_plan = began + self.rebalance.interval();
+                Ok(())
+            }
+            Err(SwitchError::Deposed) => Err(SwitchError::Deposed),
+            Err(SwitchError::Failed(step, detail)) => {
+                let epoch = group.crew.epoch();
+                let took_ms = millis(began);
+                let event = Event::SwitchFailed { version, epoch, step, detail, took_ms };
+                self.log.write(Level::Warn, &event);
+                group.next_plan = Instant::now() + FAILURE_PAUSE;
+                group.version += 1;
+                let map = group.map.clone();
+                self.settle(&mut group.crew, group.near, &map).await
+            }
+        }
+    }
+
+    fn log_plan(&self, version: u64, plan: &Placement) {
+        let event = Event::Planned {
+            version,
+            copies: plan.copies,
+            skew_before: plan.before,
+            skew_after: plan.after,
+        };
+        self.log.write(Level::Info, &event);
+    }
+}
+
+fn millis(since: Instant) -> u64 {
+    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/remap/mod.rs
@@ -0,0 +1,31 @@
+//! Expert maps of groups whose ranks take orders: the sidecars beside the ranks choose a leader,
+//! which reads what the ranks count, plans maps, and has all ranks switch as one pass begins.
+
+mod agent;
+mod crew;
+mod demand;
+mod event;
+mod group_map;
+mod lead;
+mod peer_rank;
+mod placement;
+mod rank_node;
+mod rank_order;
+mod rank_port;
+mod rank_rpc;
+mod rank_state;
+mod settle;
+mod switch;
+mod term;
+
+pub use crew::{Crew, Deposed, Mark, first_fence};
+pub use demand::Demand;
+pub use group_map::{GroupMap, Held};
+pub use peer_rank::PeerRank;
+pub use placement::{Placement, PlacementLimits, improve};
+pub use rank_node::RankNode;
+pub use rank_order::{RankCommand, RankOrder};
+pub use rank_port::{RankCounts, RankDial, RankError, RankPort};
+pub use rank_rpc::{RankRpcClient, RankRpcServer};
+pub use rank_state::{Armed, RankState};
+pub use settle::{Settle, settle};
--- /dev/null
+++ b/src/remap/peer_rank.rs
@@ -0,0 +1,107 @@
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use jsonrpsee::core::ClientError;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use tokio::time::Instant;
+
+use super::{Held, RankCommand, RankCounts, RankError, RankPort, RankRpcClient, RankState};
+
+/// Longest wait for a sidecar's answer: its own wait for the rank, and the way there and back.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time in which a sidecar that did not answer is passed by.
+const PASS_BY_TIME: Duration = Duration::from_millis(1_500);
+
+/// The way to a rank: through the sidecar beside it, for which the rank's answers are free, or
+/// straight if the sidecar does not answer.
+#[derive(Debug)]
+pub struct PeerRank<P> {
+    way: Way,
+    direct: Arc<P>,
+    term: u64,
+    silent_until: Mutex<Option<Instant>>,
+}
+
+#[derive(Debug)]
+enum Way {
+    /// The rank beside this process.
+    Own,
+    Sidecar(HttpClient),
+}
+
+impl<P: RankPort> PeerRank<P> {
+    /// The way to the rank beside this process.
+    pub fn own(direct: Arc<P>, term: u64) -> Self {
+        Self { way: Way::Own, direct, term, silent_until: Mutex::default() }
+    }
+
+    /// The way to a rank whose sidecar listens at an address.
+    ///
+    /// # Errors
+    /// If no client can be made for the address.
+    pub fn beside(direct: Arc<P>, sidecar: SocketAddr, term: u64) -> Result<Self, ClientError> {
+        let client = HttpClientBuilder::default()
+            .request_timeout(CALL_TIMEOUT)
+            .build(format!("http://{sidecar}"))?;
+        let way = Way::Sidecar(client);
+        Ok(Self { way, direct, term, silent_until: Mutex::default() })
+    }
+
+    /// Whether the rank is the one beside this process.
+    pub const fn is_own(&self) -> bool {
+        matches!(self.way, Way::Own)
+    }
+
+    fn sidecar(&self) -> Option<&HttpClient> {
+        let Way::Sidecar(client) = &self.way else { return None };
+        let silent = *self.silent_until.lock().unwrap_or_else(PoisonError::into_inner);
+        silent.is_none_or(|until| until <= Instant::now()).then_some(client)
+    }
+
+    fn pass_by(&self) {
+        let until = Instant::now() + PASS_BY_TIME;
+        *self.silent_until.lock().unwrap_or_else(PoisonError::into_inner) = Some(until);
+    }
+}
+
+impl<P: RankPort> RankPort for PeerRank<P> {
+    async fn state(&self) -> Result<RankState, RankError> {
+        if let Some(sidecar) = self.sidecar() {
+            match sidecar.state(self.term).await {
+                Ok(state) => return state,
+                Err(_) => self.pass_by(),
+            }
+        }
+        self.direct.state().await
+    }
+
+    async fn counts(&self) -> Result<RankCounts, RankError> {
+        // Counts are worth less than the group's pause for a reading from another machine.
+        let Way::Sidecar(_) = self.way else { return self.direct.counts().await };
+        let Some(sidecar) = self.sidecar() else { return Err(RankError::Unknown) };
+        sidecar.counts(self.term).await.unwrap_or_else(|_| {
+            self.pass_by();
+            Err(RankError::Unknown)
+        })
+    }
+
+    async fn held(&self) -> Result<Vec<Held>, RankError> {
+        if let Some(sidecar) = self.sidecar() {
+            match sidecar.held(self.term).await {
+                Ok(held) => return held,
+                Err(_) => self.pass_by(),
+            }
+        }
+        self.direct.held().await
+    }
+
+    async fn command(&self, command: &RankCommand) -> Result<(), RankError> {
+        let Some(sidecar) = self.sidecar() else { return self.direct.command(command).await };
+        sidecar.command(self.term, command.clone()).await.unwrap_or_else(|_| {
+            // The sidecar may have passed the order on.
+            self.pass_by();
+            Err(RankError::Unknown)
+        })
+    }
+}
