Admission by the expected wait: a queue that stands makes every stream late

Cause: after a slow rank the engines' queues stayed full for 20 s, first token at 1 s and more, each stream late. The entry now refuses what would wait longer than part of the route's target, by its own requests, the others' by load headers, and the measured pause between events. Ruled out: load of others kept without fresh reports: an entry that sent nothing shut itself out.

--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -33,10 +33,20 @@
         revision: u64,
         settings_age_ms: u64,
         own: u32,
-        others: f64,
+        others: Option<f64>,
         load_age_ms: Option<u64>,
         left_ms: u64,
     },
+    /// A request was refused before its first attempt.
+    NotAdmitted {
+        id: &'a str,
+        route: &'a str,
+        account: &'a str,
+        least: f64,
+        mean: f64,
+        places: f64,
+        gap_ms: Option<u64>,
+    },
     /// An attempt brought no answer that can be passed on.
     Failed {
         id: &'a str,
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -18,7 +18,6 @@
 use super::relay::Relay;
 use super::watch::CurrentRouting;
 use super::{Account, DirectBody, DirectMeter, Route, Routing};
-use crate::entry::Failure;
 use crate::id::Attempt;
 use crate::net::{
     ChannelBody, CollectError, EventCutter, Handler, WholeBody, collect, header_millis, header_str,
@@ -70,7 +69,7 @@
         let mut course = Course::default();
         let dispatch = self.dispatcher.dispatch(&order, &mut course, None);
         let sent = timeout_at(order.deadline, dispatch).await;
-        let sent = sent.unwrap_or(Err(Failure::unknown(Reason::Deadline)));
+        let sent = sent.unwrap_or_else(|_| Err(out_of_time(&course)));
         ledger.attempted(course.attempts);
         match sent {
             Ok(Sent::Whole(answer)) => {
@@ -85,11 +84,14 @@
                 strip(answer.headers_mut());
                 let dispatcher = Arc::clone(&self.dispatcher);
                 let cutter = EventCutter::default();
-                let relay = Relay { dispatcher, order, course, ledger, cutter };
+                let service = dispatcher.service(&order.service.name);
+                let (first, last) = (None, None);
+                let relay =
+                    Relay { dispatcher, order, course, ledger, cutter, first, last, service };
                 self.tasks.spawn(relay.run(stream, sender));
                 answer
             }
-            Err(failure) => end(ledger, give_up(&course, failure)),
+            Err(refusal) => end(ledger, come_back(refusal)),
         }
     }
 
@@ -181,18 +183,20 @@
     Response::from_parts(head, DirectBody::Whole(WholeBody::from(body)))
 }
 
-/// What a caller is told whose request got no answer that can be passed on.
-fn give_up(course: &Course, failure: Failure) -> Refusal {
-    let mut refusal = course.refusal(failure.reason);
-    if failure.reason == Reason::Deadline {
-        // The attempt that was cut off may have run.
-        let sent = course.is_sent();
-        refusal.outcome = if sent { Outcome::Unknown } else { refusal.outcome };
+/// What a caller is told whose time is over. An attempt that was cut off may have run.
+fn out_of_time(course: &Course) -> Refusal {
+    if course.is_sent() {
+        Refusal::unknown(Reason::Deadline)
+    } else {
+        Refusal::not_run(Reason::Deadline)
     }
-    if refusal.outcome == Outcome::NotRun { come_back(refusal) } else { refusal }
 }
 
+/// Tells the caller of a request that has not run when to come back.
 fn come_back(refusal: Refusal) -> Refusal {
+    if refusal.outcome != Outcome::NotRun || refusal.retry_after.is_some() {
+        return refusal;
+    }
     let spread = rand::random_range(1.0..1.0 + COME_BACK_SPREAD);
     refusal.retry_after(COME_BACK.mul_f64(spread))
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -1,6 +1,8 @@
 //! An entry that sends requests straight to upstreams, for deployments in which no sidecar stands
 //! between them: it checks each answer itself, and repeats only what may be repeated.
 
+mod admission;
+mod attempt;
 mod body;
 mod choice;
 mod connection;
@@ -8,6 +10,7 @@
 mod delivery;
 mod direct_meter;
 mod directory;
+mod dispatch_log;
 mod dispatcher;
 mod event;
 mod follow_routing;
@@ -18,6 +21,8 @@
 mod link;
 mod node;
 mod order;
+mod pace;
+mod pick;
 mod refuse;
 mod relay;
 mod retry_budget;
@@ -30,13 +35,15 @@
 mod watch;
 mod wire;
 
+pub use admission::{EngineLoad, Targets, Verdict};
 pub use body::DirectBody;
-pub use choice::{View, choose};
+pub use choice::{OthersReport, View, choose, loads};
 pub use delivery::Delivery;
 pub use direct_meter::DirectMeter;
 pub use directory::{Changes, Directory, DirectoryError, ListChange, Listed, RoutingChange};
 pub use freshness::Freshness;
 pub use node::DirectNode;
+pub use pace::Pace;
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use roster::{Roster, RosterChange, Upstreams};
 pub use route::{Route, Split};
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -108,7 +108,7 @@
             roster: Arc::clone(&roster),
             freshness: Arc::clone(&freshness),
             limits: retry_limits(&file.retries),
-            budgets: std::sync::Mutex::default(),
+            services: std::sync::Mutex::default(),
             meter: Arc::clone(&meter),
             log: self.log.clone(),
         });
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::course::Course;
-use super::dispatcher::{Dispatcher, Sent, Stream};
+use super::dispatcher::{Dispatcher, Sent, ServiceState, Stream};
 use super::ledger::Ledger;
 use super::order::Order;
 use crate::net::{BodyError, BodySender, EventCutter};
@@ -20,6 +20,10 @@
     pub(super) course: Course,
     pub(super) ledger: Ledger,
     pub(super) cutter: EventCutter,
+    /// When the last event was passed on, and the first one.
+    pub(super) last: Option<Instant>,
+    pub(super) first: Option<Instant>,
+    pub(super) service: Arc<ServiceState>,
 }
 
 /// How the passing on of one upstream's stream ended.
@@ -40,6 +44,9 @@
             match passed {
                 Passed::Whole => {
                     sender.close().await;
+                    if let Some(first) = self.first {
+                        self.service.pace.whole(first.elapsed());
+                    }
                     self.ledger.ran(head.status.as_u16());
                     return self.dispatcher.give_back(conn, &upstream, &head.headers).await;
                 }
@@ -81,12 +88,21 @@
                 continue;
             };
             self.ledger.first_byte();
+            self.note_event();
             if !sender.send(events).await {
                 return Passed::CallerGone;
             }
         }
     }
 
+    fn note_event(&mut self) {
+        let now = Instant::now();
+        self.first.get_or_insert(now);
+        if let Some(last) = self.last.replace(now) {
+            self.service.pace.event(now - last, now);
+        }
+    }
+
     /// Takes the stream up again after the last event that was passed on.
     async fn resume(&mut self, sender: &BodySender) -> Option<Box<Stream>> {
         let route = &self.order.route;
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -5,10 +5,8 @@
 use tokio::time::Instant;
 
 use super::connection::Connection;
-use super::{Listed, View};
+use super::{Listed, OthersReport, View};
 
-/// Time after which a report of load counts half.
-const REPORT_HALF_LIFE: Duration = Duration::from_millis(800);
 /// First pause after a failure that speaks against the upstream, doubled with each further one.
 const FIRST_REST: Duration = Duration::from_millis(150);
 const LONGEST_REST: Duration = Duration::from_secs(2);
@@ -65,9 +63,6 @@
     fn drop(&mut self) {
         let mut state = self.0.lock();
         state.in_flight = state.in_flight.saturating_sub(1);
-        if let Some(report) = &mut state.load {
-            report.own = report.own.saturating_sub(1);
-        }
     }
 }
 
@@ -162,18 +157,11 @@
         let state = self.lock();
         View {
             own: state.in_flight,
-            others: state.others(now),
-            slots: state.load.map_or(0, |report| report.load.slots),
+            others: state.load.map(|report| report.others(now)),
             rests_until: state.rests_until.filter(|until| *until > now),
         }
     }
 
-    /// Age of the last report of load, and the report.
-    pub fn last_load(&self, now: Instant) -> Option<(Duration, Load)> {
-        let report = self.lock().load?;
-        Some((now.saturating_duration_since(report.at), report.load))
-    }
-
     /// Takes a connection that may be used again.
     pub(super) fn take_idle(&self) -> Option<Connection> {
         let mut state = self.lock();
@@ -197,13 +185,15 @@
         self.rests_until = Some(Instant::now() + self.rest);
         self.losses = 0;
     }
+}
 
-    /// Requests of other callers there, by a report that counts less with its age.
-    fn others(&self, now: Instant) -> f64 {
-        let Some(report) = self.load else { return 0.0 };
-        let age = now.saturating_duration_since(report.at);
-        let trust = 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64());
-        let reported = report.load.running + report.load.waiting;
-        f64::from(reported.saturating_sub(report.own)) * trust
+impl Report {
+    /// What the report says of other entries' requests.
+    fn others(&self, now: Instant) -> OthersReport {
+        let reported = self.load.running + self.load.waiting;
+        OthersReport {
+            requests: f64::from(reported.saturating_sub(self.own)),
+            age: now.saturating_duration_since(self.at),
+        }
     }
 }
