Demand by shares since the last shift; settling of switches that an earlier leader left (work under test)

Cause: the mean over 4 s straddled shifts, and long prompts outweighed others: the most loaded rank had 2.5 times the mean although plans said 1.07. Shares of one reading are 0.1 apart between shifts and 0.2 to 0.6 at one, so the mean now begins anew there. MAP broke twice: reports read from another machine are 200 ms old, and a successor took an armed rank for an unarmed one.

--- a/src/remap/crew.rs
+++ b/src/remap/crew.rs
@@ -1,4 +1,7 @@
+use std::time::Duration;
+
 use futures_util::future::join_all;
+use tokio::time::Instant;
 
 use super::{Held, RankCommand, RankCounts, RankError, RankOrder, RankPort, RankState};
 
@@ -14,6 +17,8 @@
     pub unsure: bool,
     /// The rank holds the group by an order of this leader.
     pub holds: bool,
+    /// When the last order to the rank ended.
+    pub touched: Option<Instant>,
 }
 
 /// The ranks of a group in one epoch, as their leader reaches them.
@@ -71,9 +76,22 @@
         self.ports.is_empty()
     }
 
-    /// Reads the states of all ranks at once; nothing for a rank without an answer.
+    /// Reads the states of all ranks at once; nothing for a rank without an answer, or whose answer
+    /// may be older than the last order to it.
     pub async fn states(&self) -> Vec<Option<RankState>> {
-        join_all(self.ports.iter().map(|port| async { port.state().await.ok() })).await
+        let sent = Instant::now();
+        let read = join_all(self.ports.iter().map(|port| async { port.state().await.ok() })).await;
+        let after = |(state, mark): (Option<RankState>, &Mark)| {
+            let state = state?;
+            let seen = sent.checked_sub(Duration::from_millis(state.lag_ms));
+            mark.touched.is_none_or(|touched| seen >= Some(touched)).then_some(state)
+        };
+        read.into_iter().zip(&self.marks).map(after).collect()
+    }
+
+    /// Reads the state of one rank.
+    pub async fn state_of(&self, rank: usize) -> Option<RankState> {
+        self.ports.get(rank)?.state().await.ok()
     }
 
     /// Reads the states of all ranks, and takes the ways to them apart again.
@@ -120,6 +138,7 @@
 
     fn note(&mut self, rank: usize, order: &RankOrder, ended: Result<(), RankError>) {
         let mark = &mut self.marks[rank];
+        mark.touched = Some(Instant::now());
         match ended {
             Ok(()) => {
                 mark.fenced = true;
--- a/src/remap/event.rs
+++ b/src/remap/event.rs
@@ -22,7 +22,7 @@
     /// The ranks of the group are known and whole.
     Group { epoch: u64, ranks: usize, map: u64 },
     /// Not all ranks of the group are known or running.
-    GroupIncomplete { known: usize, open: usize, size: usize },
+    GroupIncomplete { known: usize, size: usize },
     /// A map was chosen, from the demand counted.
     Planned { version: u64, copies: usize, skew_before: f64, skew_after: f64 },
     /// All ranks switch to a map as a pass begins.
--- a/src/remap/lead.rs
+++ b/src/remap/lead.rs
@@ -6,30 +6,35 @@
 
 use super::event::Event;
 use super::switch::{SwitchError, settle_all, switch};
+use super::term::Terms;
 use super::{
-    Crew, Demand, GroupMap, PeerRank, Placement, PlacementLimits, RankDial, RankState, first_fence,
-    improve,
+    Crew, Demand, GroupMap, PeerRank, Placement, PlacementLimits, RankDial, RankPort, RankState,
+    first_fence, improve,
 };
 use crate::direct::{Directory, Experts, ListChange, RoutingChange};
 use crate::event_log::{EventLog, Level};
+use crate::platform::Table;
 use crate::settings::RebalanceFile;
 
 /// Pause before the ranks of a group that is not whole are looked for again.
 const GATHER_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two readings of what was counted.
-const OBSERVE_PAUSE: Duration = Duration::from_millis(150);
+const OBSERVE_PAUSE: Duration = Duration::from_millis(100);
 /// Failures of switches in a row after which the next plan waits longer.
 const FAILURE_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Leads a group for one term: reads demand, plans maps and switches to them.
 #[derive(Debug)]
-pub(super) struct Lead<D, R: RankDial> {
+pub(super) struct Lead<'a, D, R: RankDial> {
+    pub(super) terms: &'a Terms<D>,
     pub(super) directory: Arc<D>,
     pub(super) dial: Arc<R>,
     pub(super) own: SocketAddr,
     pub(super) peer_port: u16,
     pub(super) service: String,
     pub(super) term: u64,
+    /// The rank beside the last leader that may have begun a switch; its machine may be frozen.
+    pub(super) switcher: Option<usize>,
     pub(super) rebalance: RebalanceFile,
     pub(super) log: EventLog,
 }
@@ -44,7 +49,7 @@
     next_plan: Instant,
 }
 
-impl<D: Directory, R: RankDial> Lead<D, R> {
+impl<D: Table + Directory, R: RankDial> Lead<'_, D, R> {
     /// Leads until another leader has taken over.
     pub(super) async fn run(self) {
         let mut fence = first_fence(self.term);
@@ -90,35 +95,30 @@
     /// Finds all ranks of the group and brings it to where no switch is under way.
     async fn gather(&self, experts: &Experts, fence: u64) -> Option<Group<R::Port>> {
         let addrs = self.rank_addrs().await?;
-        let ports: Vec<PeerRank<R::Port>> =
-            addrs.iter().filter_map(|addr| self.way_to(*addr)).collect();
+        let ports = addrs.iter().filter_map(|addr| self.way_to(*addr)).collect();
         let read = Crew::new(ports, 0, fence).states_and_ports().await;
-        let mut known: Vec<(RankState, PeerRank<R::Port>)> =
-            read.into_iter().filter_map(|(state, port)| Some((state?, port))).collect();
-        known.sort_by_key(|(state, _)| state.rank);
-        let (size, epoch) = known.first().map(|(state, _)| (state.size, state.epoch))?;
-        let fits = |(at, (state, _)): (usize, &(RankState, PeerRank<R::Port>))| {
-            state.rank == at && state.epoch == epoch && state.open
-        };
-        if known.len() != size || !known.iter().enumerate().all(fits) {
-            let open = known.iter().filter(|(state, _)| state.open).count();
-            let event = Event::GroupIncomplete { known: known.len(), open, size };
-            self.log.write(Level::Info, &event);
+        let (size, epoch) = read.iter().find_map(|(s, _)| s.map(|s| (s.size, s.epoch)))?;
+        let known = read.iter().filter(|(state, _)| state.is_some()).count();
+        let Some(ports) = in_order(read, size, epoch, self.switcher) else {
+            self.log.write(Level::Info, &Event::GroupIncomplete { known, size });
             return None;
-        }
-        let near = known.iter().position(|(_, port)| port.is_own()).unwrap_or_default();
-        let ports = known.into_iter().map(|(_, port)| port).collect();
+        };
+        let near = ports.iter().position(PeerRank::is_own).unwrap_or_default();
         let mut crew = Crew::new(ports, epoch, fence);
-        let map = self.read_map(&crew, experts).await?;
-        self.settle(&mut crew, near, &map).await.ok()?;
-        // What was switched to in the meantime counts.
+        let absent = self.switcher.filter(|rank| known < size && *rank != near);
+        self.settle(&mut crew, near, absent).await.ok()?;
         let map = self.read_map(&crew, experts).await?;
         let states = crew.states().await.into_iter().collect::<Option<Vec<RankState>>>()?;
         if states.iter().any(|state| state.map != states[0].map || !state.is_quiet()) {
             return None;
         }
+        if let Err(err) = self.terms.begin(self.term, near).await {
+            self.log.write(Level::Warn, &Event::PlatformDown { detail: err.to_string() });
+            return None;
+        }
         let version = states.iter().flat_map(|s| [Some(s.map), s.prepared]).flatten().max()?;
-        let event = Event::Group { epoch, ranks: size, map: states[0].map };
+        let map_version = states[0].map;
+        let event = Event::Group { epoch, ranks: size, map: map_version };
         self.log.write(Level::Info, &event);
         let demand = Demand::new(size, experts.sets, experts.count);
         Some(Group { crew, near, map, version, demand, next_plan: Instant::now() })
@@ -163,13 +163,10 @@
         &self,
         crew: &mut Crew<PeerRank<R::Port>>,
         near: usize,
-        map: &GroupMap,
+        absent: Option<usize>,
     ) -> Result<(), SwitchError> {
         let began = Instant::now();
-        let states = crew.states().await;
-        let newest = states.iter().flatten().flat_map(|s| [Some(s.map), s.prepared]).flatten();
-        let version = newest.max().unwrap_or_default() + 1;
-        let commands = settle_all(crew, near, |_| Some((version, map.clone()))).await?;
+        let commands = settle_all(crew, near, absent).await?;
         if commands > 0 {
             let took_ms = millis(began);
             let event = Event::Settled { epoch: crew.epoch(), took_ms, commands };
@@ -182,13 +179,17 @@
     async fn attend(&self, group: &mut Group<R::Port>, experts: &Experts) -> SwitchError {
         loop {
             sleep(OBSERVE_PAUSE).await;
-            let states = group.crew.states().await;
-            let anew = |state: &RankState| state.epoch != group.crew.epoch() || !state.open;
-            if states.iter().flatten().any(anew) || states[group.near].is_none() {
+            let own = group.crew.state_of(group.near).await;
+            let whole = own.is_some_and(|own| own.epoch == group.crew.epoch() && own.open);
+            if !whole {
                 return SwitchError::Failed("observe", "the group is formed anew".to_owned());
             }
-            group.demand.observe(&group.crew.counts().await);
-            if states.contains(&None) || Instant::now() < group.next_plan {
+            let counts = group.crew.counts().await;
+            let shifted = group.demand.observe(&counts);
+            if shifted {
+                group.next_plan = group.next_plan.min(Instant::now());
+            }
+            if counts.contains(&None) || Instant::now() < group.next_plan {
                 continue;
             }
             if let Err(err) = self.plan(group, experts).await {
@@ -228,9 +229,7 @@
                 let event = Event::SwitchFailed { version, epoch, step, detail, took_ms };
                 self.log.write(Level::Warn, &event);
                 group.next_plan = Instant::now() + FAILURE_PAUSE;
-                group.version += 1;
-                let map = group.map.clone();
-                self.settle(&mut group.crew, group.near, &map).await
+                self.settle(&mut group.crew, group.near, None).await
             }
         }
     }
@@ -246,6 +245,32 @@
     }
 }
 
+/// The ways to all ranks by rank, nothing if the group is not whole. Only the rank named may be
+/// unknown.
+fn in_order<P: RankPort>(
+    read: Vec<(Option<RankState>, PeerRank<P>)>,
+    size: usize,
+    epoch: u64,
+    absent: Option<usize>,
+) -> Option<Vec<PeerRank<P>>> {
+    let mut ports: Vec<Option<PeerRank<P>>> = (0..size).map(|_| None).collect();
+    let mut unknown = Vec::new();
+    for (state, port) in read {
+        match state {
+            Some(state) if state.epoch == epoch && state.open => {
+                *ports.get_mut(state.rank)? = Some(port);
+            }
+            Some(_) => return None,
+            None => unknown.push(port),
+        }
+    }
+    if let (Some(absent), [_]) = (absent, unknown.as_slice()) {
+        let place = ports.get_mut(absent).filter(|place| place.is_none())?;
+        *place = unknown.pop();
+    }
+    ports.into_iter().collect()
+}
+
 fn millis(since: Instant) -> u64 {
     u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/remap/peer_rank.rs
+++ b/src/remap/peer_rank.rs
@@ -6,10 +6,14 @@
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use tokio::time::Instant;
 
-use super::{Held, RankCommand, RankCounts, RankError, RankPort, RankRpcClient, RankState};
+use super::{
+    Held, RankCommand, RankCounts, RankError, RankOrder, RankPort, RankRpcClient, RankState,
+};
 
 /// Longest wait for a sidecar's answer: its own wait for the rank, and the way there and back.
-const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+const CALL_TIMEOUT: Duration = Duration::from_millis(220);
+/// Age that a report read from another machine may have; ranks publish about each 200 ms.
+const DIRECT_LAG_MS: u64 = 500;
 /// Time in which a sidecar that did not answer is passed by.
 const PASS_BY_TIME: Duration = Duration::from_millis(1_500);
 
@@ -73,7 +77,9 @@
                 Err(_) => self.pass_by(),
             }
         }
-        self.direct.state().await
+        let state = self.direct.state().await?;
+        let lag_ms = if self.is_own() { 0 } else { DIRECT_LAG_MS };
+        Ok(RankState { lag_ms, ..state })
     }
 
     async fn counts(&self) -> Result<RankCounts, RankError> {
@@ -97,7 +103,11 @@
     }
 
     async fn command(&self, command: &RankCommand) -> Result<(), RankError> {
-        let Some(sidecar) = self.sidecar() else { return self.direct.command(command).await };
+        // What holds the group must not depend on a second machine.
+        let holds = matches!(command.order, RankOrder::Hold { .. } | RankOrder::Release { .. });
+        let Some(sidecar) = self.sidecar().filter(|_| !holds) else {
+            return self.direct.command(command).await;
+        };
         sidecar.command(self.term, command.clone()).await.unwrap_or_else(|_| {
             // The sidecar may have passed the order on.
             self.pass_by();
--- a/src/remap/rank_node.rs
+++ b/src/remap/rank_node.rs
@@ -10,7 +10,7 @@
 use super::agent::{Agent, LeaderWatch};
 use super::event::Event;
 use super::lead::Lead;
-use super::term::Terms;
+use super::term::{Claimed, Terms};
 use super::{RankDial, RankPort, RankRpcServer, RankState};
 use crate::direct::Directory;
 use crate::event_log::{EventLog, Level};
@@ -20,13 +20,17 @@
 use crate::settings::{ParseError, RankFile};
 
 /// Pause between two looks at the own rank.
-const LOOK_PAUSE: Duration = Duration::from_millis(250);
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
 /// Silence of the leader after which the first rank's sidecar takes over.
 const SILENCE: Duration = Duration::from_millis(1_300);
-/// Time in which a switch lets the group stand still at most; after it the leader is taken for lost.
-const STANDSTILL: Duration = Duration::from_millis(500);
+/// Time for which a group may stand before the pass of a switch; after it the leader is taken for
+/// lost.
+const STANDSTILL: Duration = Duration::from_millis(300);
+/// Silence by which a leader whose group stands is taken for lost; one that brings a group on asks
+/// its ranks all the time.
+const STANDING_SILENCE: Duration = Duration::from_millis(350);
 /// Time by which each further rank's sidecar waits longer than the one before.
-const STAGGER: Duration = Duration::from_millis(120);
+const STAGGER: Duration = Duration::from_millis(60);
 /// Pause of a process that has lost the lead.
 const DEPOSED_PAUSE: Duration = Duration::from_secs(2);
 /// Longest wait for a switch under way at the end.
@@ -140,7 +144,8 @@
             let silence = self.watch.silence().min(open_time);
             let stands = stands_still(&mut standing, state);
             let stagger = STAGGER * u32::try_from(state.rank).unwrap_or(u32::MAX);
-            let reason = if stands.is_some_and(|time| time > STANDSTILL + stagger) {
+            let silent = silence > STANDING_SILENCE + stagger;
+            let reason = if silent && stands.is_some_and(|time| time > STANDSTILL) {
                 "the group stands still"
             } else if silence > SILENCE + stagger {
                 "the leader is silent"
@@ -154,8 +159,8 @@
 
     async fn take_over(&self, reason: &str) {
         let silence = self.watch.silence();
-        let term = match self.terms.claim().await {
-            Ok(term) => term,
+        let Claimed { term, switcher } = match self.terms.claim().await {
+            Ok(claimed) => claimed,
             Err(err) => {
                 self.log.write(Level::Warn, &Event::PlatformDown { detail: err.to_string() });
                 return;
@@ -171,6 +176,8 @@
             peer_port: self.file.peer.port(),
             service: self.file.service.clone(),
             term,
+            switcher,
+            terms: &self.terms,
             rebalance: self.file.rebalance,
             log: self.log.clone(),
         };
@@ -192,9 +199,10 @@
     }
 }
 
-/// Time for which a rank has shown the same unfinished switch with no pass begun.
+/// Time for which a rank has stood before the pass of a switch.
 fn stands_still(standing: &mut Option<Standing>, state: RankState) -> Option<Duration> {
-    if state.is_quiet() {
+    let next = Some(state.pass + 1);
+    if state.held != next && state.armed.map(|armed| armed.pass) != next {
         *standing = None;
         return None;
     }
--- a/src/remap/rank_order.rs
+++ b/src/remap/rank_order.rs
@@ -13,6 +13,8 @@
     Arm { version: u64, pass: u64 },
     /// Forget that the rank was to switch.
     Disarm { version: u64 },
+    /// Do nothing but refuse, from now on, orders with a smaller number.
+    Fence,
     /// Keep the group from beginning a pass.
     Hold { pass: u64 },
     /// Let the group begin a pass that this rank has held.
@@ -38,6 +40,7 @@
             Self::Prepare { .. } => "prepare",
             Self::Arm { .. } => "arm",
             Self::Disarm { .. } => "disarm",
+            Self::Fence => "fence",
             Self::Hold { .. } => "hold",
             Self::Release { .. } => "release",
         }
--- a/src/remap/rank_state.rs
+++ b/src/remap/rank_state.rs
@@ -34,6 +34,9 @@
     pub held: Option<u64>,
     /// Requests that run at the rank.
     pub running: u32,
+    /// Age of all this in milliseconds: a rank's report is fresh on its own machine only.
+    #[serde(default)]
+    pub lag_ms: u64,
 }
 
 impl RankState {
--- a/src/remap/settle.rs
+++ b/src/remap/settle.rs
@@ -5,12 +5,14 @@
 pub enum Settle {
     /// No switch is under way.
     Quiet,
-    /// Not all ranks are known, or the group is not whole: read again.
+    /// Not enough ranks are known, or the group is not whole: read again.
     Blocked,
     /// Have a rank hold the group before a pass.
     Hold { rank: usize, pass: u64 },
-    /// Have ranks forget a switch, and give others an order that shuts out late ones.
-    Withdraw { disarm: Vec<(usize, u64)>, fence: Vec<usize> },
+    /// Have ranks refuse the orders of earlier leaders, and late ones of this leader.
+    Fence(Vec<usize>),
+    /// Have ranks forget a switch to a version.
+    Disarm(Vec<(usize, u64)>),
     /// Let the group go on.
     Release(Vec<(usize, u64)>),
 }
@@ -18,34 +20,47 @@
 /// Decides how to undo what is left of a switch, whoever began it.
 ///
 /// The group must not begin the pass of the switch while only some ranks are to switch. An earlier
-/// leader may be frozen or its orders late, and may let the group go on at any moment, so the new
-/// leader first holds the group by itself, at a rank of its choice. Only then does it disarm ranks,
-/// has every rank refuse the earlier leader, and at last lets the group go on.
+/// leader may be frozen or its orders late, and may let the group go on at any moment. So the new
+/// leader first holds the group by itself, at a rank that does not hold it yet. Then it has every
+/// rank refuse what was ordered before, reads again, disarms ranks, and lets the group go on.
+///
+/// `absent` names the rank beside the earlier leader, whose machine may be frozen. A leader arms
+/// that rank last, after all others have confirmed. So if another rank, once it refuses the earlier
+/// leader, is not armed, the absent rank is not armed either and never will be.
 ///
 /// ```
 /// # use ebonyusher::remap::{Settle, settle};
-/// assert_eq!(settle(&[None], &[Default::default()], 0), Settle::Blocked);
+/// assert_eq!(settle(&[None, None], &[Default::default(); 2], 0, None), Settle::Blocked);
 /// ```
-pub fn settle(states: &[Option<RankState>], marks: &[Mark], near: usize) -> Settle {
-    let Some(states) = states.iter().copied().collect::<Option<Vec<RankState>>>() else {
+pub fn settle(
+    states: &[Option<RankState>],
+    marks: &[Mark],
+    near: usize,
+    absent: Option<usize>,
+) -> Settle {
+    let missing = (0..states.len()).filter(|rank| states[*rank].is_none());
+    if missing.clone().any(|rank| Some(rank) != absent) {
         return Settle::Blocked;
-    };
-    let whole = states.iter().all(|state| state.open && state.epoch == states[0].epoch);
-    if !whole {
+    }
+    let known: Vec<(usize, RankState)> =
+        states.iter().enumerate().filter_map(|(rank, state)| Some((rank, (*state)?))).collect();
+    let Some((_, first)) = known.first() else { return Settle::Blocked };
+    if !known.iter().all(|(_, state)| state.open && state.epoch == first.epoch) {
         return Settle::Blocked;
     }
-    let unsure = marks.iter().any(|mark| mark.unsure);
-    let switching = states.iter().any(|state| !state.is_quiet());
+    let unsure = known.iter().any(|(rank, _)| marks[*rank].unsure);
+    let switching = known.iter().any(|(_, state)| !state.is_quiet());
     if !switching && !unsure {
         return Settle::Quiet;
     }
-    if let Some(pass) = states.iter().filter_map(next_pass).min() {
-        let held = states.iter().zip(marks).any(|(s, mark)| mark.holds && s.held == Some(pass));
-        if !held {
-            return hold(&states, pass, near);
+    if let Some(pass) = known.iter().filter_map(|(_, state)| next_pass(state)).min() {
+        let held =
+            |(rank, state): &(usize, RankState)| marks[*rank].holds && state.held == Some(pass);
+        if !known.iter().any(held) {
+            return hold(&known, pass, near);
         }
     }
-    withdraw(&states, marks)
+    withdraw(&known, marks, missing.count() > 0)
 }
 
 /// The first pass before which something of a switch lies.
@@ -54,21 +69,28 @@
     [armed, state.held].into_iter().flatten().min()
 }
 
-fn hold(states: &[RankState], pass: u64, near: usize) -> Settle {
-    let free = |rank: &usize| states.get(*rank).is_some_and(|state| state.held.is_none());
-    let rank = Some(near).filter(free).or_else(|| (0..states.len()).find(free));
-    rank.map_or(Settle::Blocked, |rank| Settle::Hold { rank, pass })
+fn hold(known: &[(usize, RankState)], pass: u64, near: usize) -> Settle {
+    let free: Vec<usize> =
+        known.iter().filter(|(_, state)| state.held.is_none()).map(|(rank, _)| *rank).collect();
+    let rank = free.iter().find(|rank| **rank == near).or(free.first());
+    rank.map_or(Settle::Blocked, |rank| Settle::Hold { rank: *rank, pass })
 }
 
-fn withdraw(states: &[RankState], marks: &[Mark]) -> Settle {
-    let armed = states.iter().enumerate().filter_map(|(rank, state)| Some((rank, state.armed?)));
-    let disarm: Vec<(usize, u64)> = armed.map(|(rank, armed)| (rank, armed.version)).collect();
+fn withdraw(known: &[(usize, RankState)], marks: &[Mark], is_missing: bool) -> Settle {
     let open = |rank: &usize| marks[*rank].unsure || !marks[*rank].fenced;
-    let fence: Vec<usize> =
-        (0..states.len()).filter(|rank| states[*rank].armed.is_none()).filter(open).collect();
-    if !disarm.is_empty() || !fence.is_empty() {
-        return Settle::Withdraw { disarm, fence };
+    let fence: Vec<usize> = known.iter().map(|(rank, _)| *rank).filter(open).collect();
+    if !fence.is_empty() {
+        return Settle::Fence(fence);
+    }
+    let armed = known.iter().filter_map(|(rank, state)| Some((*rank, state.armed?.version)));
+    let armed: Vec<(usize, u64)> = armed.collect();
+    if is_missing && armed.len() == known.len() {
+        // The rank that is not known may be armed as well.
+        return Settle::Blocked;
+    }
+    if !armed.is_empty() {
+        return Settle::Disarm(armed);
     }
-    let held = states.iter().enumerate().filter_map(|(rank, state)| Some((rank, state.held?)));
+    let held = known.iter().filter_map(|(rank, state)| Some((*rank, state.held?)));
     Settle::Release(held.collect())
 }
--- a/src/remap/switch.rs
+++ b/src/remap/switch.rs
@@ -5,15 +5,15 @@
 use super::{Crew, Deposed, GroupMap, RankError, RankOrder, RankPort, RankState, Settle, settle};
 
 /// Passes between the one that runs and the switch, so that every rank has its order before.
-const LEAD_PASSES: u64 = 3;
+const LEAD_PASSES: u64 = 2;
 /// Pause between two readings while experts are copied.
-const COPY_PAUSE: Duration = Duration::from_millis(30);
+const COPY_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time for experts to be copied.
 const COPY_TIME: Duration = Duration::from_millis(1_500);
 /// Times that an order is given again that had no answer.
 const TRIES: usize = 3;
 /// Pause before a group that is not known is read again.
-const BLOCKED_PAUSE: Duration = Duration::from_millis(60);
+const BLOCKED_PAUSE: Duration = Duration::from_millis(40);
 
 /// Why a map was not switched to.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,32 +32,43 @@
 
 /// Has all ranks of a group switch to a map as one pass begins, and gives that pass. The group does
 /// not wait unless an order is lost. After a failure what is left must be settled.
-pub(super) async fn switch<P: RankPort>(
+///
+/// The group is held at another rank than `near`, the one beside this leader, which is armed last:
+/// if this machine freezes or dies, the next leader can let the group go on without it.
+///
+/// # Errors
+/// [`SwitchError::Deposed`] if another leader has taken over, [`SwitchError::Failed`] at the first
+/// step that fails.
+pub async fn switch<P: RankPort>(
     crew: &mut Crew<P>,
     near: usize,
     version: u64,
     map: &GroupMap,
 ) -> Result<u64, SwitchError> {
+    let all: Vec<usize> = (0..crew.len()).collect();
     let prepare = RankOrder::Prepare { version, map: map.clone() };
-    order_all(crew, "prepare", &prepare, 1).await?;
+    order_ranks(crew, "prepare", &prepare, all.clone(), 1).await?;
     let states = wait_prepared(crew, version).await?;
-    let pass =
-        states[near].pass.max(states.iter().map(|s| s.pass).max().unwrap_or(0)) + LEAD_PASSES;
-    let hold = vec![(near, RankOrder::Hold { pass })];
-    require("hold", &crew.command(hold).await?)?;
-    order_all(crew, "arm", &RankOrder::Arm { version, pass }, TRIES).await?;
-    release(crew, near, pass).await?;
+    let pass = states.iter().map(|state| state.pass).max().unwrap_or_default() + LEAD_PASSES;
+    let holder = (near + 1) % crew.len();
+    order_ranks(crew, "hold", &RankOrder::Hold { pass }, vec![holder], 1).await?;
+    let arm = RankOrder::Arm { version, pass };
+    let others = all.into_iter().filter(|rank| *rank != near).collect();
+    order_ranks(crew, "arm", &arm, others, TRIES).await?;
+    order_ranks(crew, "arm last", &arm, vec![near], TRIES).await?;
+    release(crew, holder, pass).await?;
     Ok(pass)
 }
 
-/// Gives an order to every rank, again to those without an answer.
-async fn order_all<P: RankPort>(
+/// Gives an order to ranks, again to those without an answer.
+async fn order_ranks<P: RankPort>(
     crew: &mut Crew<P>,
     step: &'static str,
     order: &RankOrder,
+    ranks: Vec<usize>,
     tries: usize,
 ) -> Result<(), SwitchError> {
-    let mut left: Vec<usize> = (0..crew.len()).collect();
+    let mut left = ranks;
     for _ in 0..tries {
         let orders = left.iter().map(|rank| (*rank, order.clone())).collect();
         let ended = crew.command(orders).await?;
@@ -73,13 +84,6 @@
     Err(SwitchError::Failed(step, format!("ranks {left:?} gave no answer")))
 }
 
-fn require(step: &'static str, ended: &[Result<(), RankError>]) -> Result<(), SwitchError> {
-    match ended.iter().find_map(|ended| ended.err()) {
-        None => Ok(()),
-        Some(err) => Err(SwitchError::Failed(step, err.to_string())),
-    }
-}
-
 /// Waits until all ranks hold what a map needs.
 async fn wait_prepared<P: RankPort>(
     crew: &Crew<P>,
@@ -124,33 +128,34 @@
 
 /// Undoes what is left of a switch, and gives the number of orders that it took. Returns only when
 /// the group is quiet, is formed anew, or has another leader.
-pub(super) async fn settle_all<P: RankPort>(
+///
+/// # Errors
+/// [`SwitchError::Deposed`] if another leader has taken over, [`SwitchError::Failed`] if the group
+/// is formed anew.
+pub async fn settle_all<P: RankPort>(
     crew: &mut Crew<P>,
     near: usize,
-    maps: impl Fn(usize) -> Option<(u64, GroupMap)>,
+    absent: Option<usize>,
 ) -> Result<usize, SwitchError> {
     let mut commands = 0;
     loop {
         let states = crew.states().await;
-        let anew = |state: &RankState| state.epoch != crew.epoch();
-        if states.iter().flatten().any(anew) {
+        if states.iter().flatten().any(|state| state.epoch != crew.epoch()) {
             return Err(SwitchError::Failed("settle", "the group is formed anew".to_owned()));
         }
-        let orders: Vec<(usize, RankOrder)> = match settle(&states, crew.marks(), near) {
+        let orders: Vec<(usize, RankOrder)> = match settle(&states, crew.marks(), near, absent) {
             Settle::Quiet => return Ok(commands),
             Settle::Blocked => {
                 sleep(BLOCKED_PAUSE).await;
                 continue;
             }
             Settle::Hold { rank, pass } => vec![(rank, RankOrder::Hold { pass })],
-            Settle::Withdraw { disarm, fence } => {
-                let disarm = disarm.into_iter();
-                let disarm = disarm.map(|(rank, version)| (rank, RankOrder::Disarm { version }));
-                let fence = fence.into_iter().filter_map(|rank| {
-                    let (version, map) = maps(rank)?;
-                    Some((rank, RankOrder::Prepare { version, map }))
-                });
-                disarm.chain(fence).collect()
+            Settle::Fence(ranks) => {
+                ranks.into_iter().map(|rank| (rank, RankOrder::Fence)).collect()
+            }
+            Settle::Disarm(armed) => {
+                let disarm = |(rank, version)| (rank, RankOrder::Disarm { version });
+                armed.into_iter().map(disarm).collect()
             }
             Settle::Release(held) => {
                 let release = |(rank, pass)| (rank, RankOrder::Release { pass });
--- a/src/settings/rank_file.rs
+++ b/src/settings/rank_file.rs
@@ -38,7 +38,7 @@
 
 impl Default for RebalanceFile {
     fn default() -> Self {
-        Self { copy_cost: 0.02, least_gain: 0.12, interval_ms: 700 }
+        Self { copy_cost: 0.04, least_gain: 0.1, interval_ms: 500 }
     }
 }
 
--- /dev/null
+++ b/standin/src/order_group.rs
@@ -0,0 +1,192 @@
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use ebonyusher::remap::{Armed, Held, RankCommand, RankError, RankOrder, RankState};
+use tokio::time::Instant;
+
+/// A group of ranks that run in lock-step and take orders. It notes when a pass begins while two
+/// ranks have different maps.
+#[derive(Clone, Debug)]
+pub struct OrderGroup {
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug)]
+struct State {
+    pass: u64,
+    ranks: Vec<Rank>,
+    /// Passes that began under more than one map.
+    split: Vec<u64>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Rank {
+    fence: u64,
+    map: u64,
+    prepared: Option<u64>,
+    highest: u64,
+    armed: Option<Armed>,
+    held: Option<u64>,
+    /// What the rank said of itself, and since when.
+    past: Vec<(Instant, RankState)>,
+}
+
+/// The only epoch of the group.
+const EPOCH: u64 = 1;
+
+impl OrderGroup {
+    /// A group of so many ranks, all under map 0.
+    pub fn new(ranks: usize) -> Self {
+        let state = State { pass: 0, ranks: vec![Rank::default(); ranks], split: Vec::new() };
+        let group = Self { state: Arc::new(Mutex::new(state)) };
+        group.lock().remember();
+        group
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins the next pass unless a rank holds it, and tells whether it began.
+    pub fn begin_pass(&self) -> bool {
+        let mut state = self.lock();
+        let next = state.pass + 1;
+        if state.ranks.iter().any(|rank| rank.held == Some(next)) {
+            return false;
+        }
+        state.pass = next;
+        for rank in &mut state.ranks {
+            if let Some(armed) = rank.armed.take_if(|armed| armed.pass == next) {
+                rank.map = armed.version;
+                rank.prepared = None;
+            }
+        }
+        let map = state.ranks[0].map;
+        if state.ranks.iter().any(|rank| rank.map != map) {
+            state.split.push(next);
+        }
+        state.remember();
+        true
+    }
+
+    /// The last pass that has begun.
+    pub fn pass(&self) -> u64 {
+        self.lock().pass
+    }
+
+    /// Passes that began while two ranks had different maps.
+    pub fn split_passes(&self) -> Vec<u64> {
+        self.lock().split.clone()
+    }
+
+    /// What a rank said of itself some time ago.
+    pub fn state(&self, rank: usize, lag: Duration) -> RankState {
+        let state = self.lock();
+        let at = Instant::now().checked_sub(lag);
+        let past = &state.ranks[rank].past;
+        let then = past.iter().rev().find(|(since, _)| Some(*since) <= at).or(past.first());
+        then.map_or_else(|| state.report(rank), |(_, report)| *report)
+    }
+
+    /// Experts that a rank holds; this group's maps differ by version alone.
+    pub fn held(&self, _rank: usize) -> Vec<Held> {
+        Vec::new()
+    }
+
+    /// Carries out an order.
+    ///
+    /// # Errors
+    /// As a rank refuses it.
+    pub fn apply(&self, rank: usize, command: &RankCommand) -> Result<(), RankError> {
+        let mut state = self.lock();
+        let pass = state.pass;
+        let member = &mut state.ranks[rank];
+        if command.epoch != EPOCH {
+            return Err(RankError::Refused);
+        }
+        if command.fence < member.fence {
+            return Err(RankError::Fenced);
+        }
+        member.carry_out(&command.order, pass)?;
+        member.fence = command.fence;
+        state.remember();
+        Ok(())
+    }
+}
+
+impl State {
+    fn report(&self, rank: usize) -> RankState {
+        let member = &self.ranks[rank];
+        RankState {
+            rank,
+            size: self.ranks.len(),
+            epoch: EPOCH,
+            open: true,
+            pass: self.pass,
+            map: member.map,
+            prepared: member.prepared,
+            armed: member.armed,
+            held: member.held,
+            running: 1,
+            lag_ms: 0,
+        }
+    }
+
+    fn remember(&mut self) {
+        let now = Instant::now();
+        for rank in 0..self.ranks.len() {
+            let report = self.report(rank);
+            self.ranks[rank].past.push((now, report));
+        }
+    }
+}
+
+impl Rank {
+    fn carry_out(&mut self, order: &RankOrder, pass: u64) -> Result<(), RankError> {
+        let fits = match order {
+            RankOrder::Prepare { version, .. } => self.prepare(*version),
+            RankOrder::Arm { version, pass: at } => self.arm(*version, *at, pass),
+            RankOrder::Disarm { version } => self.disarm(*version),
+            RankOrder::Fence => true,
+            RankOrder::Hold { pass: at } => self.hold(*at, pass),
+            RankOrder::Release { pass: at } => {
+                self.held.take_if(|held| held == at);
+                true
+            }
+        };
+        if fits { Ok(()) } else { Err(RankError::Refused) }
+    }
+
+    fn prepare(&mut self, version: u64) -> bool {
+        if self.prepared == Some(version) {
+            return true;
+        }
+        let fits = version > self.highest && self.armed.is_none();
+        if fits {
+            self.prepared = Some(version);
+            self.highest = version;
+        }
+        fits
+    }
+
+    fn arm(&mut self, version: u64, at: u64, pass: u64) -> bool {
+        let fits = self.prepared == Some(version) && at > pass;
+        if fits {
+            self.armed = Some(Armed { version, pass: at });
+        }
+        fits
+    }
+
+    fn disarm(&mut self, version: u64) -> bool {
+        self.armed.take_if(|armed| armed.version == version);
+        self.map != version
+    }
+
+    fn hold(&mut self, at: u64, pass: u64) -> bool {
+        let fits = at > pass && self.held.is_none_or(|held| held == at);
+        if fits {
+            self.held = Some(at);
+        }
+        fits
+    }
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -14,6 +14,8 @@
 mod planner;
 mod platform_contract;
 mod queue;
+mod remap_faults;
+mod remap_search;
 mod routing;
 mod settings_order;
 mod site;
