--- a/src/remap/lead.rs
+++ b/src/remap/lead.rs
@@ -105,8 +105,7 @@
         };
         let near = ports.iter().position(PeerRank::is_own).unwrap_or_default();
         let mut crew = Crew::new(ports, epoch, fence);
-        let absent = self.switcher.filter(|rank| known < size && *rank != near);
-        self.settle(&mut crew, near, absent).await.ok()?;
+        self.settle(&mut crew, near, self.switcher).await.ok()?;
         let map = self.read_map(&crew, experts).await?;
         let states = crew.states().await.into_iter().collect::<Option<Vec<RankState>>>()?;
         if states.iter().any(|state| state.map != states[0].map || !state.is_quiet()) {
@@ -163,10 +162,10 @@
         &self,
         crew: &mut Crew<PeerRank<R::Port>>,
         near: usize,
-        absent: Option<usize>,
+        last: Option<usize>,
     ) -> Result<(), SwitchError> {
         let began = Instant::now();
-        let commands = settle_all(crew, near, absent).await?;
+        let commands = settle_all(crew, near, last).await?;
         if commands > 0 {
             let took_ms = millis(began);
             let event = Event::Settled { epoch: crew.epoch(), took_ms, commands };
@@ -229,7 +228,7 @@
                 let event = Event::SwitchFailed { version, epoch, step, detail, took_ms };
                 self.log.write(Level::Warn, &event);
                 group.next_plan = Instant::now() + FAILURE_PAUSE;
-                self.settle(&mut group.crew, group.near, None).await
+                self.settle(&mut group.crew, group.near, Some(group.near)).await
             }
         }
     }
--- a/src/remap/settle.rs
+++ b/src/remap/settle.rs
@@ -24,9 +24,10 @@
 /// leader first holds the group by itself, at a rank that does not hold it yet. Then it has every
 /// rank refuse what was ordered before, reads again, disarms ranks, and lets the group go on.
 ///
-/// `absent` names the rank beside the earlier leader, whose machine may be frozen. A leader arms
-/// that rank last, after all others have confirmed. So if another rank, once it refuses the earlier
-/// leader, is not armed, the absent rank is not armed either and never will be.
+/// `last` names the rank beside the leader that began the switch, whose machine may be frozen. That
+/// rank is armed last, after all others have confirmed, and disarmed first. So if another rank, once
+/// it refuses the earlier leader, is not armed, that rank is not armed either and never will be, and
+/// it need not be reached.
 ///
 /// ```
 /// # use ebonyusher::remap::{Settle, settle};
@@ -36,10 +37,10 @@
     states: &[Option<RankState>],
     marks: &[Mark],
     near: usize,
-    absent: Option<usize>,
+    last: Option<usize>,
 ) -> Settle {
     let missing = (0..states.len()).filter(|rank| states[*rank].is_none());
-    if missing.clone().any(|rank| Some(rank) != absent) {
+    if missing.clone().any(|rank| Some(rank) != last) {
         return Settle::Blocked;
     }
     let known: Vec<(usize, RankState)> =
@@ -60,7 +61,7 @@
             return hold(&known, pass, near);
         }
     }
-    withdraw(&known, marks, missing.count() > 0)
+    withdraw(&known, marks, last, missing.count() > 0)
 }
 
 /// The first pass before which something of a switch lies.
@@ -76,7 +77,12 @@
     rank.map_or(Settle::Blocked, |rank| Settle::Hold { rank: *rank, pass })
 }
 
-fn withdraw(known: &[(usize, RankState)], marks: &[Mark], is_missing: bool) -> Settle {
+fn withdraw(
+    known: &[(usize, RankState)],
+    marks: &[Mark],
+    last: Option<usize>,
+    is_missing: bool,
+) -> Settle {
     let open = |rank: &usize| marks[*rank].unsure || !marks[*rank].fenced;
     let fence: Vec<usize> = known.iter().map(|(rank, _)| *rank).filter(open).collect();
     if !fence.is_empty() {
@@ -88,6 +94,10 @@
         // The rank that is not known may be armed as well.
         return Settle::Blocked;
     }
+    let last_armed = armed.iter().find(|(rank, _)| Some(*rank) == last);
+    if let Some(last_armed) = last_armed {
+        return Settle::Disarm(vec![*last_armed]);
+    }
     if !armed.is_empty() {
         return Settle::Disarm(armed);
     }
--- a/src/remap/switch.rs
+++ b/src/remap/switch.rs
@@ -126,7 +126,8 @@
     }
 }
 
-/// Undoes what is left of a switch, and gives the number of orders that it took. Returns only when
+/// Undoes what is left of a switch, and gives the number of orders that it took. `last` is the rank
+/// beside the leader that began the switch, if one did. Returns only when
 /// the group is quiet, is formed anew, or has another leader.
 ///
 /// # Errors
@@ -135,7 +136,7 @@
 pub async fn settle_all<P: RankPort>(
     crew: &mut Crew<P>,
     near: usize,
-    absent: Option<usize>,
+    last: Option<usize>,
 ) -> Result<usize, SwitchError> {
     let mut commands = 0;
     loop {
@@ -143,7 +144,7 @@
         if states.iter().flatten().any(|state| state.epoch != crew.epoch()) {
             return Err(SwitchError::Failed("settle", "the group is formed anew".to_owned()));
         }
-        let orders: Vec<(usize, RankOrder)> = match settle(&states, crew.marks(), near, absent) {
+        let orders: Vec<(usize, RankOrder)> = match settle(&states, crew.marks(), near, last) {
             Settle::Quiet => return Ok(commands),
             Settle::Blocked => {
                 sleep(BLOCKED_PAUSE).await;
