Callers refused by the upstreams are asked back after about two seconds

Cause: after a lost rank or a power-off all upstreams refuse for about two seconds; callers asked back after 0.5 s were refused again and had no retry left.

--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -25,9 +25,13 @@
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::units::BootTime;
 
-/// When a caller may come back that was refused since this entry can't serve it now.
+/// When a caller may come back that was refused since this entry can't serve it now; another entry
+/// may.
 const COME_BACK: Duration = Duration::from_millis(400);
-/// Spread of that time, so that callers refused together do not return together.
+/// When a caller may come back that the upstreams refused: a group that has lost a rank takes about
+/// two seconds to start and form again.
+const UPSTREAMS_BACK: Duration = Duration::from_millis(1_700);
+/// Spread of these times, so that callers refused together do not return together.
 const COME_BACK_SPREAD: f64 = 0.5;
 /// Longest time for a request body to arrive.
 const BODY_TIME: Duration = Duration::from_secs(10);
@@ -197,8 +201,12 @@
     if refusal.outcome != Outcome::NotRun || refusal.retry_after.is_some() {
         return refusal;
     }
+    let wait = match refusal.reason {
+        Reason::Overload | Reason::UpstreamDown | Reason::NoUpstream => UPSTREAMS_BACK,
+        _ => COME_BACK,
+    };
     let spread = rand::random_range(1.0..1.0 + COME_BACK_SPREAD);
-    refusal.retry_after(COME_BACK.mul_f64(spread))
+    refusal.retry_after(wait.mul_f64(spread))
 }
 
 fn end(ledger: Ledger, refusal: Refusal) -> Response<DirectBody> {
