--- a/src/direct/follow_routing.rs
+++ b/src/direct/follow_routing.rs
@@ -12,6 +12,8 @@
 
 /// Longest wait of one call for newer settings. Each answer shows that the settings are fresh.
 const WAIT: Duration = Duration::from_millis(1_200);
+/// Calls in the time that settings count as fresh, so that one may be lost.
+const CALLS_WHILE_FRESH: u32 = 4;
 
 /// Keeps the settings in force up to date with the platform.
 #[derive(Debug)]
@@ -28,10 +30,11 @@
     pub(super) async fn run(self) {
         let mut link = Link::new("settings", self.log.clone());
         let mut cursor = None;
+        let wait = self.freshness.bound().map_or(WAIT, |bound| WAIT.min(bound / CALLS_WHILE_FRESH));
         loop {
             let sent = BootTime::now();
             let answered = match cursor {
-                Some(cursor) => self.directory.watch_routing(cursor, WAIT).await,
+                Some(cursor) => self.directory.watch_routing(cursor, wait).await,
                 None => self.directory.read_routing().await,
             };
             match answered {
--- a/src/direct/freshness.rs
+++ b/src/direct/freshness.rs
@@ -20,6 +20,11 @@
         Self { bound, proven: Mutex::new(None) }
     }
 
+    /// Age up to which settings are fresh, if there is a bound.
+    pub const fn bound(&self) -> Option<Duration> {
+        self.bound
+    }
+
     /// Takes in that a call sent at this moment was answered.
     pub fn prove(&self, sent: BootTime) {
         let mut proven = self.proven.lock().unwrap_or_else(PoisonError::into_inner);
