Callers that one entry alone can't serve come back at once; misdirected requests go on

After a power-off the list still names upstreams' earlier lives; a 421 used up one of two attempts. One check of the search is replaced: a leader that trusts the earlier hold is safe since the ranks refuse the earlier leader before any is disarmed; a leader that holds nothing is not, and is found.

--- a/src/direct/course.rs
+++ b/src/direct/course.rs
@@ -3,7 +3,7 @@
 use crate::entry::Failure;
 use crate::outcome::{Outcome, Reason, Refusal};
 
-/// Attempts that could not be sent after which no other is made.
+/// Attempts that did not reach the upstream they were meant for after which no other is made.
 const MAX_NOT_SENT: u32 = 4;
 
 /// Course of a request over its attempts.
@@ -11,7 +11,7 @@
 pub(super) struct Course {
     /// Attempts begun.
     pub(super) attempts: u32,
-    /// Attempts that reached an upstream.
+    /// Attempts that reached the upstream they were meant for.
     sent: u32,
     /// Whether one of them may have run without an answer to pass on.
     unsure: bool,
@@ -32,7 +32,7 @@
         self.tried.iter().any(|tried| tried == upstream)
     }
 
-    /// Whether any attempt reached an upstream.
+    /// Whether any attempt reached the upstream it was meant for.
     pub(super) const fn is_sent(&self) -> bool {
         self.sent > 0
     }
@@ -40,7 +40,7 @@
     /// Takes in how an attempt ended.
     pub(super) fn note(&mut self, failure: Failure) {
         self.unsure |= failure.outcome == Outcome::Unknown;
-        if failure.reason == Reason::UpstreamDown {
+        if matches!(failure.reason, Reason::UpstreamDown | Reason::WrongService) {
             self.sent -= 1;
         }
     }
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -125,8 +125,9 @@
         if left < LEAST_LEFT || !course.may_go_on(failure, rerun, order.route.max_attempts) {
             return false;
         }
-        // What did not reach an upstream is no repetition for the upstreams.
-        !course.is_sent() || self.service(&order.service.name).budget.spend(Instant::now())
+        // What reached no upstream at all is no repetition for them.
+        let unseen = failure.reason == Reason::UpstreamDown && !course.is_sent();
+        unseen || self.service(&order.service.name).budget.spend(Instant::now())
     }
 
     /// Whether another upstream may do better with an idempotent request that one has failed.
--- a/src/direct/follow_routing.rs
+++ b/src/direct/follow_routing.rs
@@ -67,7 +67,8 @@
                 }
                 RoutingChange::Unusable(reason) => {
                     newest = false;
-                    let event = Event::SettingsUnusable { reason: &reason, in_force: 0 };
+                    let in_force = self.publisher.revision();
+                    let event = Event::SettingsUnusable { reason: &reason, in_force };
                     self.log.write(Level::Error, &event);
                 }
             }
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -25,9 +25,9 @@
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::units::BootTime;
 
-/// When a caller may come back that was refused since this entry can't serve it now; another entry
-/// may.
-const COME_BACK: Duration = Duration::from_millis(400);
+/// When a caller may come back that this entry alone can't serve: the next connection reaches
+/// another entry.
+const COME_BACK: Duration = Duration::from_millis(30);
 /// When a caller may come back that the upstreams refused: a group that has lost a rank takes about
 /// two seconds to start and form again.
 const UPSTREAMS_BACK: Duration = Duration::from_millis(1_700);
--- a/src/direct/watch.rs
+++ b/src/direct/watch.rs
@@ -19,6 +19,11 @@
         (Self(sender), CurrentRouting(receiver))
     }
 
+    /// Revision in force, 0 before the first settings.
+    pub(super) fn revision(&self) -> u64 {
+        self.0.borrow().as_ref().map_or(0, |present| present.revision)
+    }
+
     /// Puts settings in force if they are newer than the present ones, whose revision it gives.
     pub(super) fn offer(&self, routing: Routing) -> Option<u64> {
         let mut before = None;
--- a/src/remap/event.rs
+++ b/src/remap/event.rs
@@ -15,6 +15,8 @@
     Reloaded { ok: bool, detail: &'a str },
     /// The platform gave no answer to a call for leadership or the list.
     PlatformDown { detail: String },
+    /// Another sidecar has begun a term at the same time.
+    NotClaimed,
     /// This process leads the group from now on.
     Leads { term: u64, reason: &'a str, silence_ms: u64 },
     /// This process no longer leads the group.
--- a/src/remap/rank_node.rs
+++ b/src/remap/rank_node.rs
@@ -16,7 +16,7 @@
 use crate::event_log::{EventLog, Level};
 use crate::id::Incarnation;
 use crate::peer::RpcListener;
-use crate::platform::Table;
+use crate::platform::{Table, TableError};
 use crate::settings::{ParseError, RankFile};
 
 /// Pause between two looks at the own rank.
@@ -161,6 +161,10 @@
         let silence = self.watch.silence();
         let Claimed { term, switcher } = match self.terms.claim().await {
             Ok(claimed) => claimed,
+            Err(TableError::Conflict) => {
+                self.log.write(Level::Info, &Event::NotClaimed);
+                return;
+            }
             Err(err) => {
                 self.log.write(Level::Warn, &Event::PlatformDown { detail: err.to_string() });
                 return;
--- a/tests/it/remap_search.rs
+++ b/tests/it/remap_search.rs
@@ -28,8 +28,8 @@
     OldReports,
     /// The earlier leader arms the rank beside it first.
     OwnFirst,
-    /// The next leader trusts the earlier leader's hold.
-    ForeignHold,
+    /// The next leader does not hold the group.
+    NoHold,
     /// Orders carry no numbers.
     NoFence,
 }
@@ -214,8 +214,13 @@
     }
 
     fn decide(&self, variant: Variant) -> Option<World> {
-        let states: Vec<Option<RankState>> =
+        let mut states: Vec<Option<RankState>> =
             self.read.iter().enumerate().map(|(rank, read)| Some(report(rank, (*read)?))).collect();
+        let switching = states.iter().flatten().any(|state| !state.is_quiet());
+        if let Some(own) = states[NEXT].as_mut().filter(|_| switching && variant == Variant::NoHold)
+        {
+            own.held = Some(PASS);
+        }
         let marks: Vec<Mark> = self.known.iter().map(|known| mark(*known, variant)).collect();
         let mut orders: Vec<(usize, Order)> = match settle(&states, &marks, NEXT, Some(EARLIER)) {
             Settle::Quiet => return None,
@@ -298,7 +303,7 @@
 
 fn mark(known: Known, variant: Variant) -> Mark {
     let Known { fenced, unsure, holds, .. } = known;
-    let holds = holds || variant == Variant::ForeignHold;
+    let holds = holds || variant == Variant::NoHold;
     Mark { fenced, unsure, holds, touched: None }
 }
 
@@ -343,7 +348,7 @@
 #[rstest]
 #[case(Variant::OldReports)]
 #[case(Variant::OwnFirst)]
-#[case(Variant::ForeignHold)]
+#[case(Variant::NoHold)]
 #[case(Variant::NoFence)]
 fn the_search_finds_what_is_left_out(#[case] variant: Variant) {
     let (split, worlds) = search(variant);
