--- a/src/remap/crew.rs
+++ b/src/remap/crew.rs
@@ -79,14 +79,25 @@
     /// Reads the states of all ranks at once; nothing for a rank without an answer, or whose answer
     /// may be older than the last order to it.
     pub async fn states(&self) -> Vec<Option<RankState>> {
+        let all: Vec<usize> = (0..self.ports.len()).collect();
+        self.states_of(&all).await
+    }
+
+    /// The same of some ranks.
+    pub async fn states_of(&self, ranks: &[usize]) -> Vec<Option<RankState>> {
         let sent = Instant::now();
-        let read = join_all(self.ports.iter().map(|port| async { port.state().await.ok() })).await;
-        let after = |(state, mark): (Option<RankState>, &Mark)| {
+        let read = |rank: &usize| {
+            let port = self.ports.get(*rank);
+            async move { port?.state().await.ok() }
+        };
+        let read = join_all(ranks.iter().map(read)).await;
+        let after = |(state, rank): (Option<RankState>, &usize)| {
             let state = state?;
             let seen = sent.checked_sub(Duration::from_millis(state.lag_ms));
-            mark.touched.is_none_or(|touched| seen >= Some(touched)).then_some(state)
+            let touched = self.marks.get(*rank)?.touched;
+            touched.is_none_or(|touched| seen >= Some(touched)).then_some(state)
         };
-        read.into_iter().zip(&self.marks).map(after).collect()
+        read.into_iter().zip(ranks).map(after).collect()
     }
 
     /// Reads the state of one rank.
@@ -100,9 +111,13 @@
         states.into_iter().zip(self.ports).collect()
     }
 
-    /// Reads what all ranks counted.
-    pub async fn counts(&self) -> Vec<Option<RankCounts>> {
-        join_all(self.ports.iter().map(|port| async { port.counts().await.ok() })).await
+    /// Reads what some ranks counted.
+    pub async fn counts(&self, ranks: &[usize]) -> Vec<Option<RankCounts>> {
+        let read = |rank: &usize| {
+            let port = self.ports.get(*rank);
+            async move { port?.counts().await.ok() }
+        };
+        join_all(ranks.iter().map(read)).await
     }
 
     /// Reads what all ranks hold.
--- a/src/remap/lead.rs
+++ b/src/remap/lead.rs
@@ -2,14 +2,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
 
 use super::event::Event;
 use super::switch::{SwitchError, settle_all, switch};
 use super::term::Terms;
 use super::{
-    Crew, Demand, GroupMap, PeerRank, Placement, PlacementLimits, RankDial, RankPort, RankState,
-    first_fence, improve,
+    Crew, Demand, GroupMap, PeerRank, PlacementLimits, RankDial, RankPort, RankState, first_fence,
+    improve_set,
 };
 use crate::direct::{Directory, Experts, ListChange, RoutingChange};
 use crate::event_log::{EventLog, Level};
@@ -20,6 +21,11 @@
 const GATHER_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between two readings of what was counted.
 const OBSERVE_PAUSE: Duration = Duration::from_millis(100);
+/// Pause between two readings of all ranks' states, which also tell their sidecars that this leader
+/// is there.
+const STATES_PAUSE: Duration = Duration::from_millis(500);
+/// Counts that one reading takes from the ranks together: about 40 KB on the wire.
+const COUNTS_OF_READING: usize = 8_000;
 /// Failures of switches in a row after which the next plan waits longer.
 const FAILURE_PAUSE: Duration = Duration::from_millis(1_500);
 
@@ -47,6 +53,9 @@
     version: u64,
     demand: Demand,
     next_plan: Instant,
+    next_states: Instant,
+    /// Ranks whose counts are read.
+    sampled: Vec<usize>,
 }
 
 impl<D: Table + Directory, R: RankDial> Lead<'_, D, R> {
@@ -119,8 +128,11 @@
         let map_version = states[0].map;
         let event = Event::Group { epoch, ranks: size, map: map_version };
         self.log.write(Level::Info, &event);
-        let demand = Demand::new(size, experts.sets, experts.count);
-        Some(Group { crew, near, map, version, demand, next_plan: Instant::now() })
+        let (next_plan, next_states) = (Instant::now(), Instant::now());
+        let numbers = (experts.sets * experts.count).max(1);
+        let sampled = sample(near, size, (COUNTS_OF_READING / numbers).max(1));
+        let demand = Demand::new(sampled.len(), experts.sets, experts.count);
+        Some(Group { crew, near, map, version, demand, next_plan, next_states, sampled })
     }
 
     async fn rank_addrs(&self) -> Option<Vec<SocketAddr>> {
@@ -183,7 +195,13 @@
             if !whole {
                 return SwitchError::Failed("observe", "the group is formed anew".to_owned());
             }
-            let counts = group.crew.counts().await;
+            if group.next_states <= Instant::now() {
+                group.next_states = Instant::now() + STATES_PAUSE;
+                if group.crew.states().await.contains(&None) {
+                    continue;
+                }
+            }
+            let counts = group.crew.counts(&group.sampled).await;
             let shifted = group.demand.observe(&counts);
             if shifted {
                 group.next_plan = group.next_plan.min(Instant::now());
@@ -204,7 +222,7 @@
             spare: experts.spare,
             copy_cost: self.rebalance.copy_cost,
         };
-        let plan = improve(&group.map, |set| group.demand.of_set(set), &limits);
+        let plan = plan_map(group, &limits).await;
         if plan.before - plan.after < self.rebalance.least_gain {
             return Ok(());
         }
@@ -233,7 +251,7 @@
         }
     }
 
-    fn log_plan(&self, version: u64, plan: &Placement) {
+    fn log_plan(&self, version: u64, plan: &Plan) {
         let event = Event::Planned {
             version,
             copies: plan.copies,
@@ -244,6 +262,34 @@
     }
 }
 
+/// A map to switch to, and what it changes.
+struct Plan {
+    map: GroupMap,
+    copies: usize,
+    before: f64,
+    after: f64,
+}
+
+/// Plans set by set, and lets other work of the process go on between them.
+async fn plan_map<P>(group: &Group<P>, limits: &PlacementLimits) -> Plan {
+    let sets = group.map.sets.len().max(1) as f64;
+    let mut plan = Plan { map: group.map.clone(), copies: 0, before: 0.0, after: 0.0 };
+    for (set, ranks) in group.map.sets.iter().enumerate() {
+        let Some(demand) = group.demand.of_set(set) else {
+            plan.before += 1.0 / sets;
+            plan.after += 1.0 / sets;
+            continue;
+        };
+        let better = improve_set(ranks, demand, limits);
+        plan.before += better.before / sets;
+        plan.after += better.after / sets;
+        plan.copies += better.copies;
+        plan.map.sets[set] = better.ranks;
+        yield_now().await;
+    }
+    plan
+}
+
 /// The ways to all ranks by rank, nothing if the group is not whole. Only the rank named may be
 /// unknown.
 fn in_order<P: RankPort>(
@@ -270,6 +316,11 @@
     ports.into_iter().collect()
 }
 
+/// So many ranks at most, the one beside this process first.
+fn sample(near: usize, size: usize, most: usize) -> Vec<usize> {
+    (0..size.min(most)).map(|at| (near + at) % size).collect()
+}
+
 fn millis(since: Instant) -> u64 {
     u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
--- a/src/remap/mod.rs
+++ b/src/remap/mod.rs
@@ -22,7 +22,7 @@
 pub use demand::Demand;
 pub use group_map::{GroupMap, Held};
 pub use peer_rank::PeerRank;
-pub use placement::{Placement, PlacementLimits, improve};
+pub use placement::{PlacementLimits, SetPlacement, improve_set};
 pub use rank_node::RankNode;
 pub use rank_order::{RankCommand, RankOrder};
 pub use rank_port::{RankCounts, RankDial, RankError, RankPort};
--- a/src/remap/peer_rank.rs
+++ b/src/remap/peer_rank.rs
@@ -4,7 +4,7 @@
 
 use jsonrpsee::core::ClientError;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::{
     Held, RankCommand, RankCounts, RankError, RankOrder, RankPort, RankRpcClient, RankState,
@@ -12,6 +12,8 @@
 
 /// Longest wait for a sidecar's answer: its own wait for the rank, and the way there and back.
 const CALL_TIMEOUT: Duration = Duration::from_millis(220);
+/// The same where a whole map goes to all ranks: 63 ranks with 8 sets take 0.7 s on 8 Mbit/s.
+const MAP_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Age that a report read from another machine may have; ranks publish about each 200 ms.
 const DIRECT_LAG_MS: u64 = 500;
 /// Time in which a sidecar that did not answer is passed by.
@@ -46,7 +48,7 @@
     /// If no client can be made for the address.
     pub fn beside(direct: Arc<P>, sidecar: SocketAddr, term: u64) -> Result<Self, ClientError> {
         let client = HttpClientBuilder::default()
-            .request_timeout(CALL_TIMEOUT)
+            .request_timeout(MAP_TIMEOUT)
             .build(format!("http://{sidecar}"))?;
         let way = Way::Sidecar(client);
         Ok(Self { way, direct, term, silent_until: Mutex::default() })
@@ -72,9 +74,9 @@
 impl<P: RankPort> RankPort for PeerRank<P> {
     async fn state(&self) -> Result<RankState, RankError> {
         if let Some(sidecar) = self.sidecar() {
-            match sidecar.state(self.term).await {
-                Ok(state) => return state,
-                Err(_) => self.pass_by(),
+            match timeout(CALL_TIMEOUT, sidecar.state(self.term)).await {
+                Ok(Ok(state)) => return state,
+                Ok(Err(_)) | Err(_) => self.pass_by(),
             }
         }
         let state = self.direct.state().await?;
@@ -86,7 +88,8 @@
         // Counts are worth less than the group's pause for a reading from another machine.
         let Way::Sidecar(_) = self.way else { return self.direct.counts().await };
         let Some(sidecar) = self.sidecar() else { return Err(RankError::Unknown) };
-        sidecar.counts(self.term).await.unwrap_or_else(|_| {
+        let counted = timeout(CALL_TIMEOUT, sidecar.counts(self.term)).await;
+        counted.ok().and_then(Result::ok).unwrap_or_else(|| {
             self.pass_by();
             Err(RankError::Unknown)
         })
@@ -94,9 +97,9 @@
 
     async fn held(&self) -> Result<Vec<Held>, RankError> {
         if let Some(sidecar) = self.sidecar() {
-            match sidecar.held(self.term).await {
-                Ok(held) => return held,
-                Err(_) => self.pass_by(),
+            match timeout(CALL_TIMEOUT, sidecar.held(self.term)).await {
+                Ok(Ok(held)) => return held,
+                Ok(Err(_)) | Err(_) => self.pass_by(),
             }
         }
         self.direct.held().await
@@ -108,7 +111,12 @@
         let Some(sidecar) = self.sidecar().filter(|_| !holds) else {
             return self.direct.command(command).await;
         };
-        sidecar.command(self.term, command.clone()).await.unwrap_or_else(|_| {
+        let patience = match command.order {
+            RankOrder::Prepare { .. } => MAP_TIMEOUT,
+            _ => CALL_TIMEOUT,
+        };
+        let given = timeout(patience, sidecar.command(self.term, command.clone())).await;
+        given.ok().and_then(Result::ok).unwrap_or_else(|| {
             // The sidecar may have passed the order on.
             self.pass_by();
             Err(RankError::Unknown)
--- a/src/remap/placement.rs
+++ b/src/remap/placement.rs
@@ -1,4 +1,6 @@
-use super::{GroupMap, Held};
+use smallvec::SmallVec;
+
+use super::Held;
 
 /// Bounds of a change of the map.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -11,14 +13,14 @@
     pub copy_cost: f64,
 }
 
-/// A changed map, and what it changes.
+/// A changed map of one set, and what it changes.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Placement {
-    /// The map.
-    pub map: GroupMap,
+pub struct SetPlacement {
+    /// Experts by rank.
+    pub ranks: Vec<Held>,
     /// Experts that ranks have to copy.
     pub copies: usize,
-    /// Load of the most loaded rank over the mean, averaged over the sets, under the present map.
+    /// Load of the most loaded rank over the mean under the present map.
     pub before: f64,
     /// The same under the changed map.
     pub after: f64,
@@ -27,42 +29,21 @@
 /// Least loaded ranks that may take an expert.
 const COLD_RANKS: usize = 8;
 /// Most changes of one set in one plan.
-const MAX_CHANGES: usize = 24;
+const MAX_CHANGES: usize = 40;
 /// Power by which loads are summed up: high, so that the most loaded ranks count.
 const POWER: i32 = 8;
 
-/// Improves a map by copying few experts. `demand` gives the tokens of each expert of a set.
+/// Improves one set's map by copying few experts. `demand` gives the share of each expert.
 ///
 /// ```
-/// # use ebonyusher::remap::{GroupMap, PlacementLimits, improve};
-/// let map: GroupMap = serde_json::from_str("[[[0, 1], [2, 3]]]").unwrap();
+/// # use ebonyusher::remap::{Held, PlacementLimits, improve_set};
+/// let ranks: Vec<Held> = serde_json::from_str("[[0, 1], [2, 3]]").unwrap();
 /// let limits = PlacementLimits { places: 3, spare: 2, copy_cost: 0.01 };
-/// let better = improve(&map, |_| Some(&[8.0, 8.0, 1.0, 1.0]), &limits);
+/// let better = improve_set(&ranks, &[8.0, 8.0, 1.0, 1.0], &limits);
 /// assert!(better.before > 1.7 && better.after < 1.2);
 /// ```
-pub fn improve<'a>(
-    map: &GroupMap,
-    demand: impl Fn(usize) -> Option<&'a [f64]>,
-    limits: &PlacementLimits,
-) -> Placement {
-    let mut better = Placement { map: map.clone(), copies: 0, before: 0.0, after: 0.0 };
-    for (set, ranks) in map.sets.iter().enumerate() {
-        let Some(demand) = demand(set) else {
-            better.before += 1.0;
-            better.after += 1.0;
-            continue;
-        };
-        let mut work = SetWork::new(ranks, demand);
-        better.before += work.skew();
-        let (ranks, copies, skew) = work.improve(limits);
-        better.map.sets[set] = ranks;
-        better.copies += copies;
-        better.after += skew;
-    }
-    let sets = map.sets.len().max(1) as f64;
-    better.before /= sets;
-    better.after /= sets;
-    better
+pub fn improve_set(ranks: &[Held], demand: &[f64], limits: &PlacementLimits) -> SetPlacement {
+    SetWork::new(ranks, demand).improve(limits)
 }
 
 /// One set's map while it is improved.
@@ -70,10 +51,10 @@
     ranks: Vec<Held>,
     demand: &'a [f64],
     /// Ranks that hold each expert.
-    holders: Vec<u32>,
+    holders: Vec<SmallVec<[u16; 4]>>,
     loads: Vec<f64>,
     /// Experts copied to each rank so far.
-    added: Vec<Held>,
+    added: Vec<usize>,
     mean: f64,
 }
 
@@ -88,6 +69,9 @@
     Swap { expert: u16, from: usize, other: u16, to: usize },
 }
 
+/// Changes of the loads of a few ranks.
+type Shifts = SmallVec<[(usize, f64); 16]>;
+
 impl Change {
     const fn copies(self) -> usize {
         match self {
@@ -99,28 +83,30 @@
 
 impl<'a> SetWork<'a> {
     fn new(ranks: &[Held], demand: &'a [f64]) -> Self {
-        let mut holders = vec![0; demand.len()];
-        ranks.iter().flatten().for_each(|expert| holders[usize::from(*expert)] += 1);
+        let mut holders = vec![SmallVec::new(); demand.len()];
+        for (rank, held) in ranks.iter().enumerate() {
+            for expert in held {
+                holders[usize::from(*expert)].push(u16::try_from(rank).unwrap_or(u16::MAX));
+            }
+        }
         let mut work = Self {
             ranks: ranks.to_vec(),
             demand,
             holders,
-            loads: vec![0.0; ranks.len()],
-            added: vec![Held::new(); ranks.len()],
+            loads: Vec::new(),
+            added: vec![0; ranks.len()],
             mean: demand.iter().sum::<f64>() / ranks.len().max(1) as f64,
         };
-        work.loads = (0..ranks.len()).map(|rank| work.load_of(rank)).collect();
+        let load = |held: &Held| held.iter().map(|expert| work.part(*expert, 0)).sum();
+        work.loads = work.ranks.iter().map(load).collect();
         work
     }
 
-    fn load_of(&self, rank: usize) -> f64 {
-        self.ranks[rank].iter().map(|expert| self.part(*expert)).sum()
-    }
-
-    /// Tokens of an expert at each of the ranks that hold it.
-    fn part(&self, expert: u16) -> f64 {
+    /// Tokens of an expert at each of its ranks, if it had so many more of them.
+    fn part(&self, expert: u16, more: i32) -> f64 {
         let expert = usize::from(expert);
-        self.demand[expert] / f64::from(self.holders[expert].max(1))
+        let holders = i32::try_from(self.holders[expert].len()).unwrap_or(i32::MAX) + more;
+        self.demand[expert] / f64::from(holders.max(1))
     }
 
     fn skew(&self) -> f64 {
@@ -128,161 +114,155 @@
         if self.mean > 0.0 { most / self.mean } else { 1.0 }
     }
 
-    fn potential(&self) -> f64 {
-        self.loads.iter().map(|load| (load / self.mean).powi(POWER)).sum()
-    }
-
     /// Takes the best changes one after the other, and keeps as many of them as pay.
-    fn improve(&mut self, limits: &PlacementLimits) -> (Vec<Held>, usize, f64) {
-        let mut best = (self.ranks.clone(), 0, self.skew());
-        let mut best_value = self.skew();
+    fn improve(mut self, limits: &PlacementLimits) -> SetPlacement {
+        let before = self.skew();
+        let mut best = SetPlacement { ranks: self.ranks.clone(), copies: 0, before, after: before };
         let mut copies = 0;
-        if self.mean <= 0.0 {
-            return best;
-        }
         for _ in 0..MAX_CHANGES {
             let Some(change) = self.best_change(limits) else { break };
             self.apply(change);
             copies += change.copies();
-            let value = self.skew() + limits.copy_cost * copies as f64;
-            if value < best_value {
-                best_value = value;
-                best = (self.ranks.clone(), copies, self.skew());
+            let value = |skew: f64, copies: usize| skew + limits.copy_cost * copies as f64;
+            if value(self.skew(), copies) < value(best.after, best.copies) {
+                best =
+                    SetPlacement { ranks: self.ranks.clone(), copies, before, after: self.skew() };
             }
         }
         best
     }
 
-    fn best_change(&mut self, limits: &PlacementLimits) -> Option<Change> {
+    fn best_change(&self, limits: &PlacementLimits) -> Option<Change> {
+        if self.mean <= 0.0 {
+            return None;
+        }
         let mut order: Vec<usize> = (0..self.loads.len()).collect();
         order.sort_by(|left, right| self.loads[*left].total_cmp(&self.loads[*right]));
         let hot = *order.last()?;
-        let cold: Vec<usize> = order.into_iter().take(COLD_RANKS).filter(|r| *r != hot).collect();
-        let start = self.potential();
+        let cold = order.into_iter().take(COLD_RANKS).filter(|rank| *rank != hot);
         let mut best: Option<(f64, Change)> = None;
-        for expert in self.ranks[hot].clone() {
-            for to in &cold {
-                for change in self.changes(expert, hot, *to, limits) {
-                    let gain = (start - self.potential_after(change)) / change.copies() as f64;
+        for to in cold {
+            for expert in &self.ranks[hot] {
+                self.offer_changes(*expert, hot, to, limits, &mut |change| {
+                    let gain = self.gain(change) / change.copies() as f64;
                     if gain > 0.0 && best.is_none_or(|(most, _)| gain > most) {
                         best = Some((gain, change));
                     }
-                }
+                });
             }
         }
         best.map(|(_, change)| change)
     }
 
-    /// Changes that relieve a rank of an expert at the cost of another rank.
-    fn changes(
+    /// Offers the changes that relieve a rank of an expert at the cost of another rank.
+    fn offer_changes(
         &self,
         expert: u16,
         from: usize,
         to: usize,
         limits: &PlacementLimits,
-    ) -> Vec<Change> {
+        offer: &mut impl FnMut(Change),
+    ) {
         let taken = &self.ranks[to];
-        if taken.contains(&expert) || self.added[to].len() >= limits.spare {
-            return Vec::new();
+        if taken.contains(&expert) || self.added[to] >= limits.spare {
+            return;
         }
-        let mut changes = Vec::new();
         if taken.len() < limits.places {
-            changes.push(Change::Copy { expert, to, out: None });
-            changes.push(Change::Move { expert, from, to });
+            offer(Change::Copy { expert, to, out: None });
+            offer(Change::Move { expert, from, to });
         } else {
-            let spare = taken.iter().filter(|out| self.holders[usize::from(**out)] > 1);
-            changes.extend(spare.map(|out| Change::Copy { expert, to, out: Some(*out) }));
+            let spare = taken.iter().filter(|out| self.holders[usize::from(**out)].len() > 1);
+            spare.for_each(|out| offer(Change::Copy { expert, to, out: Some(*out) }));
         }
-        if self.added[from].len() < limits.spare {
+        if self.added[from] < limits.spare {
             let back = taken.iter().filter(|other| !self.ranks[from].contains(other));
-            changes.extend(back.map(|other| Change::Swap { expert, from, other: *other, to }));
+            back.for_each(|other| offer(Change::Swap { expert, from, other: *other, to }));
         }
-        changes
     }
 
-    fn potential_after(&mut self, change: Change) -> f64 {
-        let loads = self.loads.clone();
-        self.apply(change);
-        let potential = self.potential();
-        self.undo(change);
-        self.loads = loads;
-        potential
+    /// Fall of the summed loads.
+    fn gain(&self, change: Change) -> f64 {
+        let power = |load: f64| (load / self.mean).powi(POWER);
+        let shifts = self.shifts(change);
+        shifts
+            .iter()
+            .map(|(rank, by)| power(self.loads[*rank]) - power(self.loads[*rank] + by))
+            .sum()
     }
 
-    fn apply(&mut self, change: Change) {
+    /// How a change shifts the loads of the ranks that it concerns.
+    fn shifts(&self, change: Change) -> Shifts {
+        let mut shifts = Shifts::new();
         match change {
             Change::Copy { expert, to, out } => {
+                self.spread(expert, 1, None, &mut shifts);
+                add(&mut shifts, to, self.part(expert, 1));
                 if let Some(out) = out {
-                    self.drop_at(out, to);
+                    self.spread(out, -1, Some(to), &mut shifts);
+                    add(&mut shifts, to, -self.part(out, 0));
                 }
-                self.add_at(expert, to);
-            }
-            Change::Move { expert, from, to } => {
-                self.drop_at(expert, from);
-                self.add_at(expert, to);
             }
+            Change::Move { expert, from, to } => self.carry(expert, from, to, &mut shifts),
             Change::Swap { expert, from, other, to } => {
-                self.drop_at(expert, from);
-                self.drop_at(other, to);
-                self.add_at(expert, to);
-                self.add_at(other, from);
+                self.carry(expert, from, to, &mut shifts);
+                self.carry(other, to, from, &mut shifts);
             }
         }
+        shifts
+    }
+
+    fn carry(&self, expert: u16, from: usize, to: usize, shifts: &mut Shifts) {
+        let part = self.part(expert, 0);
+        add(shifts, from, -part);
+        add(shifts, to, part);
+    }
+
+    /// What an expert's ranks take more or less when it has one rank more or less.
+    fn spread(&self, expert: u16, more: i32, without: Option<usize>, shifts: &mut Shifts) {
+        let by = self.part(expert, more) - self.part(expert, 0);
+        let ranks = self.holders[usize::from(expert)].iter().map(|rank| usize::from(*rank));
+        ranks.filter(|rank| Some(*rank) != without).for_each(|rank| add(shifts, rank, by));
     }
 
-    fn undo(&mut self, change: Change) {
+    fn apply(&mut self, change: Change) {
+        for (rank, by) in self.shifts(change) {
+            self.loads[rank] += by;
+        }
         match change {
             Change::Copy { expert, to, out } => {
-                self.take_back(expert, to);
                 if let Some(out) = out {
-                    self.put_back(out, to);
+                    self.drop_at(out, to);
                 }
+                self.add_at(expert, to);
             }
             Change::Move { expert, from, to } => {
-                self.take_back(expert, to);
-                self.put_back(expert, from);
+                self.drop_at(expert, from);
+                self.add_at(expert, to);
             }
             Change::Swap { expert, from, other, to } => {
-                self.take_back(expert, to);
-                self.take_back(other, from);
-                self.put_back(expert, from);
-                self.put_back(other, to);
+                self.drop_at(expert, from);
+                self.drop_at(other, to);
+                self.add_at(expert, to);
+                self.add_at(other, from);
             }
         }
     }
 
     fn add_at(&mut self, expert: u16, rank: usize) {
-        self.put_back(expert, rank);
-        self.added[rank].push(expert);
-    }
-
-    fn take_back(&mut self, expert: u16, rank: usize) {
-        self.drop_at(expert, rank);
-        self.added[rank].retain(|added| *added != expert);
-    }
-
-    fn put_back(&mut self, expert: u16, rank: usize) {
-        self.change_holders(expert, 1);
         self.ranks[rank].push(expert);
-        self.loads[rank] += self.part(expert);
+        self.holders[usize::from(expert)].push(u16::try_from(rank).unwrap_or(u16::MAX));
+        self.added[rank] += 1;
     }
 
     fn drop_at(&mut self, expert: u16, rank: usize) {
-        self.loads[rank] -= self.part(expert);
         self.ranks[rank].retain(|held| *held != expert);
-        self.change_holders(expert, -1);
+        self.holders[usize::from(expert)].retain(|held| usize::from(*held) != rank);
     }
+}
 
-    /// Changes the number of an expert's holders, and the loads of those that hold it now.
-    fn change_holders(&mut self, expert: u16, by: i32) {
-        let before = self.part(expert);
-        let holders = &mut self.holders[usize::from(expert)];
-        *holders = holders.saturating_add_signed(by);
-        let after = self.part(expert);
-        for (load, held) in self.loads.iter_mut().zip(&self.ranks) {
-            if held.contains(&expert) {
-                *load += after - before;
-            }
-        }
+fn add(shifts: &mut Shifts, rank: usize, by: f64) {
+    match shifts.iter_mut().find(|(known, _)| *known == rank) {
+        Some((_, sum)) => *sum += by,
+        None => shifts.push((rank, by)),
     }
 }
--- a/src/remap/switch.rs
+++ b/src/remap/switch.rs
@@ -9,7 +9,7 @@
 /// Pause between two readings while experts are copied.
 const COPY_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time for experts to be copied.
-const COPY_TIME: Duration = Duration::from_millis(1_500);
+const COPY_TIME: Duration = Duration::from_millis(2_500);
 /// Times that an order is given again that had no answer.
 const TRIES: usize = 3;
 /// Pause before a group that is not known is read again.
@@ -48,8 +48,10 @@
     let all: Vec<usize> = (0..crew.len()).collect();
     let prepare = RankOrder::Prepare { version, map: map.clone() };
     order_ranks(crew, "prepare", &prepare, all.clone(), 1).await?;
-    let states = wait_prepared(crew, version).await?;
-    let pass = states.iter().map(|state| state.pass).max().unwrap_or_default() + LEAD_PASSES;
+    wait_prepared(crew, version).await?;
+    let own = crew.state_of(near).await;
+    let own = own.ok_or_else(|| SwitchError::Failed("copy", "no answer nearby".to_owned()))?;
+    let pass = own.pass + LEAD_PASSES;
     let holder = (near + 1) % crew.len();
     order_ranks(crew, "hold", &RankOrder::Hold { pass }, vec![holder], 1).await?;
     let arm = RankOrder::Arm { version, pass };
@@ -85,14 +87,12 @@
 }
 
 /// Waits until all ranks hold what a map needs.
-async fn wait_prepared<P: RankPort>(
-    crew: &Crew<P>,
-    version: u64,
-) -> Result<Vec<RankState>, SwitchError> {
+async fn wait_prepared<P: RankPort>(crew: &Crew<P>, version: u64) -> Result<(), SwitchError> {
     let failed = |detail: &str| SwitchError::Failed("copy", detail.to_owned());
     let end = Instant::now() + COPY_TIME;
+    let mut left: Vec<usize> = (0..crew.len()).collect();
     loop {
-        let states = crew.states().await.into_iter().collect::<Option<Vec<RankState>>>();
+        let states = crew.states_of(&left).await.into_iter().collect::<Option<Vec<RankState>>>();
         let states = states.ok_or_else(|| failed("a rank gave no answer"))?;
         if states.iter().any(|state| !state.open || state.epoch != crew.epoch()) {
             return Err(failed("the group is formed anew"));
@@ -100,8 +100,10 @@
         if states.iter().any(|state| !state.is_quiet()) {
             return Err(failed("another switch is under way"));
         }
-        if states.iter().all(|state| state.prepared == Some(version)) {
-            return Ok(states);
+        let open = left.iter().zip(&states).filter(|(_, state)| state.prepared != Some(version));
+        left = open.map(|(rank, _)| *rank).collect();
+        if left.is_empty() {
+            return Ok(());
         }
         if Instant::now() >= end {
             return Err(failed("not in time"));
