--- /dev/null
+++ b/src/remap/packed_map.rs
@@ -0,0 +1,69 @@
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+
+use super::{GroupMap, Held};
+
+/// Size of an expert's number in bytes, by what the largest one needs.
+const NARROW: u8 = 1;
+const WIDE: u8 = 2;
+
+/// Writes a map as text of less than half the length of its list of lists, since it goes to every
+/// rank's sidecar over thin links.
+pub(super) fn serialize<S: Serializer>(map: &GroupMap, ser: S) -> Result<S::Ok, S::Error> {
+    STANDARD.encode(pack(map)).serialize(ser)
+}
+
+/// Reads what [`serialize`] has written.
+pub(super) fn deserialize<'de, D: Deserializer<'de>>(de: D) -> Result<GroupMap, D::Error> {
+    let text = String::deserialize(de)?;
+    let bytes = STANDARD.decode(text).map_err(D::Error::custom)?;
+    unpack(&bytes).ok_or_else(|| D::Error::custom("a map that is cut short"))
+}
+
+/// Width of a number and number of sets, then for each set the number of ranks, and for each rank
+/// the number of experts and the experts.
+fn pack(map: &GroupMap) -> Vec<u8> {
+    let largest = map.sets.iter().flatten().flatten().max().copied().unwrap_or_default();
+    let width = if largest <= u16::from(u8::MAX) { NARROW } else { WIDE };
+    let mut bytes = vec![width];
+    put(&mut bytes, map.sets.len(), WIDE);
+    for ranks in &map.sets {
+        put(&mut bytes, ranks.len(), WIDE);
+        for held in ranks {
+            put(&mut bytes, held.len(), WIDE);
+            held.iter().for_each(|expert| put(&mut bytes, usize::from(*expert), width));
+        }
+    }
+    bytes
+}
+
+fn put(bytes: &mut Vec<u8>, number: usize, width: u8) {
+    let number = u16::try_from(number).unwrap_or(u16::MAX).to_le_bytes();
+    bytes.extend_from_slice(&number[..usize::from(width)]);
+}
+
+fn unpack(bytes: &[u8]) -> Option<GroupMap> {
+    let (width, mut rest) = bytes.split_first()?;
+    let mut sets = Vec::new();
+    for _ in 0..take(&mut rest, WIDE)? {
+        let mut ranks = Vec::new();
+        for _ in 0..take(&mut rest, WIDE)? {
+            let experts = take(&mut rest, WIDE)?;
+            let held: Option<Held> = (0..experts).map(|_| take(&mut rest, *width)).collect();
+            ranks.push(held?);
+        }
+        sets.push(ranks);
+    }
+    Some(GroupMap { sets })
+}
+
+fn take(rest: &mut &[u8], width: u8) -> Option<u16> {
+    let (number, after) = rest.split_at_checked(usize::from(width))?;
+    *rest = after;
+    match *number {
+        [low] => Some(u16::from(low)),
+        [low, high] => Some(u16::from_le_bytes([low, high])),
+        _ => None,
+    }
+}
--- a/src/remap/rank_order.rs
+++ b/src/remap/rank_order.rs
@@ -8,7 +8,11 @@
 #[serde(rename_all = "kebab-case")]
 pub enum RankOrder {
     /// Copy the experts that a map adds.
-    Prepare { version: u64, map: GroupMap },
+    Prepare {
+        version: u64,
+        #[serde(with = "super::packed_map")]
+        map: GroupMap,
+    },
     /// Switch to a prepared map as a pass begins.
     Arm { version: u64, pass: u64 },
     /// Forget that the rank was to switch.
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod platform_contract;
 mod queue;
 mod remap_faults;
+mod remap_parts;
 mod remap_search;
 mod routing;
 mod settings_order;
--- /dev/null
+++ b/tests/it/remap_parts.rs
@@ -0,0 +1,91 @@
+//! Parts of switching and planning expert maps.
+
+use ebonyusher::remap::{
+    Demand, GroupMap, Held, PlacementLimits, RankCommand, RankCounts, RankOrder, improve_set,
+};
+use proptest::prelude::*;
+
+fn maps() -> impl Strategy<Value = GroupMap> {
+    let held = prop::collection::vec(0_u16..600, 0..6);
+    let held = held.prop_map(|experts| experts.into_iter().collect::<Held>());
+    let ranks = prop::collection::vec(held, 0..5);
+    prop::collection::vec(ranks, 0..4).prop_map(|sets| GroupMap { sets })
+}
+
+/// Twelve ranks that hold 72 experts in turn.
+fn in_turn() -> Vec<Held> {
+    (0..12).map(|rank| (0..6).map(|at| rank + 12 * at).collect()).collect()
+}
+
+fn loads(ranks: &[Held], demand: &[f64]) -> Vec<f64> {
+    let holders = |expert: u16| ranks.iter().filter(|held| held.contains(&expert)).count() as f64;
+    let part = |expert: &u16| demand[usize::from(*expert)] / holders(*expert);
+    ranks.iter().map(|held| held.iter().map(part).sum()).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_command_reads_back_as_it_was_written(map in maps(), version in any::<u64>()) {
+        let order = RankOrder::Prepare { version, map };
+        let command = RankCommand { order, epoch: 1, fence: 2 };
+
+        let text = serde_json::to_string(&command).unwrap();
+        let read: RankCommand = serde_json::from_str(&text).unwrap();
+
+        prop_assert_eq!(read, command);
+    }
+
+    #[test]
+    fn a_plan_keeps_every_bound_and_says_what_it_brings(
+        demand in prop::collection::vec(0.0_f64..1.0, 72),
+        hot in 0_usize..72,
+        spare in 1_usize..4,
+    ) {
+        let mut demand = demand;
+        demand[hot] = 15.0;
+        let before = in_turn();
+        let limits = PlacementLimits { places: 8, spare, copy_cost: 0.01 };
+
+        let plan = improve_set(&before, &demand, &limits);
+
+        let new = |rank: usize| {
+            plan.ranks[rank].iter().filter(|expert| !before[rank].contains(expert)).count()
+        };
+        let loads = loads(&plan.ranks, &demand);
+        let mean = loads.iter().sum::<f64>() / 12.0;
+        let most = loads.iter().copied().fold(0.0, f64::max);
+        prop_assert!((plan.after - most / mean).abs() < 1e-6);
+        prop_assert!(plan.after <= plan.before);
+        prop_assert!((0..12).all(|rank| new(rank) <= spare && plan.ranks[rank].len() <= 8));
+        let map = GroupMap { sets: vec![plan.ranks.clone()] };
+        prop_assert!(map.is_complete(72));
+    }
+}
+
+#[test]
+fn a_shift_is_told_from_noise() {
+    let mut demand = Demand::new(1, 1, 4);
+    let mut sums = [0_u64; 4];
+    let mut read = |add: [u64; 4]| {
+        sums.iter_mut().zip(add).for_each(|(sum, add)| *sum += add);
+        demand.observe(&[Some(RankCounts { epoch: 1, counts: sums.to_vec() })])
+    };
+
+    let noise = [
+        read([50, 30, 10, 10]),
+        read([51, 29, 11, 9]),
+        read([480, 310, 95, 105]),
+        read([0, 0, 0, 0]),
+        read([55, 27, 9, 9]),
+    ];
+    let shift = read([10, 30, 50, 10]);
+
+    assert!(!noise.contains(&true) && shift);
+}
