--- a/src/bin/ebonyusher-ctl.rs
+++ b/src/bin/ebonyusher-ctl.rs
@@ -19,7 +19,9 @@
     };
     let code = match &err {
         CtlError::Input(_) | CtlError::Check(_) | CtlError::NoKey => EXIT_INPUT,
-        CtlError::Client(ClientError::Refused(_)) | CtlError::Differs => EXIT_REFUSED,
+        CtlError::Client(ClientError::Refused(_)) | CtlError::Differs | CtlError::NotLogged => {
+            EXIT_REFUSED
+        }
         CtlError::Client(_) => EXIT_UNREACHABLE,
     };
     exit_with(NAME, &err, code)
--- a/src/ctl/args.rs
+++ b/src/ctl/args.rs
@@ -35,6 +35,8 @@
     Drain { target: Target, undo: bool, name: String },
     /// Look an idempotency key up.
     Lookup { target: Target, account: String, service: String, key: String },
+    /// Show the decisions about a request in saved logs.
+    Explain { id: String, files: Vec<PathBuf> },
 }
 
 /// The whole command line.
@@ -96,7 +98,19 @@
         .to_options()
         .descr("Show settings in force and upstreams")
         .command("status");
-    construct!([check, schema, digest, get, apply(), diff, revisions, status, drain(), lookup()])
+    construct!([
+        check,
+        schema,
+        digest,
+        get,
+        apply(),
+        diff,
+        revisions,
+        status,
+        drain(),
+        lookup(),
+        explain()
+    ])
 }
 
 fn apply() -> impl Parser<Command> {
@@ -119,6 +133,15 @@
         .command("drain")
 }
 
+fn explain() -> impl Parser<Command> {
+    let id = positional("ID").help("Id of the request's attempt");
+    let files = positional("LOG").help("Saved logs of the processes").some("name a log file");
+    construct!(Command::Explain { id, files })
+        .to_options()
+        .descr("Show the decisions about a request in saved logs")
+        .command("explain")
+}
+
 fn lookup() -> impl Parser<Command> {
     let account = positional("ACCOUNT").help("Client account of the team");
     let service = positional("SERVICE").help("Service of the team");
--- a/src/ctl/error.rs
+++ b/src/ctl/error.rs
@@ -18,4 +18,6 @@
     Client(#[from] ClientError),
     /// the settings differ
     Differs,
+    /// no line of these logs names the request
+    NotLogged,
 }
--- a/src/ctl/run.rs
+++ b/src/ctl/run.rs
@@ -1,6 +1,7 @@
 use std::env;
 use std::path::Path;
 
+use super::explain::explain_files;
 use super::{Args, Command, CtlError, Target, show};
 use crate::admin::{AdminClient, settings_schema};
 use crate::settings::{KeyDigest, Team, check_team, diff, read_file};
@@ -34,6 +35,7 @@
             client(&target)?.drain(&name, !undo).await?;
             show::done(json, "done");
         }
+        Command::Explain { id, files } => show::lines(json, &explain_files(&id, &files)?),
         Command::Lookup { target, account, service, key } => {
             let client = client(&target)?;
             show::key_state(json, &client.lookup(&target.team, &account, &service, &key).await?);
--- a/src/ctl/show.rs
+++ b/src/ctl/show.rs
@@ -109,3 +109,12 @@
     table.load_preset(NOTHING).set_header(head.iter().copied());
     table
 }
+
+/// Prints lines of text.
+pub(super) fn lines(json: bool, lines: &[String]) {
+    if json {
+        println!("{}", serde_json::json!(lines));
+    } else {
+        lines.iter().for_each(|line| println!("{line}"));
+    }
+}
