--- a/src/remap/lead.rs
+++ b/src/remap/lead.rs
@@ -2,15 +2,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
 
 use super::event::Event;
+use super::map_plan::{MapPlan, plan_map};
 use super::switch::{SwitchError, settle_all, switch};
 use super::term::Terms;
 use super::{
     Crew, Demand, GroupMap, PeerRank, PlacementLimits, RankDial, RankPort, RankState, first_fence,
-    improve_set,
 };
 use crate::direct::{Directory, Experts, ListChange, RoutingChange};
 use crate::event_log::{EventLog, Level};
@@ -26,7 +25,7 @@
 const STATES_PAUSE: Duration = Duration::from_millis(500);
 /// Counts that one reading takes from the ranks together: about 40 KB on the wire.
 const COUNTS_OF_READING: usize = 8_000;
-/// Failures of switches in a row after which the next plan waits longer.
+/// Pause after a failed switch, since whatever lost its orders may last.
 const FAILURE_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Leads a group for one term: reads demand, plans maps and switches to them.
@@ -222,7 +221,7 @@
             spare: experts.spare,
             copy_cost: self.rebalance.copy_cost,
         };
-        let plan = plan_map(group, &limits).await;
+        let plan = plan_map(&group.map, &group.demand, &limits).await;
         if plan.before - plan.after < self.rebalance.least_gain {
             return Ok(());
         }
@@ -251,7 +250,7 @@
         }
     }
 
-    fn log_plan(&self, version: u64, plan: &Plan) {
+    fn log_plan(&self, version: u64, plan: &MapPlan) {
         let event = Event::Planned {
             version,
             copies: plan.copies,
@@ -262,34 +261,6 @@
     }
 }
 
-/// A map to switch to, and what it changes.
-struct Plan {
-    map: GroupMap,
-    copies: usize,
-    before: f64,
-    after: f64,
-}
-
-/// Plans set by set, and lets other work of the process go on between them.
-async fn plan_map<P>(group: &Group<P>, limits: &PlacementLimits) -> Plan {
-    let sets = group.map.sets.len().max(1) as f64;
-    let mut plan = Plan { map: group.map.clone(), copies: 0, before: 0.0, after: 0.0 };
-    for (set, ranks) in group.map.sets.iter().enumerate() {
-        let Some(demand) = group.demand.of_set(set) else {
-            plan.before += 1.0 / sets;
-            plan.after += 1.0 / sets;
-            continue;
-        };
-        let better = improve_set(ranks, demand, limits);
-        plan.before += better.before / sets;
-        plan.after += better.after / sets;
-        plan.copies += better.copies;
-        plan.map.sets[set] = better.ranks;
-        yield_now().await;
-    }
-    plan
-}
-
 /// The ways to all ranks by rank, nothing if the group is not whole. Only the rank named may be
 /// unknown.
 fn in_order<P: RankPort>(
--- /dev/null
+++ b/src/remap/map_plan.rs
@@ -0,0 +1,34 @@
+use tokio::task::yield_now;
+
+use super::{Demand, GroupMap, PlacementLimits, improve_set};
+
+/// A map to switch to, and what it changes.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct MapPlan {
+    pub(super) map: GroupMap,
+    /// Experts that ranks have to copy.
+    pub(super) copies: usize,
+    /// Load of the most loaded rank over the mean, averaged over the sets, now and under the map.
+    pub(super) before: f64,
+    pub(super) after: f64,
+}
+
+/// Plans set by set, and lets other work of the process go on between them.
+pub(super) async fn plan_map(map: &GroupMap, demand: &Demand, limits: &PlacementLimits) -> MapPlan {
+    let sets = map.sets.len().max(1) as f64;
+    let mut plan = MapPlan { map: map.clone(), copies: 0, before: 0.0, after: 0.0 };
+    for (set, ranks) in map.sets.iter().enumerate() {
+        let Some(shares) = demand.of_set(set) else {
+            plan.before += 1.0 / sets;
+            plan.after += 1.0 / sets;
+            continue;
+        };
+        let better = improve_set(ranks, shares, limits);
+        plan.before += better.before / sets;
+        plan.after += better.after / sets;
+        plan.copies += better.copies;
+        plan.map.sets[set] = better.ranks;
+        yield_now().await;
+    }
+    plan
+}
--- a/src/remap/mod.rs
+++ b/src/remap/mod.rs
@@ -7,6 +7,7 @@
 mod event;
 mod group_map;
 mod lead;
+mod map_plan;
 mod packed_map;
 mod peer_rank;
 mod placement;
