Silent upstreams are passed by, and what they hold is moved

Ruled out: late cancels of ours; the entry closes within a millisecond of its caller. Now an upstream that is silent while others of its service show life (a clock that goes on only with them, so a group that stands blames nobody) gets nothing new, and after 0.8 s what may be repeated is taken up elsewhere. The contract test of a silent worker fails without the move (504).

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -43,12 +43,13 @@
         upstream: &Arc<Upstream>,
         last_event: Option<&Bytes>,
     ) -> Result<Sent, Attempted> {
-        let in_flight = upstream.enter();
+        let in_flight = upstream.enter(&self.service(&order.service.name).pulse);
         let exchange = self.exchange(order, upstream, last_event);
         let (mut conn, answer) = match timeout_at(order.deadline, exchange).await {
             Ok(answered) => answered?,
             Err(_) => return Err(self.lost(upstream, Reason::UpstreamTimeout, "no answer")),
         };
+        in_flight.heard();
         let (head, body) = answer.into_parts();
         if head.headers.get(&self.wire.attempt) != Some(&order.id) {
             return Err(self.lost(upstream, Reason::WrongAnswer, "another attempt's answer"));
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -18,7 +18,7 @@
         upstream: &Upstream,
         now: Instant,
     ) {
-        let view = upstream.view(now);
+        let view = upstream.view(&self.service(&order.service.name).pulse, now);
         let age = self.freshness.age(BootTime::now()).unwrap_or_default();
         let event = Event::Sent {
             id: order.id.to_str().unwrap_or_default(),
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -6,14 +6,15 @@
 use http::Response;
 use http::response::Parts;
 use hyper::body::Incoming;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
+use super::attempt::Attempted;
 use super::connection::Connection;
 use super::course::Course;
 use super::order::Order;
 use super::upstream::InFlight;
 use super::{
-    Delivery, DirectMeter, Freshness, Pace, RetryBudget, RetryLimits, Roster, Upstream, Wire,
+    Delivery, DirectMeter, Freshness, Pace, Pulse, RetryBudget, RetryLimits, Roster, Upstream, Wire,
 };
 use crate::entry::Failure;
 use crate::event_log::EventLog;
@@ -21,6 +22,8 @@
 
 /// Least time that must be left for another attempt.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
+/// Pause between two looks whether an upstream is stuck.
+const STUCK_LOOK: Duration = Duration::from_millis(100);
 
 /// Sends requests to upstreams, checks their answers, and tries again.
 #[derive(Debug)]
@@ -40,6 +43,7 @@
 pub(super) struct ServiceState {
     pub(super) budget: RetryBudget,
     pub(super) pace: Pace,
+    pub(super) pulse: Arc<Pulse>,
 }
 
 /// An answer of an upstream, or the beginning of one.
@@ -69,7 +73,7 @@
             return Arc::clone(state);
         }
         let budget = RetryBudget::new(self.limits);
-        let state = Arc::new(ServiceState { budget, pace: Pace::default() });
+        let state = Arc::new(ServiceState { budget, pace: Pace::default(), pulse: Arc::default() });
         services.insert(name.to_owned(), Arc::clone(&state));
         state
     }
@@ -98,7 +102,11 @@
             let began = Instant::now();
             course.begin(&upstream.listed.id);
             self.log_sent(order, course, &upstream, began);
-            let failure = match self.send(order, &upstream, last_event).await {
+            let (sent, is_paid) = tokio::select! {
+                sent = self.send(order, &upstream, last_event) => (sent, false),
+                stuck = self.stuck(order, course, &upstream) => (Err(stuck), true),
+            };
+            let failure = match sent {
                 Ok(Sent::Whole(answer)) if self.may_better(order, course, &answer) => {
                     self.meter.retried(Reason::UpstreamFailed);
                     spare = Some(answer);
@@ -112,7 +120,7 @@
             }
             course.note(failure.ended);
             self.log_failed(order, course, &upstream, &failure, began);
-            if !self.may_retry(order, course, failure.ended) {
+            if !is_paid && !self.may_retry(order, course, failure.ended) {
                 return Err(course.refusal(failure.ended.reason));
             }
             self.meter.retried(failure.ended.reason);
@@ -138,6 +146,28 @@
             && self.may_retry(order, course, failure)
     }
 
+    /// Waits until an upstream is stuck and another attempt elsewhere is allowed; it is then paid
+    /// for.
+    pub(super) async fn stuck(
+        &self,
+        order: &Order,
+        course: &Course,
+        upstream: &Upstream,
+    ) -> Attempted {
+        let service = self.service(&order.service.name);
+        loop {
+            sleep(STUCK_LOOK).await;
+            if order.route.delivery.may_rerun()
+                && upstream.is_stuck(&service.pulse)
+                && self.may_resume(order, course)
+            {
+                upstream.lost();
+                let ended = Failure::unknown(Reason::UpstreamTimeout);
+                return Attempted { ended, detail: "silent while others answer".to_owned() };
+            }
+        }
+    }
+
     /// Whether a stream that broke off may be taken up again elsewhere.
     pub(super) fn may_resume(&self, order: &Order, course: &Course) -> bool {
         self.may_retry(order, course, Failure::unknown(Reason::UpstreamLost))
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -15,7 +15,7 @@
 use super::ledger::Ledger;
 use super::order::{Order, strip};
 use super::refuse::refuse;
-use super::relay::Relay;
+use super::relay::{Relay, Rhythm};
 use super::watch::CurrentRouting;
 use super::{Account, DirectBody, DirectMeter, Route, Routing};
 use crate::id::Attempt;
@@ -89,9 +89,9 @@
                 let dispatcher = Arc::clone(&self.dispatcher);
                 let cutter = EventCutter::default();
                 let service = dispatcher.service(&order.service.name);
-                let (first, last) = (None, None);
+                let rhythm = Rhythm::default();
                 let relay =
-                    Relay { dispatcher, order, course, ledger, cutter, first, last, service };
+                    Relay { dispatcher, order, course, ledger, cutter, rhythm, service };
                 self.tasks.spawn(relay.run(stream, sender));
                 answer
             }
--- a/src/direct/pick.rs
+++ b/src/direct/pick.rs
@@ -22,8 +22,9 @@
             .filter(|upstream| !upstream.is_draining() && !course.has_tried(&upstream.listed.id))
             .collect();
         let now = Instant::now();
+        let service = self.service(&order.service.name);
         let views: SmallVec<[View; 16]> =
-            candidates.iter().map(|upstream| upstream.view(now)).collect();
+            candidates.iter().map(|upstream| upstream.view(&service.pulse, now)).collect();
         let loads = loads(&views);
         if course.attempts == 0 {
             self.admit(order, &loads, now)?;
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -1,13 +1,17 @@
+use std::pin::pin;
 use std::sync::Arc;
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until};
 
+use super::attempt::Attempted;
 use super::course::Course;
 use super::dispatcher::{Dispatcher, Sent, ServiceState, Stream};
 use super::ledger::Ledger;
 use super::order::Order;
+use super::upstream::InFlight;
+use super::{Pace, Upstream};
 use crate::net::{BodyError, BodySender, EventCutter};
 use crate::outcome::Reason;
 
@@ -20,16 +24,33 @@
     pub(super) course: Course,
     pub(super) ledger: Ledger,
     pub(super) cutter: EventCutter,
-    /// When the last event was passed on, and the first one.
-    pub(super) last: Option<Instant>,
-    pub(super) first: Option<Instant>,
+    pub(super) rhythm: Rhythm,
     pub(super) service: Arc<ServiceState>,
 }
 
+/// When the first and the last event of a stream were passed on.
+#[derive(Debug, Default)]
+pub(super) struct Rhythm {
+    first: Option<Instant>,
+    last: Option<Instant>,
+}
+
+impl Rhythm {
+    fn note(&mut self, pace: &Pace) {
+        let now = Instant::now();
+        self.first.get_or_insert(now);
+        if let Some(last) = self.last.replace(now) {
+            pace.event(now - last, now);
+        }
+    }
+}
+
 /// How the passing on of one upstream's stream ended.
 enum Passed {
     Whole,
     Broken(BodyError),
+    /// The upstream is silent, and another attempt is allowed.
+    Stuck(Attempted),
     CallerGone,
     Late,
 }
@@ -39,12 +60,13 @@
     pub(super) async fn run(mut self, mut stream: Box<Stream>, sender: BodySender) {
         loop {
             let Stream { head, mut body, conn, upstream, in_flight } = *stream;
-            let passed = self.pass(&mut body, &sender).await;
+            let began = Instant::now();
+            let passed = self.pass(&mut body, &in_flight, &upstream, &sender).await;
             drop(in_flight);
-            match passed {
+            let (err, is_paid) = match passed {
                 Passed::Whole => {
                     sender.close().await;
-                    if let Some(first) = self.first {
+                    if let Some(first) = self.rhythm.first {
                         self.service.pace.whole(first.elapsed());
                     }
                     self.ledger.ran(head.status.as_u16());
@@ -57,57 +79,66 @@
                 }
                 Passed::Broken(err) => {
                     upstream.lost();
-                    drop(conn);
-                    match self.resume(&sender).await {
-                        Some(next) => stream = next,
-                        None => {
-                            self.ledger.broke(Reason::UpstreamLost);
-                            return sender.fail(err).await;
-                        }
-                    }
+                    (err, false)
+                }
+                Passed::Stuck(stuck) => {
+                    let (order, course) = (&self.order, &self.course);
+                    self.dispatcher.log_failed(order, course, &upstream, &stuck, began);
+                    (BodyError::Short, true)
+                }
+            };
+            drop(conn);
+            match self.resume(&sender, is_paid).await {
+                Some(next) => stream = next,
+                None => {
+                    self.ledger.broke(Reason::UpstreamLost);
+                    return sender.fail(err).await;
                 }
             }
         }
     }
 
-    async fn pass(&mut self, body: &mut Incoming, sender: &BodySender) -> Passed {
-        self.cutter.drop_partial();
+    async fn pass(
+        &mut self,
+        body: &mut Incoming,
+        in_flight: &InFlight,
+        upstream: &Upstream,
+        sender: &BodySender,
+    ) -> Passed {
+        let Self { dispatcher, order, course, ledger, cutter, rhythm, service, .. } = self;
+        cutter.drop_partial();
+        let mut stuck = pin!(dispatcher.stuck(order, course, upstream));
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = sender.closed() => return Passed::CallerGone,
-                () = sleep_until(self.order.deadline) => return Passed::Late,
+                () = sleep_until(order.deadline) => return Passed::Late,
+                stuck = &mut stuck => return Passed::Stuck(stuck),
             };
             let data = match frame {
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
                 Some(Err(err)) => return Passed::Broken(err.into()),
-                None if self.cutter.is_at_end() => return Passed::Whole,
+                None if cutter.is_at_end() => return Passed::Whole,
                 None => return Passed::Broken(BodyError::Short),
             };
-            let Some(events) = self.cutter.push(data) else {
+            in_flight.heard();
+            let Some(events) = cutter.push(data) else {
                 continue;
             };
-            self.ledger.first_byte();
-            self.note_event();
+            ledger.first_byte();
+            rhythm.note(&service.pace);
             if !sender.send(events).await {
                 return Passed::CallerGone;
             }
         }
     }
 
-    fn note_event(&mut self) {
-        let now = Instant::now();
-        self.first.get_or_insert(now);
-        if let Some(last) = self.last.replace(now) {
-            self.service.pace.event(now - last, now);
-        }
-    }
-
     /// Takes the stream up again after the last event that was passed on.
-    async fn resume(&mut self, sender: &BodySender) -> Option<Box<Stream>> {
+    /// `is_paid` tells that this attempt is allowed already.
+    async fn resume(&mut self, sender: &BodySender, is_paid: bool) -> Option<Box<Stream>> {
         let route = &self.order.route;
         let allowed = route.delivery.may_rerun() && self.order.deadline > Instant::now();
-        if !allowed || !self.dispatcher.may_resume(&self.order, &self.course) {
+        if !allowed || !(is_paid || self.dispatcher.may_resume(&self.order, &self.course)) {
             return None;
         }
         let last = self.cutter.last_id().cloned();
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use super::connection::Connection;
-use super::{Listed, OthersReport, View};
+use super::{Listed, OthersReport, Pulse, Silence, View};
 
 /// First pause after a failure that speaks against the upstream, doubled with each further one.
 const FIRST_REST: Duration = Duration::from_millis(150);
@@ -44,6 +44,7 @@
     losses: u32,
     rest: Duration,
     rests_until: Option<Instant>,
+    silence: Silence,
     idle: Vec<Connection>,
 }
 
@@ -57,12 +58,26 @@
 
 /// A request counted as in flight at an upstream until dropped.
 #[derive(Debug)]
-pub(super) struct InFlight(Arc<Upstream>);
+pub(super) struct InFlight {
+    upstream: Arc<Upstream>,
+    pulse: Arc<Pulse>,
+}
+
+impl InFlight {
+    /// Takes in that the upstream has shown life.
+    pub(super) fn heard(&self) {
+        let alive = self.pulse.beat(Instant::now());
+        self.upstream.lock().silence.heard(alive);
+    }
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        let mut state = self.0.lock();
+        let mut state = self.upstream.lock();
         state.in_flight = state.in_flight.saturating_sub(1);
+        if state.in_flight == 0 {
+            state.silence.emptied(self.pulse.alive(), Instant::now());
+        }
     }
 }
 
@@ -118,9 +133,16 @@
     }
 
     /// Counts a request as in flight there.
-    pub(super) fn enter(self: &Arc<Self>) -> InFlight {
-        self.lock().in_flight += 1;
-        InFlight(Arc::clone(self))
+    pub(super) fn enter(self: &Arc<Self>, pulse: &Arc<Pulse>) -> InFlight {
+        let mut state = self.lock();
+        state.in_flight += 1;
+        state.silence.sent(pulse.alive());
+        InFlight { upstream: Arc::clone(self), pulse: Arc::clone(pulse) }
+    }
+
+    /// Whether what may be repeated had better be moved from there.
+    pub(super) fn is_stuck(&self, pulse: &Pulse) -> bool {
+        self.lock().silence.is_stuck(pulse.alive())
     }
 
     /// Takes in what an answer said of its load.
@@ -153,12 +175,13 @@
     }
 
     /// What choosing looks at.
-    pub fn view(&self, now: Instant) -> View {
+    pub fn view(&self, pulse: &Pulse, now: Instant) -> View {
         let state = self.lock();
+        let silent_until = state.silence.rests_until(pulse.alive(), now);
         View {
             own: state.in_flight,
             others: state.load.map(|report| report.others(now)),
-            rests_until: state.rests_until.filter(|until| *until > now),
+            rests_until: state.rests_until.filter(|until| *until > now).max(silent_until),
         }
     }
 
