Requests that crash upstreams are held back by all entries after the third crash

A broken connection followed within 2 s by a refused one is a crash; what ran there is suspected by fingerprint, counted in a row of the store that all entries follow by one long call, cleared when it runs to its end, held back for 20 s after the third crash and twice as long after each further one. Crashes of one moment count once: a domain that goes takes several upstreams, and no request is to blame. Ruled out: asking upstreams whether they live (priced probes); counting every broken connection.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -75,11 +75,17 @@
         self.keep(&mut conn, upstream, &head.headers).await.then(|| {
             upstream.put_idle(conn.rest(kept_for(&head.headers)));
         });
-        self.judge(upstream, head, body)
+        self.judge(order, upstream, head, body)
     }
 
     /// Tells what a whole answer says.
-    fn judge(&self, upstream: &Arc<Upstream>, head: Parts, body: Bytes) -> Result<Sent, Attempted> {
+    fn judge(
+        &self,
+        order: &Order,
+        upstream: &Arc<Upstream>,
+        head: Parts,
+        body: Bytes,
+    ) -> Result<Sent, Attempted> {
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             upstream.drain();
             return Err(Attempted::new(Failure::not_run(Reason::WrongService), "another upstream"));
@@ -97,6 +103,9 @@
         if head.status.is_success() {
             self.check_success(upstream, &head)?;
         }
+        if head.status.is_success() {
+            self.clear_crashes(order);
+        }
         upstream.answered();
         Ok(Sent::Whole(Response::from_parts(head, body)))
     }
@@ -151,10 +160,11 @@
             match conn.send(request).await {
                 Ok(answer) => return Ok((conn, answer)),
                 Err(SendError::NotSent(_)) => {}
-                Err(SendError::Lost(err)) => return Err(self.broken(upstream, &err)),
+                Err(SendError::Lost(err)) => return Err(self.broken(order, upstream, &err)),
             }
         }
         let mut conn = Connection::open(upstream.addr()).await.map_err(|err| {
+            self.note_crash(order, upstream);
             upstream.refused();
             Attempted::new(Failure::not_run(Reason::UpstreamDown), err.to_string())
         })?;
@@ -165,7 +175,7 @@
                 upstream.refused();
                 Err(Attempted::new(Failure::not_run(Reason::UpstreamDown), "closed at once"))
             }
-            Err(SendError::Lost(err)) => Err(self.broken(upstream, &err)),
+            Err(SendError::Lost(err)) => Err(self.broken(order, upstream, &err)),
         }
     }
 
@@ -182,7 +192,8 @@
         Ok(order.request_for(upstream, &self.wire, last_event))
     }
 
-    fn broken(&self, upstream: &Upstream, err: &hyper::Error) -> Attempted {
+    fn broken(&self, order: &Order, upstream: &Upstream, err: &hyper::Error) -> Attempted {
+        upstream.broke(order.print);
         self.lost(upstream, Reason::UpstreamLost, &err.to_string())
     }
 }
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -6,6 +6,7 @@
 use thiserror::Error;
 
 use super::Routing;
+use crate::platform::Row;
 
 /// An upstream as the platform's list has it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,4 +101,21 @@
         cursor: u64,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes<ListChange>, DirectoryError>> + Send;
+
+    /// Reads the rows of the product's own table.
+    ///
+    /// # Errors
+    /// [`DirectoryError::Unavailable`] without an answer.
+    fn read_rows(&self) -> impl Future<Output = Result<Changes<Row>, DirectoryError>> + Send;
+
+    /// Waits at most so long for rows of the product's own table written after a cursor. Removed
+    /// ones are left out.
+    ///
+    /// # Errors
+    /// As [`DirectoryError`] says.
+    fn watch_rows(
+        &self,
+        cursor: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Changes<Row>, DirectoryError>> + Send;
 }
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -56,6 +56,16 @@
         self.log.write(Level::Warn, &event);
     }
 
+    pub(super) fn log_crash(&self, order: &Order, upstream: &Upstream, print: u64, crashes: u32) {
+        let event = Event::Crashed {
+            id: order.id.to_str().unwrap_or_default(),
+            upstream: &upstream.listed.id,
+            print: format!("{print:x}"),
+            crashes,
+        };
+        self.log.write(Level::Warn, &event);
+    }
+
     pub(super) fn log_refused(&self, order: &Order, load: &EngineLoad, places: f64) {
         let event = Event::NotAdmitted {
             id: order.id.to_str().unwrap_or_default(),
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -6,15 +6,18 @@
 use http::Response;
 use http::response::Parts;
 use hyper::body::Incoming;
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
 use super::attempt::Attempted;
 use super::connection::Connection;
 use super::course::Course;
 use super::order::Order;
+use super::share_crashes::Finding;
 use super::upstream::InFlight;
 use super::{
-    Delivery, DirectMeter, Freshness, Pace, Pulse, RetryBudget, RetryLimits, Roster, Upstream, Wire,
+    Crashes, Delivery, DirectMeter, Freshness, Pace, Pulse, RetryBudget, RetryLimits, Roster,
+    Upstream, Wire,
 };
 use crate::entry::Failure;
 use crate::event_log::EventLog;
@@ -34,6 +37,8 @@
     pub(super) freshness: Arc<Freshness>,
     pub(super) limits: RetryLimits,
     pub(super) services: Mutex<HashMap<String, Arc<ServiceState>>>,
+    pub(super) crashes: Arc<Crashes>,
+    pub(super) findings: mpsc::Sender<Finding>,
     pub(super) meter: Arc<DirectMeter>,
     pub(super) log: EventLog,
 }
@@ -146,6 +151,24 @@
             && self.may_retry(order, course, failure)
     }
 
+    /// Takes in that an upstream takes no connections: what it ran until just before is suspected.
+    pub(super) fn note_crash(&self, order: &Order, upstream: &Upstream) {
+        for (print, at) in upstream.crashed() {
+            if let Some(crashes) = self.crashes.note(print, at) {
+                self.log_crash(order, upstream, print, crashes);
+                // With many crashes at once the others learn of the first ones.
+                self.findings.try_send(Finding::Crashed(print)).ok();
+            }
+        }
+    }
+
+    /// Takes in that a request has run to its end.
+    pub(super) fn clear_crashes(&self, order: &Order) {
+        if self.crashes.clear(order.print) {
+            self.findings.try_send(Finding::Cleared(order.print)).ok();
+        }
+    }
+
     /// Waits until an upstream is stuck and another attempt elsewhere is allowed; it is then paid
     /// for.
     pub(super) async fn stuck(
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -23,6 +23,10 @@
     Platform { topic: &'a str, up: bool, detail: &'a str, down_ms: u64 },
     /// The list of upstreams changed.
     Upstream { upstream: &'a str, service: &'a str, change: &'a str, cursor: u64 },
+    /// An upstream crashed while it ran a request.
+    Crashed { id: &'a str, upstream: &'a str, print: String, crashes: u32 },
+    /// What entries tell one another of crashes can't be read or told.
+    CrashesUnusable { detail: String },
     /// An upstream was chosen for a request.
     Sent {
         id: &'a str,
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, CONNECTION, HOST};
 use http::request::Parts;
+use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Request, Response};
 use hyper::body::Incoming;
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 use tokio_util::task::TaskTracker;
 
 use super::course::Course;
@@ -18,6 +19,7 @@
 use super::relay::{Relay, Rhythm};
 use super::watch::CurrentRouting;
 use super::{Account, DirectBody, DirectMeter, Route, Routing};
+use crate::entry::fingerprint;
 use crate::id::Attempt;
 use crate::net::{
     ChannelBody, CollectError, EventCutter, Handler, WholeBody, collect, header_millis, header_str,
@@ -124,6 +126,14 @@
         })?;
         let service = route.pick_service(rand::random()).and_then(|name| routing.service(name));
         let service = service.ok_or(come_back(Refusal::not_run(Reason::NoUpstream)))?;
+        let print = fingerprint(
+            account.as_ref().map_or("", |account| &account.name),
+            head.uri.path_and_query().map_or("", PathAndQuery::as_str),
+            &body,
+        );
+        if let Some(left) = self.dispatcher.crashes.held_for(print, Instant::now()) {
+            return Err(Refusal::not_run(Reason::Poison).retry_after(left));
+        }
         let mut headers = head.headers;
         strip(&mut headers);
         Ok(Order {
@@ -132,6 +142,7 @@
             uri: head.uri,
             headers,
             body,
+            print,
             account,
             service: Arc::clone(service),
             route,
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -15,12 +16,14 @@
 use super::follow_upstreams::FollowUpstreams;
 use super::handler::DirectHandler;
 use super::ledger::millis;
+use super::share_crashes::ShareCrashes;
 use super::side_handler::{MetricsHandler, ReadinessHandler};
 use super::watch::RoutingPublisher;
-use super::{DirectMeter, Directory, Freshness, RetryLimits, Roster, Wire};
+use super::{Crashes, DirectMeter, Directory, Freshness, RetryLimits, Roster, Wire};
 use crate::cli::Node;
 use crate::event_log::{EventLog, Level};
 use crate::net::{H1Limits, Shutdown, serve_h1};
+use crate::platform::Table;
 use crate::settings::{DirectFile, ParseError, RetryFile};
 
 /// Time in which the balancer notices that the process is no longer ready.
@@ -32,6 +35,8 @@
 const IDLE_TIME: Duration = Duration::from_secs(90);
 /// Margin by which keys are judged by younger settings than the bound asks for.
 const KEY_AGE_MARGIN: Duration = Duration::from_millis(100);
+/// Findings of crashes that wait to be told.
+const FINDINGS: usize = 16;
 /// Largest request head that is read.
 const HEAD_BYTES: usize = 64 << 10;
 
@@ -57,7 +62,7 @@
     ///
     /// # Errors
     /// If an address can't be listened on.
-    pub async fn start<D: Directory>(
+    pub async fn start<D: Directory + Table>(
         file: &DirectFile,
         wire: Wire,
         directory: Arc<D>,
@@ -90,7 +95,7 @@
         Ok(node)
     }
 
-    fn run<D: Directory>(
+    fn run<D: Directory + Table>(
         &mut self,
         file: &DirectFile,
         wire: Wire,
@@ -103,6 +108,8 @@
         let roster = Arc::new(Roster::default());
         let meter = Arc::new(DirectMeter::new());
         let (publisher, routing) = RoutingPublisher::new();
+        let crashes = Arc::new(Crashes::default());
+        let (findings, found) = mpsc::channel(FINDINGS);
         let dispatcher = Arc::new(Dispatcher {
             wire,
             domain: file.domain.clone(),
@@ -110,9 +117,17 @@
             freshness: Arc::clone(&freshness),
             limits: retry_limits(&file.retries),
             services: std::sync::Mutex::default(),
+            crashes: Arc::clone(&crashes),
+            findings,
             meter: Arc::clone(&meter),
             log: self.log.clone(),
         });
+        let share = || ShareCrashes {
+            directory: Arc::clone(&directory),
+            crashes: Arc::clone(&crashes),
+            log: self.log.clone(),
+        };
+        let (learn, tell) = (share().follow(), share().tell(found));
         let follow_routing = FollowRouting {
             directory: Arc::clone(&directory),
             publisher,
@@ -125,6 +140,8 @@
         let stop = &self.followers;
         tokio::spawn(stop.clone().run_until_cancelled_owned(follow_routing.run()));
         tokio::spawn(stop.clone().run_until_cancelled_owned(follow_upstreams.run()));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(learn));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(tell));
         let ready = ReadinessHandler {
             routing: routing.clone(),
             roster,
--- a/src/direct/order.rs
+++ b/src/direct/order.rs
@@ -39,6 +39,8 @@
     /// Headers that are passed on.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Fingerprint, the same when the caller sends the request again.
+    pub(super) print: u64,
     pub(super) account: Option<Arc<Account>>,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<Service>,
--- a/src/direct/refuse.rs
+++ b/src/direct/refuse.rs
@@ -5,7 +5,7 @@
 
 use super::DirectBody;
 use crate::net::refusal_answer;
-use crate::outcome::{Outcome, Refusal};
+use crate::outcome::{Outcome, Reason, Refusal};
 
 /// Makes the answer to a request that is refused or given up. Statuses that promise that a request
 /// has not run are given only where that is certain.
@@ -21,7 +21,10 @@
 fn status(refusal: &Refusal) -> StatusCode {
     let status = refusal.reason.status();
     match refusal.outcome {
-        Outcome::NotRun if status.is_server_error() => StatusCode::SERVICE_UNAVAILABLE,
+        // To its caller a request that is held back is one that may come again.
+        Outcome::NotRun if status.is_server_error() || refusal.reason == Reason::Poison => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
         Outcome::Unknown if status == StatusCode::SERVICE_UNAVAILABLE => StatusCode::BAD_GATEWAY,
         _ => status,
     }
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -66,6 +66,7 @@
             let (err, is_paid) = match passed {
                 Passed::Whole => {
                     sender.close().await;
+                    self.dispatcher.clear_crashes(&self.order);
                     if let Some(first) = self.rhythm.first {
                         self.service.pace.whole(first.elapsed());
                     }
@@ -78,6 +79,7 @@
                     return sender.fail(BodyError::Deadline).await;
                 }
                 Passed::Broken(err) => {
+                    upstream.broke(self.order.print);
                     upstream.lost();
                     (err, false)
                 }
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -2,6 +2,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::connection::Connection;
@@ -12,6 +13,8 @@
 const LONGEST_REST: Duration = Duration::from_secs(2);
 /// Requests without an answer, one after the other, from which the upstream rests.
 const LOSSES_TO_REST: u32 = 3;
+/// Time after a broken connection in which a refused one shows that the upstream has crashed.
+const CRASH_TIME: Duration = Duration::from_secs(2);
 /// Idle connections that are kept.
 const MAX_IDLE: usize = 4;
 /// Idle time after which a connection is not used again, below what upstreams commonly allow.
@@ -44,6 +47,8 @@
     losses: u32,
     rest: Duration,
     rests_until: Option<Instant>,
+    /// Requests whose connections broke of late, and when.
+    broken: SmallVec<[(u64, Instant); 4]>,
     silence: Silence,
     idle: Vec<Connection>,
 }
@@ -174,6 +179,23 @@
         }
     }
 
+    /// Takes in that the connection of a request broke while it ran.
+    pub(super) fn broke(&self, print: u64) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        state.broken.retain(|(_, at)| now.saturating_duration_since(*at) < CRASH_TIME);
+        state.broken.push((print, now));
+    }
+
+    /// Takes in that it takes no connections, and gives the requests that it ran until just before:
+    /// it has crashed.
+    pub(super) fn crashed(&self) -> SmallVec<[(u64, Instant); 4]> {
+        let now = Instant::now();
+        let mut broken = std::mem::take(&mut self.lock().broken);
+        broken.retain(|(_, at)| now.saturating_duration_since(*at) < CRASH_TIME);
+        broken
+    }
+
     /// What choosing looks at.
     pub fn view(&self, pulse: &Pulse, now: Instant) -> View {
         let state = self.lock();
