--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP plumbing that the processes share.
 
 mod answer;
+mod answer_body;
 mod body_error;
 mod channel_body;
 mod client;
@@ -12,6 +13,7 @@
 mod whole_body;
 
 pub use answer::{json_answer, refusal_answer, text_answer};
+pub use answer_body::AnswerBody;
 pub use body_error::BodyError;
 pub use channel_body::{BodySender, ChannelBody};
 pub use client::{HttpClient, h1_client, h2_client, is_not_sent};
