--- a/bench/src/args.rs
+++ b/bench/src/args.rs
@@ -18,6 +18,8 @@
     ExpertMap(ExpertOptions),
     /// What each role costs as one quantity grows.
     Slopes(Option<SlopeGroup>),
+    /// What maps by orders cost at several sizes of a group.
+    MapOrders(u64),
     /// The capacity page, from a file of slopes.
     Capacity(PathBuf),
 }
@@ -34,13 +36,21 @@
 /// Parser of the command line.
 pub fn options() -> OptionParser<Args> {
     let logs = logs_options();
-    let command = construct!([load(), expert_map(), slopes(), capacity()]);
+    let command = construct!([load(), expert_map(), map_orders(), slopes(), capacity()]);
     construct!(Args { logs, command })
         .to_options()
         .descr("Load and experiments. The last line on standard output is the report in JSON.")
         .version(env!("CARGO_PKG_VERSION"))
 }
 
+fn map_orders() -> impl Parser<Command> {
+    let seed = long("seed").help("Seed of the demand").argument("N").fallback(1);
+    construct!(Command::MapOrders(seed))
+        .to_options()
+        .descr("What maps by orders cost at several sizes of a group, as a table")
+        .command("map-orders")
+}
+
 fn load() -> impl Parser<Command> {
     let entries = long("entries").help("Entries").argument("N").fallback(2);
     let upstreams = long("upstreams").help("Model engines, at least 4").argument("N").fallback(12);
--- a/bench/src/bin/ebonyusher-bench.rs
+++ b/bench/src/bin/ebonyusher-bench.rs
@@ -29,6 +29,10 @@
             Ok(slopes) => print(&slopes, true),
             Err(err) => exit_with(NAME, &err, EXIT_REFUSED),
         },
+        Command::MapOrders(seed) => {
+            print!("{}", expert::order_costs(seed));
+            ExitCode::SUCCESS
+        }
         Command::Capacity(path) => print_page(&path),
         Command::ExpertMap(map) => match expert::run(&map) {
             Ok(report) => print(&report, true),
--- a/bench/src/capacity/page.rs
+++ b/bench/src/capacity/page.rs
@@ -39,6 +39,24 @@
 Nothing else lasts longer than a request.
 ";
 
+const MAP_ORDERS: &str = "
+## Maps by orders to ranks
+
+Where ranks take orders (`PLATFORM.md`), by `ebonyusher-bench map-orders`, one run on a busy machine; a
+plan is processor time for all sets.
+
+| ranks, sets, experts | a map to one sidecar | to all | counts of a rank | a plan |
+|---|---|---|---|---|
+| 12, 4, 72 | 0.6 KB | 7 KB | 1.4 KB | 1.6 ms |
+| 63, 8, 252 | 4.4 KB | 272 KB | 8.6 KB | 5.3 ms |
+| 256, 60, 256 | 64.8 KB | 16517 KB | 65.5 KB | 29.5 ms |
+
+Bytes grow as ranks x sets x places. A sidecar reads a map for each switch and sends its counts, if it is
+asked for them, ten times a second; 8,000 numbers are asked for each time, of as few ranks as hold them.
+With a switch every 10 s a sidecar of 256 ranks takes 6.5 KB/s, which is **over** 4 KB/s; its leader sends
+1.7 MB/s. What would bring it in: sending only what a map changes. It is neither built nor measured.
+";
+
 const TAIL: &str = "
 ## What is outside
 
@@ -88,6 +106,7 @@
         )
         .ok();
     }
+    page.push_str(MAP_ORDERS);
     page.push_str(TAIL);
     page
 }
--- /dev/null
+++ b/bench/src/expert/order_costs.rs
@@ -0,0 +1,63 @@
+use std::fmt::Write;
+use std::time::Instant;
+
+use ebonyusher::remap::{
+    GroupMap, Held, PlacementLimits, RankCommand, RankCounts, RankOrder, improve_set,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Sizes of groups: ranks, sets of layers, experts of a set.
+const SIZES: [(usize, usize, usize); 3] = [(12, 4, 72), (63, 8, 252), (256, 60, 256)];
+const LIMITS: PlacementLimits = PlacementLimits { places: 8, spare: 3, copy_cost: 0.04 };
+/// Exponent by which the demand of experts falls with their rank.
+const SKEW: f64 = 1.3;
+/// Tokens that a rank has counted for the most popular expert.
+const MOST_TOKENS: f64 = 200_000.0;
+
+/// What maps by orders cost at several sizes of a group, as a table: bytes of a map on its way to a
+/// sidecar and to all, bytes of one rank's counts, processor time of a plan.
+///
+/// ```
+/// let table = ebonyusher_bench::expert::order_costs(1);
+/// assert_eq!(table.lines().count(), 5);
+/// ```
+pub fn order_costs(seed: u64) -> String {
+    let mut table = "| ranks, sets, experts | a map to one sidecar | to all | counts of a rank | a plan |\n|---|---|---|---|---|\n".to_owned();
+    for (ranks, sets, experts) in SIZES {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let demand: Vec<Vec<f64>> = (0..sets).map(|_| shares(&mut rng, experts)).collect();
+        let began = Instant::now();
+        let planned: Vec<Vec<Held>> = demand
+            .iter()
+            .map(|shares| improve_set(&in_turn(ranks, experts), shares, &LIMITS).ranks)
+            .collect();
+        let plan_ms = began.elapsed().as_secs_f64() * 1e3;
+        let order = RankOrder::Prepare { version: 1_000, map: GroupMap { sets: planned } };
+        let map = bytes(&RankCommand { order, epoch: 1, fence: 1 << 30 });
+        let counts = demand.iter().flatten().map(|share| (share * MOST_TOKENS) as u64).collect();
+        let counts = bytes(&RankCounts { epoch: 1, counts });
+        let all = map * (ranks - 1) as f64;
+        writeln!(
+            table,
+            "| {ranks}, {sets}, {experts} | {map:.1} KB | {all:.0} KB | {counts:.1} KB | {plan_ms:.1} ms |"
+        )
+        .ok();
+    }
+    table
+}
+
+/// Demand that falls with the rank of an expert, the ranks drawn at random.
+fn shares(rng: &mut SmallRng, experts: usize) -> Vec<f64> {
+    (0..experts).map(|_| f64::from(rng.random_range(1..=experts as u32)).powf(-SKEW)).collect()
+}
+
+fn in_turn(ranks: usize, experts: usize) -> Vec<Held> {
+    let of_rank = |rank: usize| (rank..experts).step_by(ranks).map(|expert| expert as u16);
+    (0..ranks).map(|rank| of_rank(rank).collect()).collect()
+}
+
+/// Length of a message in KB.
+fn bytes(message: &impl serde::Serialize) -> f64 {
+    serde_json::to_vec(message).map_or(f64::NAN, |text| text.len() as f64 / 1e3)
+}
--- a/src/settings/rank_file.rs
+++ b/src/settings/rank_file.rs
@@ -38,7 +38,7 @@
 
 impl Default for RebalanceFile {
     fn default() -> Self {
-        Self { copy_cost: 0.04, least_gain: 0.1, interval_ms: 500 }
+        Self { copy_cost: 0.08, least_gain: 0.1, interval_ms: 500 }
     }
 }
 
