Log why a crash counts against a request or does not

The log could not tell the three hypotheses apart: nothing was written when a broken connection was remembered, a crash belonged to the same incident, a count came from another entry or was shared, a request was cleared, or by which count it was refused; 'failed' carries no fingerprint, and a stream that broke off was not logged at all. Change: events suspected, crash-not-counted, crashes-learned, crashes-shared, quarantined, crashes-cleared, all with the fingerprint; failed for broken streams. No decision is changed.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -14,7 +14,7 @@
 use super::dispatcher::{Dispatcher, Stream, UpstreamResponse};
 use super::{Load, Upstream};
 use crate::entry::Failure;
-use crate::net::header_str;
+use crate::net::{BodyError, header_str};
 use crate::outcome::Reason;
 
 /// Maximum size of a response that is not a stream.
@@ -33,6 +33,11 @@
     fn new(failure: Failure, detail: impl Into<String>) -> Self {
         Self { failure, detail: detail.into() }
     }
+
+    /// Returns the failure of a stream that broke off after its first events.
+    pub(super) fn broken_stream(err: &BodyError) -> Self {
+        Self::new(Failure::unknown(Reason::UpstreamLost), err.to_string())
+    }
 }
 
 impl Dispatcher {
@@ -239,7 +244,7 @@
         upstream: &Upstream,
         err: &hyper::Error,
     ) -> FailedAttempt {
-        upstream.record_broken(request.fingerprint);
+        self.record_broken(request, upstream);
         self.response_lost(upstream, Reason::UpstreamLost, &err.to_string())
     }
 }
--- a/src/direct/crash_sharing.rs
+++ b/src/direct/crash_sharing.rs
@@ -4,6 +4,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
+use super::dispatch_log::hex;
 use super::event::Event;
 use super::platform_health::PlatformHealth;
 use super::{Crashes, Directory, DirectoryError, SharedCrashCount};
@@ -55,7 +56,11 @@
     fn apply(&self, row: Result<&Row, &TableError>) {
         match row.map_err(TableError::clone).and_then(read_crashes) {
             Ok(Some((fingerprint, known))) if known.is_recent(unix_seconds()) => {
-                self.crashes.merge(fingerprint, known.crashes, Instant::now());
+                if self.crashes.merge(fingerprint, known.crashes, Instant::now()) {
+                    let (fingerprint, crashes) = (hex(fingerprint), known.crashes);
+                    let event = Event::CrashesLearned { fingerprint, crashes };
+                    self.log.write(Level::Info, &event);
+                }
             }
             Ok(_) => {}
             Err(err) => {
@@ -101,7 +106,13 @@
             CrashUpdate::Cleared(_) if version.is_none() => return Ok(()),
             CrashUpdate::Cleared(_) => txn.delete(&key),
         };
-        self.directory.commit(&txn).await.map(drop)
+        self.directory.commit(&txn).await?;
+        if let CrashUpdate::Crashed(_) = update {
+            let crashes = self.crashes.count(fingerprint);
+            let event = Event::CrashesShared { fingerprint: hex(fingerprint), crashes };
+            self.log.write(Level::Info, &event);
+        }
+        Ok(())
     }
 }
 
--- a/src/direct/crashes.rs
+++ b/src/direct/crashes.rs
@@ -22,6 +22,17 @@
     records: Mutex<HashMap<u64, CrashRecord>>,
 }
 
+/// Why and for how long a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quarantine {
+    /// Number of crashes at which the request was in flight.
+    pub crashes: u32,
+    /// Time since the last of them.
+    pub age: Duration,
+    /// Time until the request is no longer refused.
+    pub left: Duration,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct CrashRecord {
     crashes: u32,
@@ -45,10 +56,10 @@
     /// assert_eq!(crashes.record(7, at(0)), Some(1));
     /// assert_eq!(crashes.record(7, at(0)), None);
     /// assert_eq!(crashes.record(7, at(3)), Some(2));
-    /// assert_eq!(crashes.quarantined_for(7, at(3)), None);
+    /// assert_eq!(crashes.quarantine(7, at(3)), None);
     /// assert_eq!(crashes.record(7, at(6)), Some(3));
-    /// assert!(crashes.quarantined_for(7, at(7)).is_some());
-    /// assert_eq!(crashes.quarantined_for(7, at(30)), None);
+    /// assert!(crashes.quarantine(7, at(7)).is_some());
+    /// assert_eq!(crashes.quarantine(7, at(30)), None);
     /// ```
     pub fn record(&self, fingerprint: u64, at: Instant) -> Option<u32> {
         let mut records = self.lock();
@@ -62,28 +73,36 @@
         Some(crashes)
     }
 
-    /// Applies the count of all entries together, if it is higher than the local one.
-    pub fn merge(&self, fingerprint: u64, crashes: u32, now: Instant) {
+    /// Applies the count of all entries together, if it is higher than the local one. Returns
+    /// whether it was.
+    pub fn merge(&self, fingerprint: u64, crashes: u32, now: Instant) -> bool {
         let mut records = self.lock();
-        if records.get(&fingerprint).is_none_or(|known| known.crashes < crashes) {
+        let is_higher = records.get(&fingerprint).is_none_or(|known| known.crashes < crashes);
+        if is_higher {
             insert(&mut records, fingerprint, CrashRecord { crashes, last: now });
         }
+        is_higher
+    }
+
+    /// Returns the number of crashes on record for a request.
+    pub fn count(&self, fingerprint: u64) -> u32 {
+        self.lock().get(&fingerprint).map_or(0, |known| known.crashes)
     }
 
-    /// Forgets a request that has completed. Returns whether it was on record.
-    pub fn clear(&self, fingerprint: u64) -> bool {
-        self.lock().remove(&fingerprint).is_some()
+    /// Forgets a request that has completed. Returns the number of crashes on record, if any.
+    pub fn clear(&self, fingerprint: u64) -> Option<u32> {
+        self.lock().remove(&fingerprint).map(|known| known.crashes)
     }
 
-    /// Returns the remaining quarantine time of a request, if it is quarantined.
-    pub fn quarantined_for(&self, fingerprint: u64, now: Instant) -> Option<Duration> {
+    /// Returns the quarantine of a request, if it is quarantined.
+    pub fn quarantine(&self, fingerprint: u64, now: Instant) -> Option<Quarantine> {
         let known = self.lock().get(&fingerprint).copied()?;
         let doublings = known.crashes.checked_sub(CRASHES_TO_QUARANTINE)?;
         let quarantine =
             INITIAL_QUARANTINE.saturating_mul(1 << doublings.min(5)).min(MAX_QUARANTINE);
-        quarantine
-            .checked_sub(now.saturating_duration_since(known.last))
-            .filter(|left| !left.is_zero())
+        let age = now.saturating_duration_since(known.last);
+        let left = quarantine.checked_sub(age).filter(|left| !left.is_zero())?;
+        Some(Quarantine { crashes: known.crashes, age, left })
     }
 }
 
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -6,7 +6,7 @@
 use super::dispatcher::Dispatcher;
 use super::event::Event;
 use super::request_tracker::millis;
-use super::{Candidate, EngineLoad, Upstream};
+use super::{Candidate, EngineLoad, Quarantine, Upstream};
 use crate::event_log::Level;
 use crate::units::BootTime;
 
@@ -56,22 +56,51 @@
         self.log.write(Level::Warn, &event);
     }
 
+    pub(super) fn log_suspected(&self, request: &CheckedRequest, upstream: &Upstream, sign: &str) {
+        let event = Event::Suspected {
+            id: request.id.to_str().unwrap_or_default(),
+            upstream: &upstream.listed.id,
+            fingerprint: hex(request.fingerprint),
+            sign,
+        };
+        self.log.write(Level::Info, &event);
+    }
+
+    /// Logs a crash that was counted, or that was not because it belongs to the same incident as
+    /// the previous one.
     pub(super) fn log_crash(
         &self,
         request: &CheckedRequest,
         upstream: &Upstream,
         fingerprint: u64,
-        crashes: u32,
+        crashes: Option<u32>,
     ) {
-        let event = Event::Crashed {
-            id: request.id.to_str().unwrap_or_default(),
-            upstream: &upstream.listed.id,
-            fingerprint: format!("{fingerprint:x}"),
-            crashes,
+        let (id, upstream) = (request.id.to_str().unwrap_or_default(), &upstream.listed.id);
+        let fingerprint = hex(fingerprint);
+        let event = match crashes {
+            Some(crashes) => Event::Crashed { id, upstream, fingerprint, crashes },
+            None => Event::CrashNotCounted { upstream, fingerprint, reason: "same incident" },
         };
         self.log.write(Level::Warn, &event);
     }
 
+    pub(super) fn log_quarantined(&self, id: &str, fingerprint: u64, quarantine: &Quarantine) {
+        let event = Event::Quarantined {
+            id,
+            fingerprint: hex(fingerprint),
+            crashes: quarantine.crashes,
+            age_ms: millis(quarantine.age),
+            left_ms: millis(quarantine.left),
+        };
+        self.log.write(Level::Warn, &event);
+    }
+
+    pub(super) fn log_cleared(&self, request: &CheckedRequest, crashes: u32) {
+        let id = request.id.to_str().unwrap_or_default();
+        let fingerprint = hex(request.fingerprint);
+        self.log.write(Level::Info, &Event::CrashesCleared { id, fingerprint, crashes });
+    }
+
     pub(super) fn log_not_admitted(
         &self,
         request: &CheckedRequest,
@@ -91,3 +120,8 @@
         self.log.write(Level::Warn, &event);
     }
 }
+
+/// Returns a fingerprint as it is written in the log and in the keys of the table.
+pub(super) fn hex(fingerprint: u64) -> String {
+    format!("{fingerprint:x}")
+}
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -156,12 +156,19 @@
             && self.may_retry(request, history, failure)
     }
 
+    /// Remembers that the connection of a request broke while the request ran.
+    pub(super) fn record_broken(&self, request: &CheckedRequest, upstream: &Upstream) {
+        upstream.record_broken(request.fingerprint);
+        self.log_suspected(request, upstream, "connection broken");
+    }
+
     /// Records a crash of an upstream that refuses connections, for the requests whose connections
     /// it broke just before.
     pub(super) fn record_crash(&self, request: &CheckedRequest, upstream: &Upstream) {
         for (fingerprint, at) in upstream.take_broken() {
-            if let Some(crashes) = self.crashes.record(fingerprint, at) {
-                self.log_crash(request, upstream, fingerprint, crashes);
+            let crashes = self.crashes.record(fingerprint, at);
+            self.log_crash(request, upstream, fingerprint, crashes);
+            if crashes.is_some() {
                 self.publish(CrashUpdate::Crashed(fingerprint));
             }
         }
@@ -169,7 +176,8 @@
 
     /// Removes the crash record of a request that has completed.
     pub(super) fn clear_crashes(&self, request: &CheckedRequest) {
-        if self.crashes.clear(request.fingerprint) {
+        if let Some(crashes) = self.crashes.clear(request.fingerprint) {
+            self.log_cleared(request, crashes);
             self.publish(CrashUpdate::Cleared(request.fingerprint));
         }
     }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -32,6 +32,49 @@
         fingerprint: String,
         crashes: u32,
     },
+    /// An attempt ended in a way that its upstream's crash would explain.
+    Suspected {
+        id: &'a str,
+        upstream: &'a str,
+        #[serde(rename = "print")]
+        fingerprint: String,
+        sign: &'a str,
+    },
+    /// A crash was not counted against this request.
+    CrashNotCounted {
+        upstream: &'a str,
+        #[serde(rename = "print")]
+        fingerprint: String,
+        reason: &'a str,
+    },
+    /// Other entries know of more crashes of a request than this one did.
+    CrashesLearned {
+        #[serde(rename = "print")]
+        fingerprint: String,
+        crashes: u32,
+    },
+    /// This entry's count of the crashes of a request is in the table.
+    CrashesShared {
+        #[serde(rename = "print")]
+        fingerprint: String,
+        crashes: u32,
+    },
+    /// A request was refused because it has crashed upstreams.
+    Quarantined {
+        id: &'a str,
+        #[serde(rename = "print")]
+        fingerprint: String,
+        crashes: u32,
+        age_ms: u64,
+        left_ms: u64,
+    },
+    /// A request that was in flight at crashes has completed, so it is not their cause.
+    CrashesCleared {
+        id: &'a str,
+        #[serde(rename = "print")]
+        fingerprint: String,
+        crashes: u32,
+    },
     /// Crash counts could not be read from or shared with other entries.
     CrashesUnusable { detail: String },
     /// An upstream was chosen for a request.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -46,7 +46,7 @@
 pub use admission::{Admission, EngineLoad, LatencyTargets};
 pub use body::DirectBody;
 pub use choice::{Candidate, OtherEntriesLoad, choose, estimate_loads};
-pub use crashes::Crashes;
+pub use crashes::{Crashes, Quarantine};
 pub use delivery::Delivery;
 pub use direct_meter::DirectMeter;
 pub use directory::{
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -79,7 +79,10 @@
                     return sender.fail(BodyError::Deadline).await;
                 }
                 RelayEnd::Broken(err) => {
-                    upstream.record_broken(self.request.fingerprint);
+                    let (request, history) = (&self.request, &self.history);
+                    let broken = FailedAttempt::broken_stream(&err);
+                    self.dispatcher.log_failed(request, history, &upstream, &broken, started);
+                    self.dispatcher.record_broken(request, &upstream);
                     upstream.record_loss();
                     (err, false)
                 }
