An entry looks itself whether an upstream that broke a connection has crashed

Cause, hypothesis 1: a crash counted only if another request of the same entry happened to be refused a connection to the same upstream within 2 s. On a quiet service, for an upstream that listens again at once or ends silently, nobody was refused, and the count stayed at 0. Change: CrashRecorder. After a break it connects to the upstream once (one probe an upstream at a time, 50 ms later, the connection is kept for later requests), and for 8 s it waits for the platform's list to say that this incarnation has ended without draining; a 421 says so too. Either is a proof; a connection that times out is none, since the way may be cut. Answers cut in the middle of a plain response and silent ends are suspected as well. Why it works: the proof no longer depends on what other callers do. Ruled out: counting every broken connection (a test: five resets by upstreams that live blame nobody).

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -1,3 +1,4 @@
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,10 +12,11 @@
 
 use super::checked_request::CheckedRequest;
 use super::connection::{Connection, SendError};
+use super::crash_recorder::CrashSign;
 use super::dispatcher::{Dispatcher, Stream, UpstreamResponse};
 use super::{Load, Upstream};
 use crate::entry::Failure;
-use crate::net::{BodyError, header_str};
+use crate::net::header_str;
 use crate::outcome::Reason;
 
 /// Maximum size of a response that is not a stream.
@@ -27,16 +29,25 @@
 pub(super) struct FailedAttempt {
     pub(super) failure: Failure,
     pub(super) detail: String,
+    /// What the end of the attempt is a sign of, if the upstream may have crashed.
+    pub(super) sign: Option<CrashSign>,
 }
 
 impl FailedAttempt {
     fn new(failure: Failure, detail: impl Into<String>) -> Self {
-        Self { failure, detail: detail.into() }
+        Self { failure, detail: detail.into(), sign: None }
     }
 
-    /// Returns the failure of a stream that broke off after its first events.
-    pub(super) fn broken_stream(err: &BodyError) -> Self {
-        Self::new(Failure::unknown(Reason::UpstreamLost), err.to_string())
+    /// Returns the failure of an attempt whose connection broke while the request ran.
+    pub(super) fn broken(err: &impl Display) -> Self {
+        let failure = Failure::unknown(Reason::UpstreamLost);
+        Self { failure, detail: err.to_string(), sign: Some(CrashSign::ConnectionBroken) }
+    }
+
+    /// Returns the failure of an attempt whose upstream sent nothing until the entry gave up.
+    pub(super) fn silent(detail: &str) -> Self {
+        let failure = Failure::unknown(Reason::UpstreamTimeout);
+        Self { failure, detail: detail.to_owned(), sign: Some(CrashSign::Silence) }
     }
 }
 
@@ -53,11 +64,8 @@
         let (mut conn, response) = match timeout_at(request.deadline, exchange).await {
             Ok(exchanged) => exchanged?,
             Err(_) => {
-                return Err(self.response_lost(
-                    upstream,
-                    Reason::UpstreamTimeout,
-                    "no response before the deadline",
-                ));
+                upstream.record_loss();
+                return Err(FailedAttempt::silent("no response before the deadline"));
             }
         };
         in_flight.record_activity();
@@ -84,14 +92,12 @@
         let body = match timeout_at(request.deadline, body).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(err)) => {
-                return Err(self.response_lost(upstream, Reason::UpstreamLost, &err.to_string()));
+                upstream.record_loss();
+                return Err(FailedAttempt::broken(&err));
             }
             Err(_) => {
-                return Err(self.response_lost(
-                    upstream,
-                    Reason::UpstreamTimeout,
-                    "response body incomplete at the deadline",
-                ));
+                upstream.record_loss();
+                return Err(FailedAttempt::silent("response body incomplete at the deadline"));
             }
         };
         self.is_reusable(&mut conn, upstream, &head.headers).await.then(|| {
@@ -109,7 +115,7 @@
         body: Bytes,
     ) -> Result<UpstreamResponse, FailedAttempt> {
         if head.status == StatusCode::MISDIRECTED_REQUEST {
-            upstream.drain();
+            upstream.end();
             return Err(FailedAttempt::new(
                 Failure::not_run(Reason::WrongService),
                 "request misdirected",
@@ -199,12 +205,13 @@
                 Ok(response) => return Ok((conn, response)),
                 Err(SendError::NotSent(_)) => {}
                 Err(SendError::Lost(err)) => {
-                    return Err(self.connection_broken(request, upstream, &err));
+                    upstream.record_loss();
+                    return Err(FailedAttempt::broken(&err));
                 }
             }
         }
         let mut conn = Connection::open(upstream.addr()).await.map_err(|err| {
-            self.record_crash(request, upstream);
+            self.crash_recorder.record_failed_connection(upstream, &err);
             upstream.record_refusal();
             FailedAttempt::new(Failure::not_run(Reason::UpstreamDown), err.to_string())
         })?;
@@ -218,7 +225,10 @@
                     "connection closed before the request was written",
                 ))
             }
-            Err(SendError::Lost(err)) => Err(self.connection_broken(request, upstream, &err)),
+            Err(SendError::Lost(err)) => {
+                upstream.record_loss();
+                Err(FailedAttempt::broken(&err))
+            }
         }
     }
 
@@ -237,16 +247,6 @@
         }
         Ok(request.build_http_request(upstream, &self.header_names, last_event))
     }
-
-    fn connection_broken(
-        &self,
-        request: &CheckedRequest,
-        upstream: &Upstream,
-        err: &hyper::Error,
-    ) -> FailedAttempt {
-        self.record_broken(request, upstream);
-        self.response_lost(upstream, Reason::UpstreamLost, &err.to_string())
-    }
 }
 
 /// Returns whether callers take this status as a promise that the request has not run.
--- /dev/null
+++ b/src/direct/crash_recorder.rs
@@ -0,0 +1,133 @@
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::{sleep, sleep_until};
+
+use super::connection::Connection;
+use super::crash_sharing::CrashUpdate;
+use super::dispatch_log::hex;
+use super::event::Event;
+use super::{Crashes, Upstream};
+use crate::event_log::{EventLog, Level};
+
+/// Time between a connection's break and the check whether its upstream still listens, since a
+/// process that exits may close its connections before its listening socket.
+const PROBE_DELAY: Duration = Duration::from_millis(50);
+
+/// Why an attempt is suspected to have been in flight as its upstream crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CrashSign {
+    /// The connection broke while the request ran.
+    ConnectionBroken,
+    /// The upstream sent nothing until the entry gave up.
+    Silence,
+}
+
+impl CrashSign {
+    /// Returns the sign's name in the log.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::ConnectionBroken => "connection broken",
+            Self::Silence => "silence",
+        }
+    }
+}
+
+/// Finds out which requests were in flight as upstreams crashed.
+///
+/// An attempt that ends with a [`CrashSign`] is suspected. It counts once its upstream is known to
+/// have ended: it refuses connections, or the platform lists it no longer or as started anew.
+#[derive(Debug)]
+pub(super) struct CrashRecorder {
+    pub(super) crashes: Arc<Crashes>,
+    pub(super) updates: mpsc::Sender<CrashUpdate>,
+    pub(super) log: EventLog,
+}
+
+impl CrashRecorder {
+    /// Suspects a request of the crash that the end of its attempt is a sign of, and starts to
+    /// check whether the upstream has crashed.
+    pub(super) fn suspect(
+        self: &Arc<Self>,
+        upstream: &Arc<Upstream>,
+        fingerprint: u64,
+        sign: CrashSign,
+    ) {
+        upstream.suspect(fingerprint);
+        if sign == CrashSign::ConnectionBroken && upstream.begin_probe() {
+            tokio::spawn(Arc::clone(self).probe(Arc::clone(upstream)));
+        }
+        if upstream.begin_watch() {
+            tokio::spawn(Arc::clone(self).watch(Arc::clone(upstream)));
+        }
+    }
+
+    /// Checks whether the upstream still listens. The connection is kept for later requests.
+    async fn probe(self: Arc<Self>, upstream: Arc<Upstream>) {
+        sleep(PROBE_DELAY).await;
+        upstream.end_probe();
+        match Connection::open(upstream.addr()).await {
+            Ok(conn) => upstream.put_idle(conn.into_idle(None)),
+            Err(err) => self.record_failed_connection(&upstream, &err),
+        }
+    }
+
+    /// Waits until the platform's list tells that the upstream has ended, as long as any request is
+    /// suspected.
+    async fn watch(self: Arc<Self>, upstream: Arc<Upstream>) {
+        while let Some(until) = upstream.suspected_until() {
+            tokio::select! {
+                () = upstream.ended() => self.record_crash(&upstream, "no longer listed"),
+                () = sleep_until(until) => {}
+            }
+        }
+    }
+
+    /// Records a crash if a connection failed because the upstream does not listen. A timeout proves
+    /// nothing: the way to the upstream may be cut.
+    pub(super) fn record_failed_connection(&self, upstream: &Upstream, err: &io::Error) {
+        if err.kind() == io::ErrorKind::ConnectionRefused {
+            self.record_crash(upstream, "connection refused");
+        }
+    }
+
+    /// Records that the upstream has crashed, for the requests that are suspected.
+    fn record_crash(&self, upstream: &Upstream, proof: &str) {
+        for (fingerprint, at) in upstream.take_suspects() {
+            let crashes = self.crashes.record(fingerprint, at);
+            self.log_crash(upstream, fingerprint, crashes, proof);
+            if crashes.is_some() {
+                self.publish(CrashUpdate::Crashed(fingerprint));
+            }
+        }
+    }
+
+    /// Removes the crash record of a request that has completed. Returns the number of crashes that
+    /// were on record, if any.
+    pub(super) fn clear(&self, fingerprint: u64) -> Option<u32> {
+        let crashes = self.crashes.clear(fingerprint)?;
+        self.publish(CrashUpdate::Cleared(fingerprint));
+        Some(crashes)
+    }
+
+    /// Queues an update for the other entries. When many crashes come at once and the queue is
+    /// full, the later ones are dropped.
+    fn publish(&self, update: CrashUpdate) {
+        if self.updates.try_send(update).is_err() {
+            let event =
+                Event::CrashesUnusable { detail: format!("crash update not shared: {update:?}") };
+            self.log.write(Level::Warn, &event);
+        }
+    }
+
+    fn log_crash(&self, upstream: &Upstream, fingerprint: u64, crashes: Option<u32>, proof: &str) {
+        let (upstream, fingerprint) = (&upstream.listed.id, hex(fingerprint));
+        let event = match crashes {
+            Some(crashes) => Event::Crashed { upstream, fingerprint, crashes, proof },
+            None => Event::CrashNotCounted { upstream, fingerprint, reason: "same incident" },
+        };
+        self.log.write(Level::Warn, &event);
+    }
+}
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -3,6 +3,7 @@
 use super::attempt::FailedAttempt;
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
+use super::crash_recorder::CrashSign;
 use super::dispatcher::Dispatcher;
 use super::event::Event;
 use super::request_tracker::millis;
@@ -56,34 +57,21 @@
         self.log.write(Level::Warn, &event);
     }
 
-    pub(super) fn log_suspected(&self, request: &CheckedRequest, upstream: &Upstream, sign: &str) {
+    pub(super) fn log_suspected(
+        &self,
+        request: &CheckedRequest,
+        upstream: &Upstream,
+        sign: CrashSign,
+    ) {
         let event = Event::Suspected {
             id: request.id.to_str().unwrap_or_default(),
             upstream: &upstream.listed.id,
             fingerprint: hex(request.fingerprint),
-            sign,
+            sign: sign.as_str(),
         };
         self.log.write(Level::Info, &event);
     }
 
-    /// Logs a crash that was counted, or that was not because it belongs to the same incident as
-    /// the previous one.
-    pub(super) fn log_crash(
-        &self,
-        request: &CheckedRequest,
-        upstream: &Upstream,
-        fingerprint: u64,
-        crashes: Option<u32>,
-    ) {
-        let (id, upstream) = (request.id.to_str().unwrap_or_default(), &upstream.listed.id);
-        let fingerprint = hex(fingerprint);
-        let event = match crashes {
-            Some(crashes) => Event::Crashed { id, upstream, fingerprint, crashes },
-            None => Event::CrashNotCounted { upstream, fingerprint, reason: "same incident" },
-        };
-        self.log.write(Level::Warn, &event);
-    }
-
     pub(super) fn log_quarantined(&self, id: &str, fingerprint: u64, quarantine: &Quarantine) {
         let event = Event::Quarantined {
             id,
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -7,23 +7,19 @@
 use http::Response;
 use http::response::Parts;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
 use super::attempt::FailedAttempt;
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
 use super::connection::Connection;
-use super::crash_sharing::CrashUpdate;
-use super::event::Event;
+use super::crash_recorder::{CrashRecorder, CrashSign};
 use super::pick::Chosen;
 use super::service_state::ServiceState;
 use super::upstream::InFlight;
-use super::{
-    Crashes, Delivery, DirectMeter, Freshness, HeaderNames, RetryLimits, Roster, Upstream,
-};
+use super::{Delivery, DirectMeter, Freshness, HeaderNames, RetryLimits, Roster, Upstream};
 use crate::entry::Failure;
-use crate::event_log::{EventLog, Level};
+use crate::event_log::EventLog;
 use crate::outcome::{Reason, Refusal};
 
 /// Minimum time before the deadline for another attempt to be made.
@@ -40,8 +36,7 @@
     pub(super) freshness: Arc<Freshness>,
     pub(super) retry_limits: RetryLimits,
     pub(super) service_states: Mutex<HashMap<String, Arc<ServiceState>>>,
-    pub(super) crashes: Arc<Crashes>,
-    pub(super) crash_updates: mpsc::Sender<CrashUpdate>,
+    pub(super) crash_recorder: Arc<CrashRecorder>,
     pub(super) meter: Arc<DirectMeter>,
     pub(super) log: EventLog,
 }
@@ -117,6 +112,9 @@
             }
             history.record_failure(failed.failure);
             self.log_failed(request, history, &upstream, &failed, started);
+            if let Some(sign) = failed.sign {
+                self.suspect(request, &upstream, sign);
+            }
             if !is_charged && !self.may_retry(request, history, failed.failure) {
                 return Err(history.refusal(failed.failure.reason));
             }
@@ -156,39 +154,21 @@
             && self.may_retry(request, history, failure)
     }
 
-    /// Remembers that the connection of a request broke while the request ran.
-    pub(super) fn record_broken(&self, request: &CheckedRequest, upstream: &Upstream) {
-        upstream.record_broken(request.fingerprint);
-        self.log_suspected(request, upstream, "connection broken");
-    }
-
-    /// Records a crash of an upstream that refuses connections, for the requests whose connections
-    /// it broke just before.
-    pub(super) fn record_crash(&self, request: &CheckedRequest, upstream: &Upstream) {
-        for (fingerprint, at) in upstream.take_broken() {
-            let crashes = self.crashes.record(fingerprint, at);
-            self.log_crash(request, upstream, fingerprint, crashes);
-            if crashes.is_some() {
-                self.publish(CrashUpdate::Crashed(fingerprint));
-            }
-        }
+    /// Suspects a request of the crash that the end of its attempt is a sign of.
+    pub(super) fn suspect(
+        &self,
+        request: &CheckedRequest,
+        upstream: &Arc<Upstream>,
+        sign: CrashSign,
+    ) {
+        self.log_suspected(request, upstream, sign);
+        self.crash_recorder.suspect(upstream, request.fingerprint, sign);
     }
 
     /// Removes the crash record of a request that has completed.
     pub(super) fn clear_crashes(&self, request: &CheckedRequest) {
-        if let Some(crashes) = self.crashes.clear(request.fingerprint) {
+        if let Some(crashes) = self.crash_recorder.clear(request.fingerprint) {
             self.log_cleared(request, crashes);
-            self.publish(CrashUpdate::Cleared(request.fingerprint));
-        }
-    }
-
-    /// Queues an update for the other entries. When many crashes come at once and the queue is
-    /// full, the later ones are dropped.
-    fn publish(&self, update: CrashUpdate) {
-        if self.crash_updates.try_send(update).is_err() {
-            let event =
-                Event::CrashesUnusable { detail: format!("crash update not shared: {update:?}") };
-            self.log.write(Level::Warn, &event);
         }
     }
 
@@ -207,8 +187,7 @@
             sleep(STUCK_CHECK_INTERVAL).await;
             if upstream.is_stuck(&request.state.liveness) && self.may_resume(request, history) {
                 upstream.record_loss();
-                let failure = Failure::unknown(Reason::UpstreamTimeout);
-                return FailedAttempt { failure, detail: "silent while others answer".to_owned() };
+                return FailedAttempt::silent("silent while others answer");
             }
         }
     }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -23,14 +23,13 @@
     Platform { topic: &'a str, up: bool, detail: &'a str, down_ms: u64 },
     /// The list of upstreams changed.
     Upstream { upstream: &'a str, service: &'a str, change: &'a str, cursor: u64 },
-    /// An upstream crashed while it ran the request with this fingerprint. `id` belongs to the
-    /// request whose new connection to it then failed.
+    /// An upstream crashed while it ran the request with this fingerprint.
     Crashed {
-        id: &'a str,
         upstream: &'a str,
         #[serde(rename = "print")]
         fingerprint: String,
         crashes: u32,
+        proof: &'a str,
     },
     /// An attempt ended in a way that its upstream's crash would explain.
     Suspected {
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::crash_recorder::CrashRecorder;
 use super::crash_sharing::CrashSharing;
 use super::dispatcher::Dispatcher;
 use super::event::Event;
@@ -120,8 +121,11 @@
             freshness: Arc::clone(&freshness),
             retry_limits: retry_limits(&file.retries),
             service_states: std::sync::Mutex::default(),
-            crashes: Arc::clone(&crashes),
-            crash_updates,
+            crash_recorder: Arc::new(CrashRecorder {
+                crashes: Arc::clone(&crashes),
+                updates: crash_updates,
+                log: self.log.clone(),
+            }),
             meter: Arc::clone(&meter),
             log: self.log.clone(),
         });
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -8,6 +8,7 @@
 use super::attempt::FailedAttempt;
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
+use super::crash_recorder::CrashSign;
 use super::dispatcher::{Dispatcher, Stream, UpstreamResponse};
 use super::request_tracker::RequestTracker;
 use super::upstream::InFlight;
@@ -80,15 +81,16 @@
                 }
                 RelayEnd::Broken(err) => {
                     let (request, history) = (&self.request, &self.history);
-                    let broken = FailedAttempt::broken_stream(&err);
+                    let broken = FailedAttempt::broken(&err);
                     self.dispatcher.log_failed(request, history, &upstream, &broken, started);
-                    self.dispatcher.record_broken(request, &upstream);
+                    self.dispatcher.suspect(request, &upstream, CrashSign::ConnectionBroken);
                     upstream.record_loss();
                     (err, false)
                 }
                 RelayEnd::Stuck(stuck) => {
                     let (request, history) = (&self.request, &self.history);
                     self.dispatcher.log_failed(request, history, &upstream, &stuck, started);
+                    self.dispatcher.suspect(request, &upstream, CrashSign::Silence);
                     (BodyError::Truncated, true)
                 }
             };
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -131,7 +131,7 @@
         let Some(upstream) = self.by_id.remove(id) else {
             return false;
         };
-        upstream.drain();
+        upstream.end();
         if let Some(service) = self.services.get_mut(&upstream.listed.service) {
             Arc::make_mut(service).retain(|other| !Arc::ptr_eq(other, &upstream));
         }
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -4,6 +4,7 @@
 
 use smallvec::SmallVec;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 
 use super::connection::Connection;
 use super::{Candidate, Inactivity, ListedUpstream, Liveness, OtherEntriesLoad};
@@ -15,9 +16,9 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// Number of consecutive requests without a valid response that start a backoff.
 const LOSSES_TO_BACK_OFF: u32 = 3;
-/// Time after a broken connection within which a refused connection shows that the upstream has
-/// crashed.
-const CRASH_WINDOW: Duration = Duration::from_secs(2);
+/// Time after the end of an attempt within which the end of its upstream means that it crashed
+/// under the request. An upstream that ends silently is listed for some seconds.
+const SUSPICION_TIME: Duration = Duration::from_secs(8);
 /// Maximum number of idle connections to an upstream.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 /// Idle time after which a connection is not reused, shorter than the usual timeout of upstreams.
@@ -39,6 +40,8 @@
 pub struct Upstream {
     /// Listing of the upstream by the platform.
     pub listed: ListedUpstream,
+    /// Cancelled once this incarnation has ended without draining.
+    ended: CancellationToken,
     state: Mutex<State>,
 }
 
@@ -50,8 +53,13 @@
     losses: u32,
     backoff: Duration,
     avoid_until: Option<Instant>,
-    /// Fingerprints of requests whose connections broke recently, and when.
-    broken: SmallVec<[(u64, Instant); 4]>,
+    /// Fingerprints of requests whose attempts recently ended as if the upstream had crashed, and
+    /// when.
+    suspects: SmallVec<[(u64, Instant); 4]>,
+    /// Whether a task is about to check if the upstream still listens.
+    probing: bool,
+    /// Whether a task waits for the upstream's end.
+    watching: bool,
     inactivity: Inactivity,
     idle: Vec<Connection>,
 }
@@ -111,7 +119,7 @@
     /// Creates an upstream of which only the listing is known.
     pub fn new(listed: ListedUpstream) -> Self {
         let state = State { draining: listed.draining, ..State::default() };
-        Self { listed, state: Mutex::new(state) }
+        Self { listed, ended: CancellationToken::new(), state: Mutex::new(state) }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -138,6 +146,20 @@
         state.idle.clear();
     }
 
+    /// Marks this incarnation as ended, because the platform lists it no longer or another one at
+    /// its address. If it was not draining, it has crashed.
+    pub(super) fn end(&self) {
+        if !self.is_draining() {
+            self.ended.cancel();
+        }
+        self.drain();
+    }
+
+    /// Waits until this incarnation has ended without draining.
+    pub(super) async fn ended(&self) {
+        self.ended.cancelled().await;
+    }
+
     /// Returns whether the upstream is draining, so that it gets no new requests.
     pub fn is_draining(&self) -> bool {
         self.lock().draining
@@ -185,21 +207,41 @@
         }
     }
 
-    /// Records that the connection of a request broke while the request ran.
-    pub(super) fn record_broken(&self, fingerprint: u64) {
-        let now = Instant::now();
+    /// Remembers that an attempt at this request ended as if the upstream had crashed.
+    pub(super) fn suspect(&self, fingerprint: u64) {
+        self.lock().suspects.push((fingerprint, Instant::now()));
+    }
+
+    /// Removes and returns the suspected requests. If the upstream has ended, it has crashed while
+    /// it ran them.
+    pub(super) fn take_suspects(&self) -> SmallVec<[(u64, Instant); 4]> {
         let mut state = self.lock();
-        state.broken.retain(|(_, at)| now.saturating_duration_since(*at) < CRASH_WINDOW);
-        state.broken.push((fingerprint, now));
+        state.drop_old_suspects();
+        std::mem::take(&mut state.suspects)
     }
 
-    /// Removes and returns the requests whose connections broke recently. If the upstream now
-    /// refuses connections, it has crashed while it ran them.
-    pub(super) fn take_broken(&self) -> SmallVec<[(u64, Instant); 4]> {
-        let now = Instant::now();
-        let mut broken = std::mem::take(&mut self.lock().broken);
-        broken.retain(|(_, at)| now.saturating_duration_since(*at) < CRASH_WINDOW);
-        broken
+    /// Returns until when the newest suspicion lasts. If there is none, the watch is over.
+    pub(super) fn suspected_until(&self) -> Option<Instant> {
+        let mut state = self.lock();
+        state.drop_old_suspects();
+        let newest = state.suspects.last().map(|(_, at)| *at + SUSPICION_TIME);
+        state.watching = newest.is_some();
+        newest
+    }
+
+    /// Returns whether the caller is to check if the upstream listens: nobody else is about to.
+    pub(super) fn begin_probe(&self) -> bool {
+        !std::mem::replace(&mut self.lock().probing, true)
+    }
+
+    /// Records that the check begins, so that it does not cover what breaks from now on.
+    pub(super) fn end_probe(&self) {
+        self.lock().probing = false;
+    }
+
+    /// Returns whether the caller is to wait for the upstream's end: nobody else does.
+    pub(super) fn begin_watch(&self) -> bool {
+        !std::mem::replace(&mut self.lock().watching, true)
     }
 
     /// Returns the state on which the choice of an upstream is based.
@@ -231,6 +273,11 @@
 }
 
 impl State {
+    fn drop_old_suspects(&mut self) {
+        let now = Instant::now();
+        self.suspects.retain(|(_, at)| now.saturating_duration_since(*at) < SUSPICION_TIME);
+    }
+
     fn begin_backoff(&mut self) {
         self.backoff = (self.backoff * 2).clamp(INITIAL_BACKOFF, MAX_BACKOFF);
         self.avoid_until = Some(Instant::now() + self.backoff);
