Crashes are told apart by the order of attempts, not by the time between them

Cause, hypothesis 2: crashes within 1 s counted once, to spare requests that were in flight as a failure domain was lost; so a request that came every 0.2 s crashed up to ten upstreams a count. Evidence: 'crash-not-counted reason=same incident' for 10 of 12 crashes in the failing test. Change: an attempt counts unless it was in flight together with one that is counted, or was under way when the count of other entries arrived. Attempts of one request that overlap can be a lost domain; one that was sent after another had ended can not.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -59,6 +59,7 @@
         upstream: &Arc<Upstream>,
         last_event: Option<&Bytes>,
     ) -> Result<UpstreamResponse, FailedAttempt> {
+        let started = Instant::now();
         let in_flight = upstream.begin_request(&request.state.liveness);
         let exchange = self.exchange(request, upstream, last_event);
         let (mut conn, response) = match timeout_at(request.deadline, exchange).await {
@@ -85,7 +86,7 @@
             self.check_success(upstream, &head)?;
             upstream.record_success();
             let upstream = Arc::clone(upstream);
-            let stream = Stream { head, body, conn, upstream, in_flight };
+            let stream = Stream { head, body, conn, upstream, in_flight, started };
             return Ok(UpstreamResponse::Stream(Box::new(stream)));
         }
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
--- a/src/direct/crash_recorder.rs
+++ b/src/direct/crash_recorder.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::connection::Connection;
 use super::crash_sharing::CrashUpdate;
 use super::dispatch_log::hex;
 use super::event::Event;
-use super::{Crashes, Upstream};
+use super::{CrashedAttempt, Crashes, Upstream};
 use crate::event_log::{EventLog, Level};
 
 /// Time between a connection's break and the check whether its upstream still listens, since a
@@ -53,11 +53,14 @@
         self: &Arc<Self>,
         upstream: &Arc<Upstream>,
         fingerprint: u64,
+        started: Instant,
         sign: CrashSign,
     ) {
-        upstream.suspect(fingerprint);
+        let attempt = CrashedAttempt { started, ended: Instant::now() };
+        upstream.suspect(fingerprint, attempt);
         if sign == CrashSign::ConnectionBroken && upstream.begin_probe() {
-            tokio::spawn(Arc::clone(self).probe(Arc::clone(upstream)));
+            let (recorder, upstream) = (Arc::clone(self), Arc::clone(upstream));
+            tokio::spawn(async move { recorder.probe(&upstream).await });
         }
         if upstream.begin_watch() {
             tokio::spawn(Arc::clone(self).watch(Arc::clone(upstream)));
@@ -65,12 +68,12 @@
     }
 
     /// Checks whether the upstream still listens. The connection is kept for later requests.
-    async fn probe(self: Arc<Self>, upstream: Arc<Upstream>) {
+    pub(super) async fn probe(&self, upstream: &Upstream) {
         sleep(PROBE_DELAY).await;
         upstream.end_probe();
         match Connection::open(upstream.addr()).await {
             Ok(conn) => upstream.put_idle(conn.into_idle(None)),
-            Err(err) => self.record_failed_connection(&upstream, &err),
+            Err(err) => self.record_failed_connection(upstream, &err),
         }
     }
 
@@ -95,8 +98,8 @@
 
     /// Records that the upstream has crashed, for the requests that are suspected.
     fn record_crash(&self, upstream: &Upstream, proof: &str) {
-        for (fingerprint, at) in upstream.take_suspects() {
-            let crashes = self.crashes.record(fingerprint, at);
+        for (fingerprint, attempt) in upstream.take_suspects() {
+            let crashes = self.crashes.record(fingerprint, attempt);
             self.log_crash(upstream, fingerprint, crashes, proof);
             if crashes.is_some() {
                 self.publish(CrashUpdate::Crashed(fingerprint));
--- a/src/direct/crashes.rs
+++ b/src/direct/crashes.rs
@@ -2,6 +2,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 /// Number of crashes from which a request is quarantined.
@@ -10,9 +11,8 @@
 const INITIAL_QUARANTINE: Duration = Duration::from_secs(20);
 /// Upper bound of the quarantine time.
 const MAX_QUARANTINE: Duration = Duration::from_secs(600);
-/// Crashes within this time count once: the loss of a failure domain takes down several upstreams
-/// together, and no request is to blame.
-const SAME_INCIDENT_TIME: Duration = Duration::from_secs(1);
+/// Number of counted attempts that are kept for a request.
+const MAX_COUNTED: usize = 4;
 /// Maximum number of requests on record; beyond it the oldest is dropped.
 const MAX_RECORDS: usize = 4_096;
 
@@ -22,6 +22,15 @@
     records: Mutex<HashMap<u64, CrashRecord>>,
 }
 
+/// An attempt that was in flight as its upstream crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashedAttempt {
+    /// When it was sent.
+    pub started: Instant,
+    /// When this entry noticed its end.
+    pub ended: Instant,
+}
+
 /// Why and for how long a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantine {
@@ -33,10 +42,39 @@
     pub left: Duration,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct CrashRecord {
     crashes: u32,
+    /// When this entry noticed the last crash or learned of it.
     last: Instant,
+    /// The last attempts of this entry that count.
+    counted: SmallVec<[CrashedAttempt; MAX_COUNTED]>,
+    /// When this entry last learned of crashes from others.
+    learned: Option<Instant>,
+}
+
+impl CrashedAttempt {
+    fn overlaps(&self, other: &Self) -> bool {
+        self.started < other.ended && other.started < self.ended
+    }
+}
+
+impl CrashRecord {
+    /// Counts an attempt, unless it was in flight together with one that is counted, also as far as
+    /// others may have counted it.
+    fn count(&mut self, attempt: CrashedAttempt) -> Option<u32> {
+        let was_in_flight = self.counted.iter().any(|counted| counted.overlaps(&attempt));
+        if was_in_flight || self.learned.is_some_and(|learned| attempt.started < learned) {
+            return None;
+        }
+        if self.counted.len() == MAX_COUNTED {
+            self.counted.remove(0);
+        }
+        self.counted.push(attempt);
+        self.crashes += 1;
+        self.last = self.last.max(attempt.ended);
+        Some(self.crashes)
+    }
 }
 
 impl Crashes {
@@ -44,42 +82,51 @@
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that an upstream crashed at this time while it ran the request. Returns the number
-    /// of crashes, or `None` if this one belongs to the same incident as the previous one.
+    /// Records that an upstream crashed while it ran this attempt at a request, in any order of the
+    /// attempts. Returns the number of crashes, or `None` if the attempt was in flight together
+    /// with one that is counted: the loss of a failure domain takes down several upstreams
+    /// together, and no request is to blame.
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use ebonyusher::direct::Crashes;
+    /// # use ebonyusher::direct::{CrashedAttempt, Crashes};
     /// # use tokio::time::Instant;
     /// let crashes = Crashes::default();
-    /// let at = |s| Instant::now() + Duration::from_secs(s);
-    /// assert_eq!(crashes.record(7, at(0)), Some(1));
-    /// assert_eq!(crashes.record(7, at(0)), None);
-    /// assert_eq!(crashes.record(7, at(3)), Some(2));
+    /// let now = Instant::now();
+    /// let at = |s| now + Duration::from_secs(s);
+    /// let attempt = |started, ended| CrashedAttempt { started: at(started), ended: at(ended) };
+    /// assert_eq!(crashes.record(7, attempt(2, 3)), Some(1));
+    /// assert_eq!(crashes.record(7, attempt(1, 4)), None);
+    /// assert_eq!(crashes.record(7, attempt(0, 1)), Some(2));
     /// assert_eq!(crashes.quarantine(7, at(3)), None);
-    /// assert_eq!(crashes.record(7, at(6)), Some(3));
-    /// assert!(crashes.quarantine(7, at(7)).is_some());
+    /// assert_eq!(crashes.record(7, attempt(3, 4)), Some(3));
+    /// assert!(crashes.quarantine(7, at(5)).is_some());
     /// assert_eq!(crashes.quarantine(7, at(30)), None);
     /// ```
-    pub fn record(&self, fingerprint: u64, at: Instant) -> Option<u32> {
+    pub fn record(&self, fingerprint: u64, attempt: CrashedAttempt) -> Option<u32> {
         let mut records = self.lock();
-        let known = records.get(&fingerprint).copied();
-        if known.is_some_and(|known| at.saturating_duration_since(known.last) < SAME_INCIDENT_TIME)
-        {
-            return None;
+        if let Some(known) = records.get_mut(&fingerprint) {
+            return known.count(attempt);
         }
-        let crashes = known.map_or(0, |known| known.crashes) + 1;
-        insert(&mut records, fingerprint, CrashRecord { crashes, last: at });
-        Some(crashes)
+        let counted = [attempt].into_iter().collect();
+        let record = CrashRecord { crashes: 1, last: attempt.ended, counted, learned: None };
+        insert(&mut records, fingerprint, record);
+        Some(1)
     }
 
     /// Applies the count of all entries together, if it is higher than the local one. Returns
     /// whether it was.
     pub fn merge(&self, fingerprint: u64, crashes: u32, now: Instant) -> bool {
         let mut records = self.lock();
-        let is_higher = records.get(&fingerprint).is_none_or(|known| known.crashes < crashes);
+        let record =
+            CrashRecord { crashes, last: now, counted: SmallVec::new(), learned: Some(now) };
+        let Some(known) = records.get_mut(&fingerprint) else {
+            insert(&mut records, fingerprint, record);
+            return true;
+        };
+        let is_higher = known.crashes < crashes;
         if is_higher {
-            insert(&mut records, fingerprint, CrashRecord { crashes, last: now });
+            *known = record;
         }
         is_higher
     }
@@ -96,7 +143,8 @@
 
     /// Returns the quarantine of a request, if it is quarantined.
     pub fn quarantine(&self, fingerprint: u64, now: Instant) -> Option<Quarantine> {
-        let known = self.lock().get(&fingerprint).copied()?;
+        let records = self.lock();
+        let known = records.get(&fingerprint)?;
         let doublings = known.crashes.checked_sub(CRASHES_TO_QUARANTINE)?;
         let quarantine =
             INITIAL_QUARANTINE.saturating_mul(1 << doublings.min(5)).min(MAX_QUARANTINE);
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -58,6 +58,8 @@
     pub(super) conn: Connection,
     pub(super) upstream: Arc<Upstream>,
     pub(super) in_flight: InFlight,
+    /// When the request was sent.
+    pub(super) started: Instant,
 }
 
 impl Dispatcher {
@@ -113,7 +115,7 @@
             history.record_failure(failed.failure);
             self.log_failed(request, history, &upstream, &failed, started);
             if let Some(sign) = failed.sign {
-                self.suspect(request, &upstream, sign);
+                self.suspect(request, &upstream, started, sign);
             }
             if !is_charged && !self.may_retry(request, history, failed.failure) {
                 return Err(history.refusal(failed.failure.reason));
@@ -159,10 +161,11 @@
         &self,
         request: &CheckedRequest,
         upstream: &Arc<Upstream>,
+        started: Instant,
         sign: CrashSign,
     ) {
         self.log_suspected(request, upstream, sign);
-        self.crash_recorder.suspect(upstream, request.fingerprint, sign);
+        self.crash_recorder.suspect(upstream, request.fingerprint, started, sign);
     }
 
     /// Removes the crash record of a request that has completed.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -47,7 +47,7 @@
 pub use admission::{Admission, EngineLoad, LatencyTargets};
 pub use body::DirectBody;
 pub use choice::{Candidate, OtherEntriesLoad, choose, estimate_loads};
-pub use crashes::{Crashes, Quarantine};
+pub use crashes::{CrashedAttempt, Crashes, Quarantine};
 pub use delivery::Delivery;
 pub use direct_meter::DirectMeter;
 pub use directory::{
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -60,8 +60,7 @@
     /// caller disconnects.
     pub(super) async fn run(mut self, mut stream: Box<Stream>, sender: BodySender) {
         loop {
-            let Stream { head, mut body, conn, upstream, in_flight } = *stream;
-            let started = Instant::now();
+            let Stream { head, mut body, conn, upstream, in_flight, started } = *stream;
             let end = self.forward(&mut body, &in_flight, &upstream, &sender).await;
             drop(in_flight);
             let (err, is_charged) = match end {
@@ -83,14 +82,16 @@
                     let (request, history) = (&self.request, &self.history);
                     let broken = FailedAttempt::broken(&err);
                     self.dispatcher.log_failed(request, history, &upstream, &broken, started);
-                    self.dispatcher.suspect(request, &upstream, CrashSign::ConnectionBroken);
+                    let sign = CrashSign::ConnectionBroken;
+                    self.dispatcher.suspect(request, &upstream, started, sign);
                     upstream.record_loss();
                     (err, false)
                 }
                 RelayEnd::Stuck(stuck) => {
                     let (request, history) = (&self.request, &self.history);
                     self.dispatcher.log_failed(request, history, &upstream, &stuck, started);
-                    self.dispatcher.suspect(request, &upstream, CrashSign::Silence);
+                    let sign = CrashSign::Silence;
+                    self.dispatcher.suspect(request, &upstream, started, sign);
                     (BodyError::Truncated, true)
                 }
             };
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -7,7 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::connection::Connection;
-use super::{Candidate, Inactivity, ListedUpstream, Liveness, OtherEntriesLoad};
+use super::{Candidate, CrashedAttempt, Inactivity, ListedUpstream, Liveness, OtherEntriesLoad};
 
 /// First backoff after the upstream could not be reached, refused a request, or gave no valid
 /// response several times in a row; doubled with each further backoff.
@@ -53,9 +53,9 @@
     losses: u32,
     backoff: Duration,
     avoid_until: Option<Instant>,
-    /// Fingerprints of requests whose attempts recently ended as if the upstream had crashed, and
-    /// when.
-    suspects: SmallVec<[(u64, Instant); 4]>,
+    /// Attempts that recently ended as if the upstream had crashed, with the fingerprints of their
+    /// requests.
+    suspects: SmallVec<[(u64, CrashedAttempt); 4]>,
     /// Whether a task is about to check if the upstream still listens.
     probing: bool,
     /// Whether a task waits for the upstream's end.
@@ -207,14 +207,15 @@
         }
     }
 
-    /// Remembers that an attempt at this request ended as if the upstream had crashed.
-    pub(super) fn suspect(&self, fingerprint: u64) {
-        self.lock().suspects.push((fingerprint, Instant::now()));
+    /// Remembers that an attempt at the request with this fingerprint ended as if the upstream had
+    /// crashed.
+    pub(super) fn suspect(&self, fingerprint: u64, attempt: CrashedAttempt) {
+        self.lock().suspects.push((fingerprint, attempt));
     }
 
-    /// Removes and returns the suspected requests. If the upstream has ended, it has crashed while
+    /// Removes and returns the suspected attempts. If the upstream has ended, it has crashed while
     /// it ran them.
-    pub(super) fn take_suspects(&self) -> SmallVec<[(u64, Instant); 4]> {
+    pub(super) fn take_suspects(&self) -> SmallVec<[(u64, CrashedAttempt); 4]> {
         let mut state = self.lock();
         state.drop_old_suspects();
         std::mem::take(&mut state.suspects)
@@ -224,7 +225,7 @@
     pub(super) fn suspected_until(&self) -> Option<Instant> {
         let mut state = self.lock();
         state.drop_old_suspects();
-        let newest = state.suspects.last().map(|(_, at)| *at + SUSPICION_TIME);
+        let newest = state.suspects.last().map(|(_, attempt)| attempt.ended + SUSPICION_TIME);
         state.watching = newest.is_some();
         newest
     }
@@ -275,7 +276,8 @@
 impl State {
     fn drop_old_suspects(&mut self) {
         let now = Instant::now();
-        self.suspects.retain(|(_, at)| now.saturating_duration_since(*at) < SUSPICION_TIME);
+        self.suspects
+            .retain(|(_, attempt)| now.saturating_duration_since(attempt.ended) < SUSPICION_TIME);
     }
 
     fn begin_backoff(&mut self) {
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use ebonyusher::direct::{
-    Freshness, Inactivity, ListedUpstream, RetryBudget, RetryLimits, Roster, RosterChange,
+    CrashedAttempt, Crashes, Freshness, Inactivity, ListedUpstream, RetryBudget, RetryLimits,
+    Roster, RosterChange,
 };
 use ebonyusher::net::EventSplitter;
 use ebonyusher::units::BootTime;
@@ -54,9 +55,41 @@
     assert_eq!(roster.ids(), ["u-2"]);
 }
 
+/// An attempt that was in flight between these times, in seconds.
+fn crashed_attempt(since: Instant, started: u64, ended: u64) -> CrashedAttempt {
+    let at = |seconds| since + Duration::from_secs(seconds);
+    CrashedAttempt { started: at(started), ended: at(ended) }
+}
+
 proptest! {
     #![proptest_config(proptest_config())]
 
+    #[test]
+    fn crashes_of_attempts_one_after_another_count_each_in_any_order(
+        order in Just((0..4_u64).collect::<Vec<_>>()).prop_shuffle(),
+    ) {
+        let (crashes, start) = (Crashes::default(), Instant::now());
+
+        for at in order {
+            crashes.record(1, crashed_attempt(start, at, at + 1));
+        }
+
+        prop_assert_eq!(crashes.count(1), 4);
+    }
+
+    #[test]
+    fn crashes_of_attempts_in_flight_together_count_once(
+        attempts in prop::collection::vec((0..10_u64, 10..20_u64), 1..8),
+    ) {
+        let (crashes, start) = (Crashes::default(), Instant::now());
+
+        for (started, ended) in attempts {
+            crashes.record(1, crashed_attempt(start, started, ended));
+        }
+
+        prop_assert_eq!(crashes.count(1), 1);
+    }
+
     #[test]
     fn listings_in_any_order_never_restore_an_earlier_incarnation(listings in listings()) {
         let roster = Roster::default();
