The quarantine is checked before each attempt, not only on arrival

Cause, hypothesis 3: the check stood where a request is read. Retries and resumed streams of requests already under way passed it. Change: the dispatcher checks before each attempt. A request that has run and is then refused ends with 502 and outcome unknown, one that has not with 503 and not-run.

--- a/src/direct/attempt_history.rs
+++ b/src/direct/attempt_history.rs
@@ -13,6 +13,8 @@
     pub(super) attempts: u32,
     /// Number of attempts that reached the intended upstream, as far as is known.
     reached: u32,
+    /// Number of attempts whose connections broke while the request ran.
+    pub(super) broken: u32,
     /// Whether an attempt without a usable response may have run.
     may_have_run: bool,
     /// Ids of the upstreams that were tried.
--- a/src/direct/crashes.rs
+++ b/src/direct/crashes.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 /// Number of crashes from which a request is quarantined.
-const CRASHES_TO_QUARANTINE: u32 = 3;
+pub(super) const CRASHES_TO_QUARANTINE: u32 = 3;
 /// First quarantine time of a request, doubled with each further crash.
 const INITIAL_QUARANTINE: Duration = Duration::from_secs(20);
 /// Upper bound of the quarantine time.
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -72,10 +72,10 @@
         self.log.write(Level::Info, &event);
     }
 
-    pub(super) fn log_quarantined(&self, id: &str, fingerprint: u64, quarantine: &Quarantine) {
+    pub(super) fn log_quarantined(&self, request: &CheckedRequest, quarantine: &Quarantine) {
         let event = Event::Quarantined {
-            id,
-            fingerprint: hex(fingerprint),
+            id: request.id.to_str().unwrap_or_default(),
+            fingerprint: hex(request.fingerprint),
             crashes: quarantine.crashes,
             age_ms: millis(quarantine.age),
             left_ms: millis(quarantine.left),
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -14,6 +14,7 @@
 use super::checked_request::CheckedRequest;
 use super::connection::Connection;
 use super::crash_recorder::{CrashRecorder, CrashSign};
+use super::crashes::CRASHES_TO_QUARANTINE;
 use super::pick::Chosen;
 use super::service_state::ServiceState;
 use super::upstream::InFlight;
@@ -84,7 +85,9 @@
         // Error response of an upstream, returned if the retry brings no better one.
         let mut fallback = None;
         loop {
-            let Chosen { upstream, candidate } = match self.pick(request, history) {
+            let chosen =
+                self.check_quarantine(request, history).and_then(|()| self.pick(request, history));
+            let Chosen { upstream, candidate } = match chosen {
                 Ok(chosen) => chosen,
                 Err(refusal) => {
                     return fallback
@@ -116,6 +119,7 @@
             self.log_failed(request, history, &upstream, &failed, started);
             if let Some(sign) = failed.sign {
                 self.suspect(request, &upstream, started, sign);
+                self.await_verdict(request, history, &upstream, sign).await;
             }
             if !is_charged && !self.may_retry(request, history, failed.failure) {
                 return Err(history.refusal(failed.failure.reason));
@@ -168,6 +172,39 @@
         self.crash_recorder.suspect(upstream, request.fingerprint, started, sign);
     }
 
+    /// Waits until it is known whether the upstream has crashed, if the request would then be
+    /// quarantined and get no further attempt.
+    async fn await_verdict(
+        &self,
+        request: &CheckedRequest,
+        history: &mut AttemptHistory,
+        upstream: &Upstream,
+        sign: CrashSign,
+    ) {
+        if sign != CrashSign::ConnectionBroken {
+            return;
+        }
+        history.broken += 1;
+        let crashes = self.crash_recorder.crashes.count(request.fingerprint);
+        if crashes + history.broken >= CRASHES_TO_QUARANTINE {
+            self.crash_recorder.probe(upstream).await;
+        }
+    }
+
+    /// Refuses a request that is quarantined.
+    fn check_quarantine(
+        &self,
+        request: &CheckedRequest,
+        history: &AttemptHistory,
+    ) -> Result<(), Refusal> {
+        let crashes = &self.crash_recorder.crashes;
+        let Some(quarantine) = crashes.quarantine(request.fingerprint, Instant::now()) else {
+            return Ok(());
+        };
+        self.log_quarantined(request, &quarantine);
+        Err(history.refusal(Reason::Poison).retry_after(quarantine.left))
+    }
+
     /// Removes the crash record of a request that has completed.
     pub(super) fn clear_crashes(&self, request: &CheckedRequest) {
         if let Some(crashes) = self.crash_recorder.clear(request.fingerprint) {
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -132,13 +132,6 @@
             head.uri.path_and_query().map_or("", PathAndQuery::as_str),
             &body,
         );
-        if let Some(quarantine) =
-            self.dispatcher.crash_recorder.crashes.quarantine(fingerprint, Instant::now())
-        {
-            let id = id.to_str().unwrap_or_default();
-            self.dispatcher.log_quarantined(id, fingerprint, &quarantine);
-            return Err(Refusal::not_run(Reason::Poison).retry_after(quarantine.left));
-        }
         let mut headers = head.headers;
         strip_headers(&mut headers);
         Ok(CheckedRequest {
--- a/src/direct/refusal_response.rs
+++ b/src/direct/refusal_response.rs
@@ -20,12 +20,15 @@
 
 fn status(refusal: &Refusal) -> StatusCode {
     let status = refusal.reason.status();
+    let is_quarantined = refusal.reason == Reason::Poison;
     match refusal.outcome {
         // A quarantined request may be repeated later, so the caller gets a retryable status.
-        Outcome::NotRun if status.is_server_error() || refusal.reason == Reason::Poison => {
+        Outcome::NotRun if status.is_server_error() || is_quarantined => {
             StatusCode::SERVICE_UNAVAILABLE
         }
-        Outcome::Unknown if status == StatusCode::SERVICE_UNAVAILABLE => StatusCode::BAD_GATEWAY,
+        Outcome::Unknown if status == StatusCode::SERVICE_UNAVAILABLE || is_quarantined => {
+            StatusCode::BAD_GATEWAY
+        }
         _ => status,
     }
 }
