Entries share what they know of crashes until the table has it

Cause, hypothesis 2, and the class of the fault: knowledge that must outlive a failure was carried by one-off messages. An update went through a queue of 16, was tried four times at once and dropped when the store was away, that is, when upstreams crash; the row was raised by one from what it said, though the writer knew more; a write that arrived late could lower it for good. Evidence: 'crashes-unusable ... not shared' three times in the failing test, then a run at the other entry. Change: Crashes keeps the set of requests whose row may say less than the record. The publisher writes these rows, up to 50 in one transaction, until the table has taken them; an entry that reads a row lower than its own count, or misses one in a full read, writes it again; a removed row clears the request at the other entries too. Counts only rise to the highest known, so a write that is lost, repeated, late or overtaken does no lasting harm and needs no condition: one call in place of two.

--- a/src/direct/crash_recorder.rs
+++ b/src/direct/crash_recorder.rs
@@ -2,11 +2,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::connection::Connection;
-use super::crash_sharing::CrashUpdate;
 use super::dispatch_log::hex;
 use super::event::Event;
 use super::{CrashedAttempt, Crashes, Upstream};
@@ -42,7 +40,6 @@
 #[derive(Debug)]
 pub(super) struct CrashRecorder {
     pub(super) crashes: Arc<Crashes>,
-    pub(super) updates: mpsc::Sender<CrashUpdate>,
     pub(super) log: EventLog,
 }
 
@@ -101,27 +98,6 @@
         for (fingerprint, attempt) in upstream.take_suspects() {
             let crashes = self.crashes.record(fingerprint, attempt);
             self.log_crash(upstream, fingerprint, crashes, proof);
-            if crashes.is_some() {
-                self.publish(CrashUpdate::Crashed(fingerprint));
-            }
-        }
-    }
-
-    /// Removes the crash record of a request that has completed. Returns the number of crashes that
-    /// were on record, if any.
-    pub(super) fn clear(&self, fingerprint: u64) -> Option<u32> {
-        let crashes = self.crashes.clear(fingerprint)?;
-        self.publish(CrashUpdate::Cleared(fingerprint));
-        Some(crashes)
-    }
-
-    /// Queues an update for the other entries. When many crashes come at once and the queue is
-    /// full, the later ones are dropped.
-    fn publish(&self, update: CrashUpdate) {
-        if self.updates.try_send(update).is_err() {
-            let event =
-                Event::CrashesUnusable { detail: format!("crash update not shared: {update:?}") };
-            self.log.write(Level::Warn, &event);
         }
     }
 
--- a/src/direct/crash_sharing.rs
+++ b/src/direct/crash_sharing.rs
@@ -1,33 +1,28 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep};
 
+use super::crashes::RowContent;
 use super::dispatch_log::hex;
 use super::event::Event;
 use super::platform_health::PlatformHealth;
-use super::{Crashes, Directory, DirectoryError, SharedCrashCount};
+use super::{Crashes, Directory, DirectoryError, RowChange, SharedCrashCount};
 use crate::event_log::{EventLog, Level};
-use crate::platform::{Row, Table, TableError, Txn};
+use crate::platform::{Table, TableError, Txn};
 
 /// Maximum time that one call waits for crashes recorded by other entries.
 const MAX_WAIT: Duration = Duration::from_secs(20);
 /// Prefix of the keys of crash rows.
 const KEY_PREFIX: &str = "crashes/";
-/// Maximum number of tries to write a row while other entries write the same one.
-const MAX_TRIES: usize = 4;
-
-/// A change of the crash count of a request, for the other entries.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CrashUpdate {
-    /// An upstream crashed while it ran the request with this fingerprint.
-    Crashed(u64),
-    /// The suspected request with this fingerprint has completed.
-    Cleared(u64),
-}
+/// Maximum number of rows that one transaction writes.
+const MAX_ROWS: usize = 50;
 
 /// Shares crash counts of requests with the other entries through the platform's table.
+///
+/// Each row converges to the highest count that any entry knows: an entry writes what it knows until
+/// the table has it, and again when a row says less. So writes need no condition, and one that is
+/// lost, late or overtaken does no lasting harm.
 #[derive(Debug)]
 pub(super) struct CrashSharing<D> {
     pub(super) directory: Arc<D>,
@@ -44,7 +39,11 @@
             match self.directory.rows(cursor, MAX_WAIT).await {
                 Ok(changes) => {
                     health.record_success();
-                    changes.items.iter().for_each(|row| self.apply(row.as_ref()));
+                    changes.items.iter().for_each(|change| self.apply(change));
+                    if cursor.is_none() {
+                        let listed = changes.items.iter().filter_map(fingerprint_of);
+                        self.crashes.share_all_but(&listed.collect());
+                    }
                     cursor = Some(changes.cursor);
                 }
                 Err(DirectoryError::HistoryGone) => cursor = None,
@@ -53,74 +52,69 @@
         }
     }
 
-    fn apply(&self, row: Result<&Row, &TableError>) {
-        match row.map_err(TableError::clone).and_then(read_crashes) {
-            Ok(Some((fingerprint, known))) if known.is_recent(unix_seconds()) => {
-                if self.crashes.merge(fingerprint, known.crashes, Instant::now()) {
-                    let (fingerprint, crashes) = (hex(fingerprint), known.crashes);
+    fn apply(&self, change: &RowChange) {
+        let Some(fingerprint) = fingerprint_of(change) else {
+            return;
+        };
+        let row = match change {
+            RowChange::Written(row) => row,
+            RowChange::Removed(_) => return self.crashes.merge_removal(fingerprint),
+            RowChange::Unusable(_, err) => return self.log_unusable(err),
+        };
+        match row.read::<SharedCrashCount>() {
+            Ok(shared) if shared.is_recent(unix_seconds()) => {
+                if self.crashes.merge(fingerprint, shared, Instant::now()) {
+                    let (fingerprint, crashes) = (hex(fingerprint), shared.crashes);
                     let event = Event::CrashesLearned { fingerprint, crashes };
                     self.log.write(Level::Info, &event);
                 }
             }
             Ok(_) => {}
-            Err(err) => {
-                let event = Event::CrashesUnusable { detail: err.to_string() };
-                self.log.write(Level::Warn, &event);
-            }
+            Err(err) => self.log_unusable(&err),
         }
     }
 
-    /// Writes the updates of this entry for the other entries until the process ends.
-    pub(super) async fn publish(self, mut crash_updates: mpsc::Receiver<CrashUpdate>) {
-        while let Some(update) = crash_updates.recv().await {
-            let mut result = Err(TableError::Conflict);
-            for _ in 0..MAX_TRIES {
-                result = self.write(update).await;
-                if result != Err(TableError::Conflict) {
-                    break;
+    /// Writes what this entry knows for the other entries until the process ends.
+    pub(super) async fn publish(self) {
+        let mut health = PlatformHealth::new("crash counts", self.log.clone());
+        loop {
+            let rows = self.crashes.unshared(MAX_ROWS).await;
+            match self.directory.commit(&write_rows(&rows)).await {
+                Ok(_) => {
+                    health.record_success();
+                    rows.iter().for_each(|(key, content)| self.confirm(*key, *content));
                 }
-            }
-            if let Err(err) = result {
-                let event =
-                    Event::CrashesUnusable { detail: format!("crash update not shared: {err}") };
-                self.log.write(Level::Warn, &event);
+                Err(err) => sleep(health.record_failure(&err.to_string())).await,
             }
         }
     }
 
-    async fn write(&self, update: CrashUpdate) -> Result<(), TableError> {
-        let (CrashUpdate::Crashed(fingerprint) | CrashUpdate::Cleared(fingerprint)) = update;
-        let key = format!("{KEY_PREFIX}{fingerprint:x}");
-        let row = self.directory.get(&key).await?;
-        let version = row.as_ref().map(|row| row.version);
-        let txn = Txn::new().check(&key, version);
-        let txn = match update {
-            CrashUpdate::Crashed(_) => {
-                let now = unix_seconds();
-                let known = row.map(|row| row.read::<SharedCrashCount>()).transpose()?;
-                let shared =
-                    known.map_or(SharedCrashCount::first(now), |known| known.incremented(now));
-                self.crashes.merge(fingerprint, shared.crashes, Instant::now());
-                txn.put(&key, &shared)
-            }
-            CrashUpdate::Cleared(_) if version.is_none() => return Ok(()),
-            CrashUpdate::Cleared(_) => txn.delete(&key),
-        };
-        self.directory.commit(&txn).await?;
-        if let CrashUpdate::Crashed(_) = update {
-            let crashes = self.crashes.count(fingerprint);
-            let event = Event::CrashesShared { fingerprint: hex(fingerprint), crashes };
-            self.log.write(Level::Info, &event);
-        }
-        Ok(())
+    fn confirm(&self, fingerprint: u64, content: RowContent) {
+        self.crashes.confirm_shared(fingerprint, content);
+        let crashes = content.map_or(0, |shared| shared.crashes);
+        let event = Event::CrashesShared { fingerprint: hex(fingerprint), crashes };
+        self.log.write(Level::Info, &event);
+    }
+
+    fn log_unusable(&self, err: &TableError) {
+        self.log.write(Level::Warn, &Event::CrashesUnusable { detail: err.to_string() });
     }
 }
 
-/// Returns the fingerprint and the count of a row, or `None` if it is not a crash row.
-fn read_crashes(row: &Row) -> Result<Option<(u64, SharedCrashCount)>, TableError> {
-    let fingerprint =
-        row.key.strip_prefix(KEY_PREFIX).and_then(|hex| u64::from_str_radix(hex, 16).ok());
-    fingerprint.map(|fingerprint| Ok((fingerprint, row.read()?))).transpose()
+fn write_rows(rows: &[(u64, RowContent)]) -> Txn {
+    rows.iter().fold(Txn::new(), |txn, (fingerprint, content)| {
+        let key = format!("{KEY_PREFIX}{}", hex(*fingerprint));
+        match content {
+            Some(shared) => txn.put(&key, shared),
+            None => txn.delete(&key),
+        }
+    })
+}
+
+/// Returns the fingerprint of a crash row, or `None` if it is another row.
+fn fingerprint_of(change: &RowChange) -> Option<u64> {
+    let hex = change.key().strip_prefix(KEY_PREFIX)?;
+    u64::from_str_radix(hex, 16).ok()
 }
 
 fn unix_seconds() -> u64 {
--- a/src/direct/crashes.rs
+++ b/src/direct/crashes.rs
@@ -1,85 +1,39 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use smallvec::SmallVec;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Number of crashes from which a request is quarantined.
-pub(super) const CRASHES_TO_QUARANTINE: u32 = 3;
-/// First quarantine time of a request, doubled with each further crash.
-const INITIAL_QUARANTINE: Duration = Duration::from_secs(20);
-/// Upper bound of the quarantine time.
-const MAX_QUARANTINE: Duration = Duration::from_secs(600);
-/// Number of counted attempts that are kept for a request.
-const MAX_COUNTED: usize = 4;
+use super::crash_record::CrashRecord;
+use super::{CrashedAttempt, Quarantine, SharedCrashCount};
+
 /// Maximum number of requests on record; beyond it the oldest is dropped.
 const MAX_RECORDS: usize = 4_096;
 
-/// Requests that were in flight when upstreams crashed, by fingerprint.
+/// Requests that were in flight when upstreams crashed, by fingerprint, and which of them are to be
+/// shared with the other entries.
 #[derive(Debug, Default)]
 pub struct Crashes {
-    records: Mutex<HashMap<u64, CrashRecord>>,
-}
-
-/// An attempt that was in flight as its upstream crashed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CrashedAttempt {
-    /// When it was sent.
-    pub started: Instant,
-    /// When this entry noticed its end.
-    pub ended: Instant,
-}
-
-/// Why and for how long a request is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Quarantine {
-    /// Number of crashes at which the request was in flight.
-    pub crashes: u32,
-    /// Time since the last of them.
-    pub age: Duration,
-    /// Time until the request is no longer refused.
-    pub left: Duration,
+    state: Mutex<State>,
+    /// Notified when a request is to be shared.
+    unshared: Notify,
 }
 
-#[derive(Clone, Debug)]
-struct CrashRecord {
-    crashes: u32,
-    /// When this entry noticed the last crash or learned of it.
-    last: Instant,
-    /// The last attempts of this entry that count.
-    counted: SmallVec<[CrashedAttempt; MAX_COUNTED]>,
-    /// When this entry last learned of crashes from others.
-    learned: Option<Instant>,
+#[derive(Debug, Default)]
+struct State {
+    records: HashMap<u64, CrashRecord>,
+    /// Requests whose row in the table may say less than the record. Without a record, the row is
+    /// to be removed.
+    unshared: HashSet<u64>,
 }
 
-impl CrashedAttempt {
-    fn overlaps(&self, other: &Self) -> bool {
-        self.started < other.ended && other.started < self.ended
-    }
-}
-
-impl CrashRecord {
-    /// Counts an attempt, unless it was in flight together with one that is counted, also as far as
-    /// others may have counted it.
-    fn count(&mut self, attempt: CrashedAttempt) -> Option<u32> {
-        let was_in_flight = self.counted.iter().any(|counted| counted.overlaps(&attempt));
-        if was_in_flight || self.learned.is_some_and(|learned| attempt.started < learned) {
-            return None;
-        }
-        if self.counted.len() == MAX_COUNTED {
-            self.counted.remove(0);
-        }
-        self.counted.push(attempt);
-        self.crashes += 1;
-        self.last = self.last.max(attempt.ended);
-        Some(self.crashes)
-    }
-}
+/// What a row of the table is to say of a request, `None` if it is to be removed.
+pub(super) type RowContent = Option<SharedCrashCount>;
 
 impl Crashes {
-    fn lock(&self) -> MutexGuard<'_, HashMap<u64, CrashRecord>> {
-        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Records that an upstream crashed while it ran this attempt at a request, in any order of the
@@ -104,61 +58,121 @@
     /// assert_eq!(crashes.quarantine(7, at(30)), None);
     /// ```
     pub fn record(&self, fingerprint: u64, attempt: CrashedAttempt) -> Option<u32> {
-        let mut records = self.lock();
-        if let Some(known) = records.get_mut(&fingerprint) {
-            return known.count(attempt);
-        }
-        let counted = [attempt].into_iter().collect();
-        let record = CrashRecord { crashes: 1, last: attempt.ended, counted, learned: None };
-        insert(&mut records, fingerprint, record);
-        Some(1)
+        let mut state = self.lock();
+        let crashes = match state.records.get_mut(&fingerprint) {
+            Some(known) => known.count(attempt)?,
+            None => {
+                state.insert(fingerprint, CrashRecord::first(attempt));
+                1
+            }
+        };
+        self.share(&mut state, fingerprint);
+        Some(crashes)
     }
 
-    /// Applies the count of all entries together, if it is higher than the local one. Returns
-    /// whether it was.
-    pub fn merge(&self, fingerprint: u64, crashes: u32, now: Instant) -> bool {
-        let mut records = self.lock();
-        let record =
-            CrashRecord { crashes, last: now, counted: SmallVec::new(), learned: Some(now) };
-        let Some(known) = records.get_mut(&fingerprint) else {
-            insert(&mut records, fingerprint, record);
-            return true;
-        };
-        let is_higher = known.crashes < crashes;
+    /// Applies the count of a row. Returns whether it is higher than the one known here. If it is
+    /// lower, the row is to be written again.
+    ///
+    /// ```
+    /// # use ebonyusher::direct::{Crashes, SharedCrashCount};
+    /// # use tokio::time::Instant;
+    /// let (crashes, now) = (Crashes::default(), Instant::now());
+    /// assert!(crashes.merge(7, SharedCrashCount { crashes: 2, at: 100 }, now));
+    /// assert!(!crashes.merge(7, SharedCrashCount { crashes: 1, at: 101 }, now));
+    /// assert_eq!(crashes.count(7), 2);
+    /// ```
+    pub fn merge(&self, fingerprint: u64, shared: SharedCrashCount, now: Instant) -> bool {
+        let mut state = self.lock();
+        let known = state.records.get(&fingerprint).map_or(0, |known| known.crashes);
+        if shared.crashes < known {
+            self.share(&mut state, fingerprint);
+            return false;
+        }
+        state.unshared.remove(&fingerprint);
+        let is_higher = shared.crashes > known;
         if is_higher {
-            *known = record;
+            state.insert(fingerprint, CrashRecord::learned(shared, now));
         }
         is_higher
     }
 
+    /// Applies that another entry has removed the row of a request because the request completed.
+    /// Crashes that this entry has yet to share were noticed later.
+    pub(super) fn merge_removal(&self, fingerprint: u64) {
+        let mut state = self.lock();
+        if !state.unshared.contains(&fingerprint) {
+            state.records.remove(&fingerprint);
+        }
+    }
+
+    /// Marks all requests as to be shared that the table, read as a whole, does not hold.
+    pub(super) fn share_all_but(&self, listed: &HashSet<u64>) {
+        let mut state = self.lock();
+        let missing: Vec<u64> =
+            state.records.keys().copied().filter(|key| !listed.contains(key)).collect();
+        missing.into_iter().for_each(|fingerprint| self.share(&mut state, fingerprint));
+    }
+
     /// Returns the number of crashes on record for a request.
     pub fn count(&self, fingerprint: u64) -> u32 {
-        self.lock().get(&fingerprint).map_or(0, |known| known.crashes)
+        self.lock().records.get(&fingerprint).map_or(0, |known| known.crashes)
     }
 
     /// Forgets a request that has completed. Returns the number of crashes on record, if any.
     pub fn clear(&self, fingerprint: u64) -> Option<u32> {
-        self.lock().remove(&fingerprint).map(|known| known.crashes)
+        let mut state = self.lock();
+        let known = state.records.remove(&fingerprint)?;
+        self.share(&mut state, fingerprint);
+        Some(known.crashes)
     }
 
     /// Returns the quarantine of a request, if it is quarantined.
     pub fn quarantine(&self, fingerprint: u64, now: Instant) -> Option<Quarantine> {
-        let records = self.lock();
-        let known = records.get(&fingerprint)?;
-        let doublings = known.crashes.checked_sub(CRASHES_TO_QUARANTINE)?;
-        let quarantine =
-            INITIAL_QUARANTINE.saturating_mul(1 << doublings.min(5)).min(MAX_QUARANTINE);
-        let age = now.saturating_duration_since(known.last);
-        let left = quarantine.checked_sub(age).filter(|left| !left.is_zero())?;
-        Some(Quarantine { crashes: known.crashes, age, left })
+        self.lock().records.get(&fingerprint)?.quarantine(now)
+    }
+
+    fn share(&self, state: &mut State, fingerprint: u64) {
+        state.unshared.insert(fingerprint);
+        self.unshared.notify_one();
+    }
+
+    /// Waits until requests are to be shared, and returns some of them with what their rows are to
+    /// say.
+    pub(super) async fn unshared(&self, max: usize) -> SmallVec<[(u64, RowContent); 8]> {
+        loop {
+            let rows = self.unshared_now(max);
+            if !rows.is_empty() {
+                return rows;
+            }
+            self.unshared.notified().await;
+        }
+    }
+
+    fn unshared_now(&self, max: usize) -> SmallVec<[(u64, RowContent); 8]> {
+        let state = self.lock();
+        let content = |key: &u64| state.records.get(key).map(CrashRecord::shared);
+        state.unshared.iter().take(max).map(|key| (*key, content(key))).collect()
+    }
+
+    /// Records that the row of a request says this, unless more has become known meanwhile.
+    pub(super) fn confirm_shared(&self, fingerprint: u64, written: RowContent) {
+        let mut state = self.lock();
+        let known = state.records.get(&fingerprint).map(|known| known.crashes);
+        if known == written.map(|shared| shared.crashes) {
+            state.unshared.remove(&fingerprint);
+        }
     }
 }
 
-fn insert(records: &mut HashMap<u64, CrashRecord>, fingerprint: u64, record: CrashRecord) {
-    if records.len() >= MAX_RECORDS {
-        let oldest =
-            records.iter().min_by_key(|(_, known)| known.last).map(|(fingerprint, _)| *fingerprint);
-        oldest.map(|fingerprint| records.remove(&fingerprint));
+impl State {
+    fn insert(&mut self, fingerprint: u64, record: CrashRecord) {
+        if self.records.len() >= MAX_RECORDS {
+            let oldest = self.records.iter().min_by_key(|(_, known)| known.last);
+            if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
+                self.records.remove(&oldest);
+                self.unshared.remove(&oldest);
+            }
+        }
+        self.records.insert(fingerprint, record);
     }
-    records.insert(fingerprint, record);
 }
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -45,6 +45,27 @@
     Unusable(String),
 }
 
+/// A change of ebonyusher's own table.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RowChange {
+    /// The row was written.
+    Written(Row),
+    /// The row with this key was removed.
+    Removed(String),
+    /// The row with this key (first field) can't be read, for this reason (second field).
+    Unusable(String, TableError),
+}
+
+impl RowChange {
+    /// Returns the key of the row.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Written(row) => &row.key,
+            Self::Removed(key) | Self::Unusable(key, _) => key,
+        }
+    }
+}
+
 /// Changes in the order in which the platform applied them.
 #[derive(Clone, Debug)]
 pub struct Changes<T> {
@@ -88,9 +109,8 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Changes<ListChange>, DirectoryError>> + Send;
 
-    /// Returns the rows of ebonyusher's own table or, if there is a cursor, those written after it,
-    /// without removed rows. With a cursor it waits as [`Self::routing`] does. A row that can't be
-    /// read is returned as an error.
+    /// Returns the rows of ebonyusher's own table or, if there is a cursor, the changes after it. In
+    /// that case it waits as [`Self::routing`] does.
     ///
     /// # Errors
     /// As [`DirectoryError`] says.
@@ -98,5 +118,5 @@
         &self,
         after: Option<u64>,
         wait: Duration,
-    ) -> impl Future<Output = Result<Changes<Result<Row, TableError>>, DirectoryError>> + Send;
+    ) -> impl Future<Output = Result<Changes<RowChange>, DirectoryError>> + Send;
 }
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -13,8 +13,8 @@
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
 use super::connection::Connection;
+use super::crash_record::CRASHES_TO_QUARANTINE;
 use super::crash_recorder::{CrashRecorder, CrashSign};
-use super::crashes::CRASHES_TO_QUARANTINE;
 use super::pick::Chosen;
 use super::service_state::ServiceState;
 use super::upstream::InFlight;
@@ -207,7 +207,7 @@
 
     /// Removes the crash record of a request that has completed.
     pub(super) fn clear_crashes(&self, request: &CheckedRequest) {
-        if let Some(crashes) = self.crash_recorder.clear(request.fingerprint) {
+        if let Some(crashes) = self.crash_recorder.crashes.clear(request.fingerprint) {
             self.log_cleared(request, crashes);
         }
     }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod checked_request;
 mod choice;
 mod connection;
+mod crash_record;
 mod crash_recorder;
 mod crash_sharing;
 mod crashes;
@@ -47,11 +48,12 @@
 pub use admission::{Admission, EngineLoad, LatencyTargets};
 pub use body::DirectBody;
 pub use choice::{Candidate, OtherEntriesLoad, choose, estimate_loads};
-pub use crashes::{CrashedAttempt, Crashes, Quarantine};
+pub use crash_record::{CrashedAttempt, Quarantine};
+pub use crashes::Crashes;
 pub use delivery::Delivery;
 pub use direct_meter::DirectMeter;
 pub use directory::{
-    Changes, Directory, DirectoryError, ListChange, ListedUpstream, RoutingChange,
+    Changes, Directory, DirectoryError, ListChange, ListedUpstream, RoutingChange, RowChange,
 };
 pub use freshness::Freshness;
 pub use header_names::HeaderNames;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -39,8 +38,6 @@
 const IDLE_TIME: Duration = Duration::from_secs(90);
 /// Safety margin below the maximum age of the settings that API keys are checked against.
 const KEY_AGE_MARGIN: Duration = Duration::from_millis(100);
-/// Capacity of the queue of crash updates for the other entries.
-const CRASH_UPDATE_QUEUE: usize = 16;
 /// Maximum size of a request head. The limit in the settings is not applied.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -113,7 +110,6 @@
         let meter = Arc::new(DirectMeter::new());
         let (publisher, routing) = RoutingPublisher::new();
         let crashes = Arc::new(Crashes::default());
-        let (crash_updates, received_updates) = mpsc::channel(CRASH_UPDATE_QUEUE);
         let dispatcher = Arc::new(Dispatcher {
             header_names,
             domain: file.domain.clone(),
@@ -123,7 +119,6 @@
             service_states: std::sync::Mutex::default(),
             crash_recorder: Arc::new(CrashRecorder {
                 crashes: Arc::clone(&crashes),
-                updates: crash_updates,
                 log: self.log.clone(),
             }),
             meter: Arc::clone(&meter),
@@ -135,7 +130,7 @@
             log: self.log.clone(),
         };
         let (follow_crashes, publish_crashes) =
-            (crash_sharing().follow(), crash_sharing().publish(received_updates));
+            (crash_sharing().follow(), crash_sharing().publish());
         let routing_follower = RoutingFollower {
             directory: Arc::clone(&directory),
             publisher,
