One entry tries a request whose quarantine time is over, once

Cause, hypothesis 3: the quarantine ended by time alone, at all entries at the same moment and for any number of callers; nothing made one of them try it for all. Change: when the time is over a trial is due. An entry claims it by a conditional write of the request's row (crashes, trials); who gets it sends the request once, a new trial restarts the time everywhere, a completed one clears the request everywhere. Without the store there is no trial. The first quarantine is a setting, 60 s by default, and grows fourfold with each further crash, to one hour, so that three further crashes take 21 minutes; rows hold for two hours, longer than any quarantine.

--- a/src/direct/crash_recorder.rs
+++ b/src/direct/crash_recorder.rs
@@ -7,6 +7,7 @@
 use super::connection::Connection;
 use super::dispatch_log::hex;
 use super::event::Event;
+use super::trial::Trials;
 use super::{CrashedAttempt, Crashes, Upstream};
 use crate::event_log::{EventLog, Level};
 
@@ -40,6 +41,7 @@
 #[derive(Debug)]
 pub(super) struct CrashRecorder {
     pub(super) crashes: Arc<Crashes>,
+    pub(super) trials: Trials,
     pub(super) log: EventLog,
 }
 
--- a/src/direct/crash_sharing.rs
+++ b/src/direct/crash_sharing.rs
@@ -103,7 +103,7 @@
 
 fn write_rows(rows: &[(u64, RowContent)]) -> Txn {
     rows.iter().fold(Txn::new(), |txn, (fingerprint, content)| {
-        let key = format!("{KEY_PREFIX}{}", hex(*fingerprint));
+        let key = row_key(*fingerprint);
         match content {
             Some(shared) => txn.put(&key, shared),
             None => txn.delete(&key),
@@ -111,6 +111,11 @@
     })
 }
 
+/// Returns the key of a request's crash row.
+pub(super) fn row_key(fingerprint: u64) -> String {
+    format!("{KEY_PREFIX}{}", hex(fingerprint))
+}
+
 /// Returns the fingerprint of a crash row, or `None` if it is another row.
 fn fingerprint_of(change: &RowChange) -> Option<u64> {
     let hex = change.key().strip_prefix(KEY_PREFIX)?;
--- a/src/direct/crashes.rs
+++ b/src/direct/crashes.rs
@@ -1,20 +1,23 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::crash_record::CrashRecord;
-use super::{CrashedAttempt, Quarantine, SharedCrashCount};
+use super::{CrashStatus, CrashedAttempt, SharedCrashCount};
 
 /// Maximum number of requests on record; beyond it the oldest is dropped.
 const MAX_RECORDS: usize = 4_096;
 
 /// Requests that were in flight when upstreams crashed, by fingerprint, and which of them are to be
 /// shared with the other entries.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Crashes {
+    /// Quarantine time of a request after the crash that makes it quarantined.
+    first_quarantine: Duration,
     state: Mutex<State>,
     /// Notified when a request is to be shared.
     unshared: Notify,
@@ -32,6 +35,12 @@
 pub(super) type RowContent = Option<SharedCrashCount>;
 
 impl Crashes {
+    /// Creates a record of no crashes. `first_quarantine` is how long a request is refused after
+    /// the crash that makes it quarantined.
+    pub fn new(first_quarantine: Duration) -> Self {
+        Self { first_quarantine, state: Mutex::default(), unshared: Notify::new() }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -43,23 +52,24 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use ebonyusher::direct::{CrashedAttempt, Crashes};
+    /// # use ebonyusher::direct::{CrashStatus, CrashedAttempt, Crashes};
     /// # use tokio::time::Instant;
-    /// let crashes = Crashes::default();
+    /// let crashes = Crashes::new(Duration::from_secs(60));
     /// let now = Instant::now();
     /// let at = |s| now + Duration::from_secs(s);
     /// let attempt = |started, ended| CrashedAttempt { started: at(started), ended: at(ended) };
     /// assert_eq!(crashes.record(7, attempt(2, 3)), Some(1));
     /// assert_eq!(crashes.record(7, attempt(1, 4)), None);
     /// assert_eq!(crashes.record(7, attempt(0, 1)), Some(2));
-    /// assert_eq!(crashes.quarantine(7, at(3)), None);
+    /// assert_eq!(crashes.status(7, at(3)), CrashStatus::Clear);
     /// assert_eq!(crashes.record(7, attempt(3, 4)), Some(3));
-    /// assert!(crashes.quarantine(7, at(5)).is_some());
-    /// assert_eq!(crashes.quarantine(7, at(30)), None);
+    /// assert!(matches!(crashes.status(7, at(5)), CrashStatus::Quarantined(_)));
+    /// assert!(matches!(crashes.status(7, at(64)), CrashStatus::TrialDue(_)));
     /// ```
     pub fn record(&self, fingerprint: u64, attempt: CrashedAttempt) -> Option<u32> {
         let mut state = self.lock();
-        let crashes = match state.records.get_mut(&fingerprint) {
+        let known = state.records.get_mut(&fingerprint);
+        let crashes = match known.filter(|known| !known.is_expired(attempt.ended)) {
             Some(known) => known.count(attempt)?,
             None => {
                 state.insert(fingerprint, CrashRecord::first(attempt));
@@ -70,30 +80,33 @@
         Some(crashes)
     }
 
-    /// Applies the count of a row. Returns whether it is higher than the one known here. If it is
-    /// lower, the row is to be written again.
+    /// Applies the count of a row. Returns whether it says more than is known here. If it says less,
+    /// the row is to be written again.
     ///
     /// ```
+    /// # use std::time::Duration;
     /// # use ebonyusher::direct::{Crashes, SharedCrashCount};
     /// # use tokio::time::Instant;
-    /// let (crashes, now) = (Crashes::default(), Instant::now());
-    /// assert!(crashes.merge(7, SharedCrashCount { crashes: 2, at: 100 }, now));
-    /// assert!(!crashes.merge(7, SharedCrashCount { crashes: 1, at: 101 }, now));
+    /// let (crashes, now) = (Crashes::new(Duration::from_secs(60)), Instant::now());
+    /// let shared = |crashes, trials| SharedCrashCount { crashes, trials, at: 100 };
+    /// assert!(crashes.merge(7, shared(2, 0), now));
+    /// assert!(crashes.merge(7, shared(2, 1), now));
+    /// assert!(!crashes.merge(7, shared(1, 2), now));
     /// assert_eq!(crashes.count(7), 2);
     /// ```
     pub fn merge(&self, fingerprint: u64, shared: SharedCrashCount, now: Instant) -> bool {
         let mut state = self.lock();
-        let known = state.records.get(&fingerprint).map_or(0, |known| known.crashes);
-        if shared.crashes < known {
+        let known = state.records.get(&fingerprint).map(CrashRecord::order);
+        if known.is_some_and(|known| shared.order() < known) {
             self.share(&mut state, fingerprint);
             return false;
         }
         state.unshared.remove(&fingerprint);
-        let is_higher = shared.crashes > known;
-        if is_higher {
+        let says_more = known != Some(shared.order());
+        if says_more {
             state.insert(fingerprint, CrashRecord::learned(shared, now));
         }
-        is_higher
+        says_more
     }
 
     /// Applies that another entry has removed the row of a request because the request completed.
@@ -126,9 +139,18 @@
         Some(known.crashes)
     }
 
-    /// Returns the quarantine of a request, if it is quarantined.
-    pub fn quarantine(&self, fingerprint: u64, now: Instant) -> Option<Quarantine> {
-        self.lock().records.get(&fingerprint)?.quarantine(now)
+    /// Returns how a request is treated.
+    pub fn status(&self, fingerprint: u64, now: Instant) -> CrashStatus {
+        let state = self.lock();
+        let known = state.records.get(&fingerprint).filter(|known| !known.is_expired(now));
+        known.map_or(CrashStatus::Clear, |known| known.status(self.first_quarantine, now))
+    }
+
+    /// Returns the count with one more trial, if one is due.
+    pub(super) fn next_trial(&self, fingerprint: u64, now: Instant) -> Option<SharedCrashCount> {
+        let is_due = matches!(self.status(fingerprint, now), CrashStatus::TrialDue(_));
+        let state = self.lock();
+        state.records.get(&fingerprint).filter(|_| is_due).map(CrashRecord::with_trial)
     }
 
     fn share(&self, state: &mut State, fingerprint: u64) {
@@ -157,8 +179,8 @@
     /// Records that the row of a request says this, unless more has become known meanwhile.
     pub(super) fn confirm_shared(&self, fingerprint: u64, written: RowContent) {
         let mut state = self.lock();
-        let known = state.records.get(&fingerprint).map(|known| known.crashes);
-        if known == written.map(|shared| shared.crashes) {
+        let known = state.records.get(&fingerprint).map(CrashRecord::order);
+        if known == written.map(SharedCrashCount::order) {
             state.unshared.remove(&fingerprint);
         }
     }
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -18,7 +18,10 @@
 use super::pick::Chosen;
 use super::service_state::ServiceState;
 use super::upstream::InFlight;
-use super::{Delivery, DirectMeter, Freshness, HeaderNames, RetryLimits, Roster, Upstream};
+use super::{
+    CrashStatus, Delivery, DirectMeter, Freshness, HeaderNames, Quarantine, RetryLimits, Roster,
+    Upstream,
+};
 use crate::entry::Failure;
 use crate::event_log::EventLog;
 use crate::outcome::{Reason, Refusal};
@@ -28,6 +31,9 @@
 /// Interval at which an upstream is checked for being stuck.
 const STUCK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Retry-after time of a quarantined request that could not be tried though a trial is due.
+const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// Sends requests to upstreams, checks their responses, and retries.
 #[derive(Debug)]
 pub(super) struct Dispatcher {
@@ -85,8 +91,8 @@
         // Error response of an upstream, returned if the retry brings no better one.
         let mut fallback = None;
         loop {
-            let chosen =
-                self.check_quarantine(request, history).and_then(|()| self.pick(request, history));
+            let allowed = self.check_quarantine(request, history).await;
+            let chosen = allowed.and_then(|()| self.pick(request, history));
             let Chosen { upstream, candidate } = match chosen {
                 Ok(chosen) => chosen,
                 Err(refusal) => {
@@ -191,15 +197,26 @@
         }
     }
 
-    /// Refuses a request that is quarantined.
-    fn check_quarantine(
+    /// Refuses a request that is quarantined. If a trial of it is due, that is claimed first.
+    async fn check_quarantine(
         &self,
         request: &CheckedRequest,
         history: &AttemptHistory,
     ) -> Result<(), Refusal> {
-        let crashes = &self.crash_recorder.crashes;
-        let Some(quarantine) = crashes.quarantine(request.fingerprint, Instant::now()) else {
-            return Ok(());
+        let (crashes, trials) = (&self.crash_recorder.crashes, &self.crash_recorder.trials);
+        let fingerprint = request.fingerprint;
+        let status = crashes.status(fingerprint, Instant::now());
+        let quarantine = match status {
+            CrashStatus::Clear => return Ok(()),
+            CrashStatus::TrialDue(_) if trials.claim(fingerprint).await => return Ok(()),
+            // The claim may have shown that another entry makes the trial.
+            CrashStatus::TrialDue(due) => match crashes.status(fingerprint, Instant::now()) {
+                CrashStatus::Quarantined(quarantine) => quarantine,
+                CrashStatus::Clear | CrashStatus::TrialDue(_) => {
+                    Quarantine { left: TRIAL_RETRY_AFTER, ..due }
+                }
+            },
+            CrashStatus::Quarantined(quarantine) => quarantine,
         };
         self.log_quarantined(request, &quarantine);
         Err(history.refusal(Reason::Poison).retry_after(quarantine.left))
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -67,6 +67,13 @@
         age_ms: u64,
         left_ms: u64,
     },
+    /// This entry may run a quarantined request once, or may not.
+    Trial {
+        #[serde(rename = "print")]
+        fingerprint: String,
+        granted: bool,
+        detail: String,
+    },
     /// A request that was in flight at crashes has completed, so it is not their cause.
     CrashesCleared {
         id: &'a str,
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::TcpListener;
+use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -17,6 +18,7 @@
 use super::monitoring::{MetricsHandler, ReadinessHandler};
 use super::request_tracker::millis;
 use super::routing_follower::RoutingFollower;
+use super::trial::Trials;
 use super::upstream_follower::UpstreamFollower;
 use super::watch::RoutingPublisher;
 use super::{Crashes, DirectMeter, Directory, Freshness, HeaderNames, RetryLimits, Roster};
@@ -38,6 +40,8 @@
 const IDLE_TIME: Duration = Duration::from_secs(90);
 /// Safety margin below the maximum age of the settings that API keys are checked against.
 const KEY_AGE_MARGIN: Duration = Duration::from_millis(100);
+/// Maximum number of waiting claims of trials.
+const TRIAL_QUEUE: usize = 16;
 /// Maximum size of a request head. The limit in the settings is not applied.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -109,7 +113,9 @@
         let roster = Arc::new(Roster::default());
         let meter = Arc::new(DirectMeter::new());
         let (publisher, routing) = RoutingPublisher::new();
-        let crashes = Arc::new(Crashes::default());
+        let first_quarantine = Duration::from_secs_f64(file.quarantine_seconds);
+        let crashes = Arc::new(Crashes::new(first_quarantine));
+        let (trials, trial_claims) = mpsc::channel(TRIAL_QUEUE);
         let dispatcher = Arc::new(Dispatcher {
             header_names,
             domain: file.domain.clone(),
@@ -119,6 +125,7 @@
             service_states: std::sync::Mutex::default(),
             crash_recorder: Arc::new(CrashRecorder {
                 crashes: Arc::clone(&crashes),
+                trials: Trials(trials),
                 log: self.log.clone(),
             }),
             meter: Arc::clone(&meter),
@@ -131,6 +138,7 @@
         };
         let (follow_crashes, publish_crashes) =
             (crash_sharing().follow(), crash_sharing().publish());
+        let grant_trials = crash_sharing().grant_trials(trial_claims);
         let routing_follower = RoutingFollower {
             directory: Arc::clone(&directory),
             publisher,
@@ -145,6 +153,7 @@
         tokio::spawn(stop.clone().run_until_cancelled_owned(upstream_follower.run()));
         tokio::spawn(stop.clone().run_until_cancelled_owned(follow_crashes));
         tokio::spawn(stop.clone().run_until_cancelled_owned(publish_crashes));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(grant_trials));
         let ready = ReadinessHandler {
             routing: routing.clone(),
             roster,
--- a/src/settings/direct_file.rs
+++ b/src/settings/direct_file.rs
@@ -27,6 +27,10 @@
     pub key_age_ms: Option<f64>,
     /// Limits of retries.
     pub retries: RetrySettings,
+    /// Seconds after the third crash under a request for which the request is refused, before one
+    /// trial. Four times as long after each further crash.
+    #[serde(default = "default_quarantine")]
+    pub quarantine_seconds: f64,
 }
 
 /// Limits of the retries that all entries together may send.
@@ -45,6 +49,11 @@
     pub entries: f64,
 }
 
+/// Default first quarantine time in seconds, in which operators can react to the crashes.
+const fn default_quarantine() -> f64 {
+    60.0
+}
+
 /// Default number of entries: the maximum that may run at the same time.
 const fn default_entries() -> f64 {
     16.0
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -55,6 +55,9 @@
     assert_eq!(roster.ids(), ["u-2"]);
 }
 
+/// First quarantine time of requests that crash upstreams.
+const QUARANTINE: Duration = Duration::from_secs(60);
+
 /// An attempt that was in flight between these times, in seconds.
 fn crashed_attempt(since: Instant, started: u64, ended: u64) -> CrashedAttempt {
     let at = |seconds| since + Duration::from_secs(seconds);
@@ -68,7 +71,7 @@
     fn crashes_of_attempts_one_after_another_count_each_in_any_order(
         order in Just((0..4_u64).collect::<Vec<_>>()).prop_shuffle(),
     ) {
-        let (crashes, start) = (Crashes::default(), Instant::now());
+        let (crashes, start) = (Crashes::new(QUARANTINE), Instant::now());
 
         for at in order {
             crashes.record(1, crashed_attempt(start, at, at + 1));
@@ -81,7 +84,7 @@
     fn crashes_of_attempts_in_flight_together_count_once(
         attempts in prop::collection::vec((0..10_u64, 10..20_u64), 1..8),
     ) {
-        let (crashes, start) = (Crashes::default(), Instant::now());
+        let (crashes, start) = (Crashes::new(QUARANTINE), Instant::now());
 
         for (started, ended) in attempts {
             crashes.record(1, crashed_attempt(start, started, ended));
