A completed request stays clear in deployments with sidecars

A request that ran beside two crashes and then completed was quarantined again at the next poll, for ten minutes. Cause: clear() dropped the record, and the shared row, read at each poll, named the same crashes as if they were new, with a new time. Change: the crashes stay on record, marked as cleared, until they expire. Result: a_completed_request_stays_clear_when_the_shared_crashes_are_read_again failed before (Quarantined) and passes; the other tests of suspects pass.

--- a/src/entry/suspects.rs
+++ b/src/entry/suspects.rs
@@ -47,6 +47,9 @@
     /// Id of the crash, the same in every report of it.
     id: u64,
     at: Instant,
+    /// Whether the request has since run to completion. The crash is kept, since the row that
+    /// entries share names it for some time.
+    cleared: bool,
 }
 
 impl Suspects {
@@ -73,7 +76,7 @@
         for fingerprint in &report.prints {
             let seen = crashes.entry(*fingerprint).or_default();
             if seen.iter().all(|crash| crash.id != report.event) {
-                seen.push(RecordedCrash { id: report.event, at: now });
+                seen.push(RecordedCrash { id: report.event, at: now, cleared: false });
             }
         }
     }
@@ -96,7 +99,9 @@
 
     /// Forgets the crashes of a request, because it has now run to completion.
     pub fn clear(&self, fingerprint: u64) {
-        self.lock().remove(&fingerprint);
+        if let Some(seen) = self.lock().get_mut(&fingerprint) {
+            seen.iter_mut().for_each(|crash| crash.cleared = true);
+        }
     }
 
     /// Returns how a request with this fingerprint is to be treated.
@@ -106,7 +111,7 @@
         let Some(seen) = crashes.get(&fingerprint) else {
             return QuarantineStatus::Clear;
         };
-        let fresh = seen.iter().filter(|crash| crash.is_fresh(now));
+        let fresh = seen.iter().filter(|crash| crash.is_fresh(now) && !crash.cleared);
         match fresh.clone().count() {
             0 => QuarantineStatus::Clear,
             count if count < CRASHES_TO_QUARANTINE => QuarantineStatus::Suspect,
--- a/tests/it/suspects.rs
+++ b/tests/it/suspects.rs
@@ -36,6 +36,18 @@
     assert_eq!(suspects.status(7), QuarantineStatus::Clear);
 }
 
+#[test]
+fn a_completed_request_stays_clear_when_the_shared_crashes_are_read_again() {
+    let suspects = Suspects::default();
+    let shared = [crash(1, &[7]), crash(2, &[7])];
+    shared.iter().for_each(|report| suspects.record_crash(report));
+
+    suspects.clear(7);
+    shared.iter().for_each(|report| suspects.record_crash(report));
+
+    assert_eq!(suspects.status(7), QuarantineStatus::Clear);
+}
+
 #[tokio::test(start_paused = true)]
 async fn old_crashes_no_longer_count() {
     let suspects = Suspects::default();
