Entries with sidecars share crashes until the table has them

A request quarantined at the entries that saw its crashes would crash two more upstreams at an entry that is not linked to those sidecars or starts later. Cause: a crash report was written in four tries within 0.8 s and then dropped, without a word if the queue was full; the table is away when upstreams crash. Result: crashes_seen_while_the_table_is_down_are_shared_after_it failed before (the new entry knew of no crash in 20 s, 'a crash could not be written' twice) and passes.

--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -4,7 +4,7 @@
 use jsonrpsee::core::client::Subscription;
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use smallvec::SmallVec;
-use spdlog::{debug, info};
+use spdlog::{debug, info, warn};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
@@ -129,7 +129,7 @@
         self.member.apply_report(report);
         for crash in &report.crashes {
             self.suspects.record_crash(crash);
-            self.crash_sender.try_send(crash.clone()).ok();
+            self.share_crash(crash.clone());
         }
     }
 
@@ -165,6 +165,12 @@
         let event = xxh3_64(format!("{from}-lost").as_bytes());
         let report = CrashReport { event, prints: lost.fingerprints };
         self.suspects.record_crash(&report);
-        self.crash_sender.try_send(report).ok();
+        self.share_crash(report);
+    }
+
+    fn share_crash(&self, report: CrashReport) {
+        if self.crash_sender.try_send(report).is_err() {
+            warn!("link: a crash is not shared, too many wait for the platform's table");
+        }
     }
 }
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -21,8 +21,7 @@
 use crate::metrics::Meter;
 use crate::net::{Handler, Shutdown, serve};
 use crate::peer::{
-    CrashReport, Hello, HintSender, RpcListener, SettingsFollower, SettingsRpcServer,
-    SettingsServer,
+    Hello, HintSender, RpcListener, SettingsFollower, SettingsRpcServer, SettingsServer,
 };
 use crate::platform::{InstanceList, Table};
 use crate::settings::{CurrentSettings, EntryFile, SettingsPublisher, SettingsStore};
@@ -257,7 +256,7 @@
             meter: Arc::clone(&self.meter),
         };
         self.spawn(manager.run());
-        self.spawn(share_crashes(sync, crashes));
+        self.spawn(async move { sync.share(crashes).await });
     }
 
     /// Spawns a task that runs until the entry shuts down.
@@ -278,10 +277,3 @@
     tokio::spawn(serve(listener, handler, shutdown.clone(), tasks));
     Ok(addr)
 }
-
-/// Shares crash reports with the other entries through the platform's table, one after another.
-async fn share_crashes<P: Table>(sync: SuspectsSync<P>, mut crashes: mpsc::Receiver<CrashReport>) {
-    while let Some(report) = crashes.recv().await {
-        sync.push(report).await;
-    }
-}
--- a/src/entry/suspects_sync.rs
+++ b/src/entry/suspects_sync.rs
@@ -3,6 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use spdlog::warn;
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use super::Suspects;
@@ -19,7 +20,8 @@
 /// Entries that receive the same crash report write it after a random delay up to this, so that
 /// usually only one of them has to.
 const WRITE_SPREAD: Duration = Duration::from_millis(200);
-const MAX_TRIES: usize = 4;
+/// Upper bound of that delay, which doubles while the table does not take the reports.
+const MAX_RETRY_SPREAD: Duration = Duration::from_secs(2);
 
 /// The row that shares recent crashes among all entries.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -58,36 +60,50 @@
         row.crashes.iter().for_each(|crash| self.suspects.record_crash(&crash.note));
     }
 
-    /// Shares a crash unless another entry already has.
-    pub(super) async fn push(&self, report: CrashReport) {
-        for _ in 0..MAX_TRIES {
-            let delay = rand::random_range(Duration::ZERO..WRITE_SPREAD);
-            sleep(delay).await;
-            if self.try_push(&report).await {
-                return;
+    /// Shares crashes that other entries have not shared yet, each until the table has it.
+    pub(super) async fn share(&self, mut reports: mpsc::Receiver<CrashReport>) {
+        let mut pending = Vec::new();
+        while reports.recv_many(&mut pending, MAX_CRASHES).await > 0 {
+            let mut spread = WRITE_SPREAD;
+            while !self.try_share(&pending, spread).await {
+                spread = (spread * 2).min(MAX_RETRY_SPREAD);
             }
+            pending.clear();
         }
-        warn!("suspects: a crash could not be written to the table that entries share");
     }
 
-    /// Tries once to add a crash to the row, and returns whether the row now contains it.
-    async fn try_push(&self, report: &CrashReport) -> bool {
-        let Ok(current) = self.platform.get(SUSPECTS_KEY).await else {
-            return false;
+    /// Tries once to add crashes to the row after a random delay, and returns whether the row now
+    /// contains them.
+    async fn try_share(&self, reports: &[CrashReport], spread: Duration) -> bool {
+        sleep(rand::random_range(Duration::ZERO..spread)).await;
+        let current = match self.platform.get(SUSPECTS_KEY).await {
+            Ok(current) => current,
+            Err(err) => {
+                warn!("suspects: the table that entries share can't be read: {err}");
+                return false;
+            }
         };
         let version = current.as_ref().map(|row| row.version);
         let read = current.as_ref().map(|row| row.read::<SuspectsRow>());
         let mut row = read.and_then(Result::ok).unwrap_or_default();
-        if row.crashes.iter().any(|crash| crash.note.event == report.event) {
+        let is_listed =
+            |report: &CrashReport| row.crashes.iter().any(|crash| crash.note.event == report.event);
+        let missing: Vec<CrashReport> =
+            reports.iter().filter(|report| !is_listed(report)).cloned().collect();
+        if missing.is_empty() {
             return true;
         }
         let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs());
         row.crashes.retain(|crash| crash.at + CRASH_RETENTION_SECONDS > now);
-        row.crashes.push(StoredCrash { note: report.clone(), at: now });
+        row.crashes.extend(missing.into_iter().map(|note| StoredCrash { note, at: now }));
         let surplus = row.crashes.len().saturating_sub(MAX_CRASHES);
         row.crashes.drain(..surplus);
         self.meter.count(Event::TableWrite);
         let txn = Txn::new().check(SUSPECTS_KEY, version).put(SUSPECTS_KEY, &row);
-        self.platform.commit(&txn).await.is_ok()
+        let result = self.platform.commit(&txn).await;
+        if let Err(err) = &result {
+            warn!("suspects: crashes are not yet in the table that entries share: {err}");
+        }
+        result.is_ok()
     }
 }
--- a/tests/it/fault_table.rs
+++ b/tests/it/fault_table.rs
@@ -3,12 +3,14 @@
 
 use std::time::Duration;
 
+use ebonyusher::entry::PowerOfTwoChoices;
 use ebonyusher::outcome::{Outcome, Reason};
+use ebonyusher::sidecar::SidecarNode;
 use ebonyusher_standin::Faults;
 use rstest::rstest;
 use tokio::time::sleep;
 
-use crate::test_cluster::{TestCluster, wait_until};
+use crate::test_cluster::{TEAM, TestCluster, wait_until};
 
 const LONG_CHAT: &str = r#"{"stream":true,"max_tokens":40,"messages":"a"}"#;
 
@@ -168,3 +170,20 @@
     assert_eq!((again.outcome, again.reason), (Some(Outcome::NotRun), Some(Reason::Poison)));
     assert_eq!(starts, 2, "two engines crashed");
 }
+
+#[tokio::test]
+async fn crashes_seen_while_the_table_is_down_are_shared_after_it() {
+    let mut cluster = TestCluster::start(4, 0, 1).await;
+    cluster.fleet.platform.platform.set_faults(Faults { down: true, ..Faults::default() });
+    cluster.chat(r#"{"stream":true,"max_tokens":4,"messages":"poison"}"#).await;
+    wait_until(|| cluster.entries[0].suspects().quarantined_count() == 1).await;
+    sleep(Duration::from_secs(2)).await;
+    // Only the table can tell a new entry, whose sidecars are new as well.
+    cluster.sidecars.drain(..).for_each(SidecarNode::kill);
+
+    cluster.fleet.platform.platform.set_faults(Faults::default());
+    let file = cluster.fleet.entry_file("entry-new", &[TEAM]);
+    let new = cluster.fleet.entry(file, PowerOfTwoChoices).await.unwrap();
+
+    wait_until(|| new.suspects().quarantined_count() == 1).await;
+}
