ctl explain joins a quarantined request with the crashes that it caused earlier

Change: lines with the same fingerprint are shown, of all processes and times up to the request; lines of other fingerprints no longer come in as context. Result: a test over the logs of two entries, new.

--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -11,6 +11,9 @@
 /// many milliseconds before its first line.
 const BEFORE_MS: u64 = 5_000;
 
+/// Field with the fingerprint that a request has each time that its caller sends it.
+const FINGERPRINT: &str = "print";
+
 /// A line of a structured log.
 #[derive(Clone, Debug, PartialEq)]
 struct LogLine {
@@ -23,7 +26,8 @@
 
 /// Returns the decisions about one request in saved logs, in order of time, together with other
 /// events that the processes which handled the request logged shortly before and during it: about
-/// settings, the platform, readiness and the upstreams that the request was sent to.
+/// settings, the platform, readiness and the upstreams that the request was sent to. Of crashes it
+/// returns all that any process logged about requests with the same fingerprint until then.
 ///
 /// ```
 /// # use ebonyusher::ctl::explain;
@@ -44,7 +48,13 @@
     let nodes: BTreeSet<&str> = request_lines.iter().map(|line| line.node.as_str()).collect();
     let upstreams: BTreeSet<&str> =
         request_lines.iter().filter_map(|line| line.field("upstream")).collect();
+    let fingerprints: BTreeSet<&str> =
+        request_lines.iter().filter_map(|line| line.field(FINGERPRINT)).collect();
     let is_context = |line: &&LogLine| {
+        if let Some(fingerprint) = line.field(FINGERPRINT) {
+            let is_other = line.field("id") != Some(id);
+            return is_other && line.at <= last && fingerprints.contains(fingerprint);
+        }
         let in_time = line.at + BEFORE_MS >= first && line.at <= last;
         let upstream = line.field("upstream").is_none_or(|name| upstreams.contains(name));
         line.field("id").is_none() && in_time && nodes.contains(line.node.as_str()) && upstream
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -4,6 +4,7 @@
 mod at_most_once;
 mod budget;
 mod direct_parts;
+mod explain;
 mod fault_table;
 mod group_run;
 mod input;
