Attempts that broke at one upstream count once when it ends

Cause: an upstream that broke connections and lived on was replaced within 8 s; each of the attempts that had broken there one after the other counted as a crash of its own, four in one millisecond ('crashed crashes=1' to 4 of plain-0 in the log). Change: of the attempts at one request that ended at one upstream only the last is suspected; after the earlier ones it lived on.

--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -208,9 +208,11 @@
     }
 
     /// Remembers that an attempt at the request with this fingerprint ended as if the upstream had
-    /// crashed.
+    /// crashed. It takes the place of an earlier one, after which the upstream lived on.
     pub(super) fn suspect(&self, fingerprint: u64, attempt: CrashedAttempt) {
-        self.lock().suspects.push((fingerprint, attempt));
+        let mut state = self.lock();
+        state.suspects.retain(|(other, _)| *other != fingerprint);
+        state.suspects.push((fingerprint, attempt));
     }
 
     /// Removes and returns the suspected attempts. If the upstream has ended, it has crashed while
