A trial goes on as long as it has reached no upstream

Cause: the check before each further attempt did not know that the request holds the trial. Change: the request keeps its trial until an attempt may have run; the trial is claimed only once an upstream is chosen, so a refusal for load does not spend it. What the dispatcher does about crashes moves to crash_gate.rs.

--- a/src/direct/attempt_history.rs
+++ b/src/direct/attempt_history.rs
@@ -15,6 +15,8 @@
     reached: u32,
     /// Number of attempts whose connections broke while the request ran.
     pub(super) broken: u32,
+    /// Whether this is the trial of a quarantined request.
+    pub(super) has_trial: bool,
     /// Whether an attempt without a usable response may have run.
     may_have_run: bool,
     /// Ids of the upstreams that were tried.
@@ -39,6 +41,11 @@
         self.reached > 0
     }
 
+    /// Returns whether the trial of a quarantined request goes on: it has reached no upstream yet.
+    pub(super) const fn may_continue_trial(&self) -> bool {
+        self.has_trial && !self.may_have_run
+    }
+
     /// Records how an attempt ended.
     pub(super) fn record_failure(&mut self, failure: Failure) {
         self.may_have_run |= failure.outcome == Outcome::Unknown;
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -13,15 +13,11 @@
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
 use super::connection::Connection;
-use super::crash_record::CRASHES_TO_QUARANTINE;
-use super::crash_recorder::{CrashRecorder, CrashSign};
+use super::crash_recorder::CrashRecorder;
 use super::pick::Chosen;
 use super::service_state::ServiceState;
 use super::upstream::InFlight;
-use super::{
-    CrashStatus, Delivery, DirectMeter, Freshness, HeaderNames, Quarantine, RetryLimits, Roster,
-    Upstream,
-};
+use super::{Delivery, DirectMeter, Freshness, HeaderNames, RetryLimits, Roster, Upstream};
 use crate::entry::Failure;
 use crate::event_log::EventLog;
 use crate::outcome::{Reason, Refusal};
@@ -31,9 +27,6 @@
 /// Interval at which an upstream is checked for being stuck.
 const STUCK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Retry-after time of a quarantined request that could not be tried though a trial is due.
-const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(2);
-
 /// Sends requests to upstreams, checks their responses, and retries.
 #[derive(Debug)]
 pub(super) struct Dispatcher {
@@ -91,8 +84,7 @@
         // Error response of an upstream, returned if the retry brings no better one.
         let mut fallback = None;
         loop {
-            let allowed = self.check_quarantine(request, history).await;
-            let chosen = allowed.and_then(|()| self.pick(request, history));
+            let chosen = self.choose_upstream(request, history).await;
             let Chosen { upstream, candidate } = match chosen {
                 Ok(chosen) => chosen,
                 Err(refusal) => {
@@ -134,6 +126,20 @@
         }
     }
 
+    /// Chooses an upstream for the next attempt, if the request may be sent.
+    async fn choose_upstream(
+        &self,
+        request: &CheckedRequest,
+        history: &mut AttemptHistory,
+    ) -> Result<Chosen, Refusal> {
+        let due = self.check_quarantine(request, history)?;
+        let chosen = self.pick(request, history)?;
+        if let Some(due) = due {
+            self.claim_trial(request, history, due).await?;
+        }
+        Ok(chosen)
+    }
+
     fn may_retry(
         &self,
         request: &CheckedRequest,
@@ -166,69 +172,6 @@
             && self.may_retry(request, history, failure)
     }
 
-    /// Suspects a request of the crash that the end of its attempt is a sign of.
-    pub(super) fn suspect(
-        &self,
-        request: &CheckedRequest,
-        upstream: &Arc<Upstream>,
-        started: Instant,
-        sign: CrashSign,
-    ) {
-        self.log_suspected(request, upstream, sign);
-        self.crash_recorder.suspect(upstream, request.fingerprint, started, sign);
-    }
-
-    /// Waits until it is known whether the upstream has crashed, if the request would then be
-    /// quarantined and get no further attempt.
-    async fn await_verdict(
-        &self,
-        request: &CheckedRequest,
-        history: &mut AttemptHistory,
-        upstream: &Upstream,
-        sign: CrashSign,
-    ) {
-        if sign != CrashSign::ConnectionBroken {
-            return;
-        }
-        history.broken += 1;
-        let crashes = self.crash_recorder.crashes.count(request.fingerprint);
-        if crashes + history.broken >= CRASHES_TO_QUARANTINE {
-            self.crash_recorder.probe(upstream).await;
-        }
-    }
-
-    /// Refuses a request that is quarantined. If a trial of it is due, that is claimed first.
-    async fn check_quarantine(
-        &self,
-        request: &CheckedRequest,
-        history: &AttemptHistory,
-    ) -> Result<(), Refusal> {
-        let (crashes, trials) = (&self.crash_recorder.crashes, &self.crash_recorder.trials);
-        let fingerprint = request.fingerprint;
-        let status = crashes.status(fingerprint, Instant::now());
-        let quarantine = match status {
-            CrashStatus::Clear => return Ok(()),
-            CrashStatus::TrialDue(_) if trials.claim(fingerprint).await => return Ok(()),
-            // The claim may have shown that another entry makes the trial.
-            CrashStatus::TrialDue(due) => match crashes.status(fingerprint, Instant::now()) {
-                CrashStatus::Quarantined(quarantine) => quarantine,
-                CrashStatus::Clear | CrashStatus::TrialDue(_) => {
-                    Quarantine { left: TRIAL_RETRY_AFTER, ..due }
-                }
-            },
-            CrashStatus::Quarantined(quarantine) => quarantine,
-        };
-        self.log_quarantined(request, &quarantine);
-        Err(history.refusal(Reason::Poison).retry_after(quarantine.left))
-    }
-
-    /// Removes the crash record of a request that has completed.
-    pub(super) fn clear_crashes(&self, request: &CheckedRequest) {
-        if let Some(crashes) = self.crash_recorder.crashes.clear(request.fingerprint) {
-            self.log_cleared(request, crashes);
-        }
-    }
-
     /// Waits until an upstream is stuck and an attempt at another one is allowed. That attempt is
     /// then already charged to the retry budget.
     pub(super) async fn wait_until_stuck(
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod checked_request;
 mod choice;
 mod connection;
+mod crash_gate;
 mod crash_record;
 mod crash_recorder;
 mod crash_sharing;
