Entries notice that the store came back from an older copy

After a drill an entry went on from a version that meant another change by then: settings and upstreams written below it were never followed, upstreams that the copy lacked were dropped at once if the outage went unnoticed, and crash counts were lost for entries that start later. Cause: a cursor was a bare number, valid for ever.

--- a/src/direct/crash_sharing.rs
+++ b/src/direct/crash_sharing.rs
@@ -36,7 +36,7 @@
         let mut health = PlatformHealth::new("crashes", self.log.clone());
         let mut cursor = None;
         loop {
-            match self.directory.rows(cursor, MAX_WAIT).await {
+            match self.directory.rows(cursor, health.next_wait(MAX_WAIT)).await {
                 Ok(changes) => {
                     health.record_success();
                     changes.items.iter().for_each(|change| self.apply(change));
@@ -47,6 +47,10 @@
                     cursor = Some(changes.cursor);
                 }
                 Err(DirectoryError::HistoryGone) => cursor = None,
+                Err(DirectoryError::Rewound(era)) => {
+                    health.record_rewind(era);
+                    cursor = None;
+                }
                 Err(err) => sleep(health.record_failure(&err.to_string())).await,
             }
         }
--- a/src/direct/directory.rs
+++ b/src/direct/directory.rs
@@ -66,13 +66,23 @@
     }
 }
 
+/// A position in the platform's changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Cursor {
+    /// Era of the platform's store. It rises each time that the store comes back from an older copy;
+    /// versions are then given again, so a position means nothing in another era.
+    pub era: u64,
+    /// Version of the last change.
+    pub version: u64,
+}
+
 /// Changes in the order in which the platform applied them.
 #[derive(Clone, Debug)]
 pub struct Changes<T> {
     /// The changes.
     pub items: Vec<T>,
     /// Position from which the next call continues.
-    pub cursor: u64,
+    pub cursor: Cursor,
 }
 
 /// Why the platform returned no changes.
@@ -81,6 +91,8 @@
 pub enum DirectoryError {
     /// the changes since the cursor are no longer kept
     HistoryGone,
+    /// the platform's store came back from an older copy, its era is now {0}
+    Rewound(u64),
     /// the platform does not respond: {0}
     Unavailable(String),
 }
@@ -94,7 +106,7 @@
     /// As [`DirectoryError`] says.
     fn routing(
         &self,
-        after: Option<u64>,
+        after: Option<Cursor>,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes<RoutingChange>, DirectoryError>> + Send;
 
@@ -105,7 +117,7 @@
     /// As [`DirectoryError`] says.
     fn upstreams(
         &self,
-        after: Option<u64>,
+        after: Option<Cursor>,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes<ListChange>, DirectoryError>> + Send;
 
@@ -116,7 +128,7 @@
     /// As [`DirectoryError`] says.
     fn rows(
         &self,
-        after: Option<u64>,
+        after: Option<Cursor>,
         wait: Duration,
     ) -> impl Future<Output = Result<Changes<RowChange>, DirectoryError>> + Send;
 }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -21,6 +21,8 @@
     SettingsUnusable { reason: &'a str, in_force: u64 },
     /// The platform responds again, or no longer responds.
     Platform { topic: &'a str, up: bool, detail: &'a str, down_ms: u64 },
+    /// The platform's store came back from an older copy. The topic is read as a whole.
+    StoreRewound { topic: &'a str, era: u64 },
     /// The list of upstreams changed.
     Upstream { upstream: &'a str, service: &'a str, change: &'a str, cursor: u64 },
     /// An upstream crashed while it ran the request with this fingerprint.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -55,7 +55,8 @@
 pub use delivery::Delivery;
 pub use direct_meter::DirectMeter;
 pub use directory::{
-    Changes, Directory, DirectoryError, ListChange, ListedUpstream, RoutingChange, RowChange,
+    Changes, Cursor, Directory, DirectoryError, ListChange, ListedUpstream, RoutingChange,
+    RowChange,
 };
 pub use freshness::Freshness;
 pub use header_names::HeaderNames;
--- a/src/direct/platform_health.rs
+++ b/src/direct/platform_health.rs
@@ -44,6 +44,19 @@
         backoff.mul_f64(rand::random_range(0.8..1.2))
     }
 
+    /// Returns how long the next call may wait for changes. The first one after an outage does not
+    /// wait, since its response tells whether the store came back from an older copy.
+    pub(super) fn next_wait(&self, max: Duration) -> Duration {
+        if self.down_since.is_some() { Duration::ZERO } else { max }
+    }
+
+    /// Records that the platform's store came back from an older copy, which counts as the end of an
+    /// outage.
+    pub(super) fn record_rewind(&mut self, era: u64) {
+        self.recovered_at = Some(Instant::now());
+        self.log.write(Level::Warn, &Event::StoreRewound { topic: self.topic, era });
+    }
+
     /// Returns the time since the end of the last outage of the platform, if there was one.
     pub(super) fn since_recovery(&self) -> Option<Duration> {
         self.recovered_at.map(|at| at.elapsed())
--- a/src/direct/routing_follower.rs
+++ b/src/direct/routing_follower.rs
@@ -37,7 +37,7 @@
             .map_or(MAX_WAIT, |max_age| MAX_WAIT.min(max_age / CALLS_PER_MAX_AGE));
         loop {
             let sent_at = BootTime::now();
-            match self.directory.routing(cursor, wait).await {
+            match self.directory.routing(cursor, health.next_wait(wait)).await {
                 Ok(changes) => {
                     health.record_success();
                     cursor = Some(changes.cursor);
@@ -46,6 +46,10 @@
                     }
                 }
                 Err(DirectoryError::HistoryGone) => cursor = None,
+                Err(DirectoryError::Rewound(era)) => {
+                    health.record_rewind(era);
+                    cursor = None;
+                }
                 Err(err) => sleep(health.record_failure(&err.to_string())).await,
             }
         }
--- a/src/direct/upstream_follower.rs
+++ b/src/direct/upstream_follower.rs
@@ -6,7 +6,7 @@
 
 use super::event::Event;
 use super::platform_health::PlatformHealth;
-use super::{Changes, Directory, DirectoryError, ListChange, Roster, RosterChange};
+use super::{Changes, Cursor, Directory, DirectoryError, ListChange, Roster, RosterChange};
 use crate::event_log::{EventLog, Level};
 
 /// Maximum time that one call waits for changes of the list.
@@ -25,7 +25,7 @@
     /// Upstreams that disappeared from the list in an outage of the platform, and when to remove
     /// them.
     missing: HashMap<String, Instant>,
-    cursor: Option<u64>,
+    cursor: Option<Cursor>,
 }
 
 impl<D: Directory> UpstreamFollower<D> {
@@ -37,13 +37,17 @@
     /// Follows the list until the process ends.
     pub(super) async fn run(mut self) {
         loop {
-            let wait = self.next_wait();
+            let wait = self.health.next_wait(self.next_wait());
             match self.directory.upstreams(self.cursor, wait).await {
                 Ok(changes) => {
                     self.health.record_success();
                     self.apply(changes);
                 }
                 Err(DirectoryError::HistoryGone) => self.cursor = None,
+                Err(DirectoryError::Rewound(era)) => {
+                    self.health.record_rewind(era);
+                    self.cursor = None;
+                }
                 Err(err) => sleep(self.health.record_failure(&err.to_string())).await,
             }
             self.remove_expired();
@@ -60,6 +64,7 @@
 
     fn apply(&mut self, changes: Changes<ListChange>) {
         let is_full_list = self.cursor.is_none();
+        let version = changes.cursor.version;
         let previous: HashSet<String> =
             if is_full_list { self.roster.ids().into_iter().collect() } else { HashSet::new() };
         let mut listed = HashSet::new();
@@ -70,55 +75,56 @@
                     listed.insert(upstream.id.clone());
                     let (id, service) = (upstream.id.clone(), upstream.service.clone());
                     let change = self.roster.apply(upstream);
-                    self.log_change(&id, &service, change, changes.cursor);
+                    self.log_change(&id, &service, change, version);
                 }
-                ListChange::Gone(id) => self.remove_or_defer(id, changes.cursor),
+                ListChange::Gone(id) => self.remove_or_defer(id, version),
                 ListChange::Unusable(id, reason) => {
                     let change = format!("unusable: {reason}");
-                    self.write(Level::Warn, &id, "", &change, changes.cursor);
+                    self.write(Level::Warn, &id, "", &change, version);
                 }
             }
         }
         for id in previous.difference(&listed) {
-            self.remove_or_defer(id.clone(), changes.cursor);
+            self.remove_or_defer(id.clone(), version);
         }
         self.cursor = Some(changes.cursor);
     }
 
     /// Removes an upstream that is no longer listed. Soon after an outage of the platform the
     /// removal is deferred, since the upstream may not have been listed again yet.
-    fn remove_or_defer(&mut self, id: String, cursor: u64) {
+    fn remove_or_defer(&mut self, id: String, version: u64) {
         let left = self.health.since_recovery().and_then(|since| RELIST_GRACE.checked_sub(since));
         if let Some(left) = left {
-            self.write(Level::Info, &id, "", "missing", cursor);
+            self.write(Level::Info, &id, "", "missing", version);
             self.missing.entry(id).or_insert(Instant::now() + left);
         } else if self.roster.remove(&id) {
-            self.write(Level::Info, &id, "", "gone", cursor);
+            self.write(Level::Info, &id, "", "gone", version);
         }
     }
 
     fn remove_expired(&mut self) {
         let now = Instant::now();
+        let version = self.cursor.map_or(0, |cursor| cursor.version);
         let due: Vec<String> =
             self.missing.iter().filter(|(_, at)| **at <= now).map(|(id, _)| id.clone()).collect();
         for id in due {
             self.missing.remove(&id);
             self.roster.remove(&id);
-            self.write(Level::Info, &id, "", "gone", self.cursor.unwrap_or_default());
+            self.write(Level::Info, &id, "", "gone", version);
         }
     }
 
-    fn log_change(&self, id: &str, service: &str, change: RosterChange, cursor: u64) {
+    fn log_change(&self, id: &str, service: &str, change: RosterChange, version: u64) {
         let change = match change {
             RosterChange::Added => "added",
             RosterChange::Replaced => "replaced",
             RosterChange::Draining => "draining",
             RosterChange::None => return,
         };
-        self.write(Level::Info, id, service, change, cursor);
+        self.write(Level::Info, id, service, change, version);
     }
 
-    fn write(&self, level: Level, id: &str, service: &str, change: &str, cursor: u64) {
-        self.log.write(level, &Event::Upstream { upstream: id, service, change, cursor });
+    fn write(&self, level: Level, id: &str, service: &str, change: &str, version: u64) {
+        self.log.write(level, &Event::Upstream { upstream: id, service, change, cursor: version });
     }
 }
