An upstream that has drained and left stays gone when an older copy lists it

After a drill an upstream that had drained and left got requests again, since the store's copy still called it ready. Cause: the roster forgot an upstream with its row. Change: the roster remembers id and start of the last 1,024 that drained and left; an incarnation that started no later is not added. One whose row lapsed without draining comes back as before.

--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -3,6 +3,9 @@
 
 use super::{ListedUpstream, Upstream};
 
+/// Maximum number of departed incarnations on record; beyond it the one started first is dropped.
+const MAX_DEPARTED: usize = 1_024;
+
 /// The upstreams of one service.
 pub type Upstreams = Arc<Vec<Arc<Upstream>>>;
 
@@ -29,6 +32,9 @@
 struct State {
     services: HashMap<String, Upstreams>,
     by_id: HashMap<String, Arc<Upstream>>,
+    /// Start times of the incarnations that drained and left, by id. An older copy of the list may
+    /// name them again.
+    departed: HashMap<String, u64>,
 }
 
 impl Roster {
@@ -74,6 +80,9 @@
             }
             state.remove(&listed.id);
         }
+        if state.has_departed(&listed) {
+            return RosterChange::None;
+        }
         if state.others_at_address(&listed).any(|other| other.started_at_ms > listed.started_at_ms)
         {
             return RosterChange::None;
@@ -120,6 +129,26 @@
         })
     }
 
+    /// Returns whether this incarnation, or a later one with its id, has drained and left.
+    fn has_departed(&self, listed: &ListedUpstream) -> bool {
+        let departed = self.departed.get(&listed.id);
+        departed.is_some_and(|at| listed.started_at_ms.is_some_and(|started| started <= *at))
+    }
+
+    fn record_departure(&mut self, upstream: &Upstream) {
+        let Some(started_at_ms) = upstream.listed.started_at_ms.filter(|_| upstream.is_draining())
+        else {
+            return;
+        };
+        if self.departed.len() >= MAX_DEPARTED {
+            let oldest = self.departed.iter().min_by_key(|(_, at)| **at);
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                self.departed.remove(&id);
+            }
+        }
+        self.departed.insert(upstream.listed.id.clone(), started_at_ms);
+    }
+
     fn add(&mut self, listed: ListedUpstream) {
         let upstream = Arc::new(Upstream::new(listed));
         self.by_id.insert(upstream.listed.id.clone(), Arc::clone(&upstream));
@@ -131,6 +160,7 @@
         let Some(upstream) = self.by_id.remove(id) else {
             return false;
         };
+        self.record_departure(&upstream);
         upstream.end();
         if let Some(service) = self.services.get_mut(&upstream.listed.service) {
             Arc::make_mut(service).retain(|other| !Arc::ptr_eq(other, &upstream));
