Split the largest file of the expert maps and of the direct entry; one Unix time

Change: finding the ranks of a group and undoing what is left of a switch moves to assembly.rs, the load that an upstream reports to load.rs, units::unix_seconds takes the place of the five. Nothing else is changed.

--- a/src/direct/crash_record.rs
+++ b/src/direct/crash_record.rs
@@ -1,10 +1,11 @@
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use super::SharedCrashCount;
 use super::shared_crash_count::MAX_AGE_S;
+use crate::units::unix_seconds;
 
 /// Number of crashes from which a request is quarantined.
 pub(super) const CRASHES_TO_QUARANTINE: u32 = 3;
@@ -108,16 +109,13 @@
 
     /// Returns the count for the other entries.
     pub(super) fn shared(&self) -> SharedCrashCount {
-        let at = SystemTime::now().checked_sub(self.last.elapsed());
-        let at = at.and_then(|at| at.duration_since(UNIX_EPOCH).ok());
-        let at = at.map_or(0, |at| at.as_secs());
+        let at = unix_seconds(self.last.elapsed());
         SharedCrashCount { crashes: self.crashes, trials: self.trials, at }
     }
 
     /// Returns the count with one more trial, which begins now.
     pub(super) fn with_trial(&self) -> SharedCrashCount {
-        let at = SystemTime::now().duration_since(UNIX_EPOCH);
-        let at = at.map_or(0, |at| at.as_secs());
+        let at = unix_seconds(Duration::ZERO);
         SharedCrashCount { crashes: self.crashes, trials: self.trials + 1, at }
     }
 
--- a/src/direct/crash_sharing.rs
+++ b/src/direct/crash_sharing.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
 
@@ -10,6 +10,7 @@
 use super::{Crashes, Directory, DirectoryError, RowChange, SharedCrashCount};
 use crate::event_log::{EventLog, Level};
 use crate::platform::{Table, TableError, Txn};
+use crate::units::unix_seconds;
 
 /// Maximum time that one call waits for crashes recorded by other entries.
 const MAX_WAIT: Duration = Duration::from_secs(20);
@@ -66,7 +67,7 @@
             RowChange::Unusable(_, err) => return self.log_unusable(err),
         };
         match row.read::<SharedCrashCount>() {
-            Ok(shared) if shared.is_recent(unix_seconds()) => {
+            Ok(shared) if shared.is_recent(unix_seconds(Duration::ZERO)) => {
                 if self.crashes.merge(fingerprint, shared, Instant::now()) {
                     let (fingerprint, crashes) = (hex(fingerprint), shared.crashes);
                     let event = Event::CrashesLearned { fingerprint, crashes };
@@ -125,7 +126,3 @@
     let hex = change.key().strip_prefix(KEY_PREFIX)?;
     u64::from_str_radix(hex, 16).ok()
 }
-
-fn unix_seconds() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs())
-}
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -7,7 +7,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::connection::Connection;
-use super::{Candidate, CrashedAttempt, Inactivity, ListedUpstream, Liveness, OtherEntriesLoad};
+use super::load::LoadReport;
+use super::{Candidate, CrashedAttempt, Inactivity, ListedUpstream, Liveness, Load};
 
 /// First backoff after the upstream could not be reached, refused a request, or gave no valid
 /// response several times in a row; doubled with each further backoff.
@@ -24,17 +25,6 @@
 /// Idle time after which a connection is not reused, shorter than the usual timeout of upstreams.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 
-/// Load that an upstream reports in a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Load {
-    /// Number of running requests.
-    pub running: u32,
-    /// Number of waiting requests.
-    pub waiting: u32,
-    /// Number of requests that can run at a time.
-    pub slots: u32,
-}
-
 /// One incarnation of an upstream, as this entry sees it.
 #[derive(Debug)]
 pub struct Upstream {
@@ -64,15 +54,6 @@
     idle: Vec<Connection>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct LoadReport {
-    load: Load,
-    at: Instant,
-    /// Requests of this entry that were in flight when the report arrived, and which the report
-    /// therefore counts.
-    own: u32,
-}
-
 /// A request counted as in flight at an upstream until dropped.
 #[derive(Debug)]
 pub(super) struct InFlight {
@@ -98,23 +79,6 @@
     }
 }
 
-impl Load {
-    /// Parses the three numbers of a load header.
-    ///
-    /// ```
-    /// # use ebonyusher::direct::Load;
-    /// let load = Load { running: 3, waiting: 0, slots: 8 };
-    /// assert_eq!(Load::parse("3,0,8"), Some(load));
-    /// assert_eq!(Load::parse("3,0"), None);
-    /// ```
-    pub fn parse(text: &str) -> Option<Self> {
-        let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
-        let load =
-            Self { running: numbers.next()??, waiting: numbers.next()??, slots: numbers.next()?? };
-        numbers.next().is_none().then_some(load)
-    }
-}
-
 impl Upstream {
     /// Creates an upstream of which only the listing is known.
     pub fn new(listed: ListedUpstream) -> Self {
@@ -288,14 +252,3 @@
         self.losses = 0;
     }
 }
-
-impl LoadReport {
-    /// Returns the part of the reported load that other entries cause.
-    fn others(&self, now: Instant) -> OtherEntriesLoad {
-        let reported = self.load.running + self.load.waiting;
-        OtherEntriesLoad {
-            requests: f64::from(reported.saturating_sub(self.own)),
-            age: now.saturating_duration_since(self.at),
-        }
-    }
-}
--- a/src/entry/suspects_sync.rs
+++ b/src/entry/suspects_sync.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use spdlog::warn;
@@ -10,6 +10,7 @@
 use crate::metrics::{Event, Meter};
 use crate::peer::CrashReport;
 use crate::platform::{Table, Txn};
+use crate::units::unix_seconds;
 
 /// Key of the row in the platform's table.
 const SUSPECTS_KEY: &str = "suspects";
@@ -93,7 +94,7 @@
         if missing.is_empty() {
             return true;
         }
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs());
+        let now = unix_seconds(Duration::ZERO);
         row.crashes.retain(|crash| crash.at + CRASH_RETENTION_SECONDS > now);
         row.crashes.extend(missing.into_iter().map(|note| StoredCrash { note, at: now }));
         let surplus = row.crashes.len().saturating_sub(MAX_CRASHES);
--- a/src/remap/mod.rs
+++ b/src/remap/mod.rs
@@ -4,6 +4,7 @@
 //! [`crate::switch`] instead.
 
 mod agent;
+mod assembly;
 mod demand;
 mod event;
 mod group_map;
--- a/src/sidecar/claim_row.rs
+++ b/src/sidecar/claim_row.rs
@@ -1,11 +1,12 @@
 use std::fmt;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
 use super::StoredAnswer;
 use crate::id::{AttemptId, Incarnation};
+use crate::units::unix_seconds;
 
 /// Name of the row that holds the claim on an idempotency key.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -72,7 +73,7 @@
 impl ClaimRow {
     /// Makes the claim of a request that is about to start.
     pub fn started(attempt: AttemptId, owner: Incarnation, digest: &str) -> Self {
-        let at = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_secs());
+        let at = unix_seconds(Duration::ZERO);
         Self { attempt, owner, digest: digest.to_owned(), at, state: ClaimState::Started }
     }
 
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -1,9 +1,11 @@
-//! Durations and sizes that carry their unit in JSON, and times on the boot clock.
+//! Durations and sizes that carry their unit in JSON, times on the boot clock and in Unix seconds.
 
 mod boot_time;
 mod size;
 mod span;
+mod unix_time;
 
 pub use boot_time::BootTime;
 pub use size::Size;
 pub use span::Span;
+pub use unix_time::unix_seconds;
--- /dev/null
+++ b/src/units/unix_time.rs
@@ -0,0 +1,13 @@
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Returns the Unix time in seconds at which something happened that is `age` old.
+///
+/// ```
+/// # use std::time::Duration;
+/// # use ebonyusher::units::unix_seconds;
+/// assert!(unix_seconds(Duration::from_secs(60)) < unix_seconds(Duration::ZERO));
+/// ```
+pub fn unix_seconds(age: Duration) -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.saturating_sub(age).as_secs()
+}
