A leader's term lives through a store that comes back from an older copy

After a drill a new leader could claim a term, and so fencing tokens, that another had used; the present leader could not record that it may switch, went on calling the ranks, so nobody took over, and the group's map stayed as it was for good. Cause: the term was the stored one plus one, and any row but the leader's own counted as another leader. Change: a claim is also above the latest term that the sidecar has heard of from leaders; a row of an earlier term, or none, no longer deposes. Open, in docs/STORE-ERA.md: sidecars that heard of no such term; the drill in the interleaving search.

--- a/src/remap/mod.rs
+++ b/src/remap/mod.rs
@@ -35,3 +35,4 @@
 pub use rank_state::{Armed, RankState};
 pub use settle_action::{SettleAction, next_settle_action};
 pub use switch::{SwitchError, armed_last, settle_switch, switch};
+pub use term_store::{ClaimedTerm, TermStore};
--- a/src/remap/rank_node.rs
+++ b/src/remap/rank_node.rs
@@ -171,7 +171,7 @@
 
     async fn take_over(&self, reason: &str) {
         let silence = self.watch.silence();
-        let ClaimedTerm { term, switcher } = match self.terms.claim().await {
+        let ClaimedTerm { term, switcher } = match self.terms.claim(self.watch.term()).await {
             Ok(claimed) => claimed,
             Err(TableError::Conflict) => {
                 self.log.write(Level::Info, &Event::NotClaimed);
--- a/src/remap/term_store.rs
+++ b/src/remap/term_store.rs
@@ -19,16 +19,16 @@
 
 /// A term that this process has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct ClaimedTerm {
+pub struct ClaimedTerm {
     /// Number of the term.
-    pub(super) term: u64,
+    pub term: u64,
     /// Rank beside the leader that last recorded that it may begin a switch.
-    pub(super) switcher: Option<usize>,
+    pub switcher: Option<usize>,
 }
 
 /// One process's access to the stored term of a group.
 #[derive(Debug)]
-pub(super) struct TermStore<T> {
+pub struct TermStore<T> {
     table: Arc<T>,
     key: String,
     own: Incarnation,
@@ -36,27 +36,50 @@
 
 impl<T: Table> TermStore<T> {
     /// Access for the process with the incarnation `own`.
-    pub(super) fn new(table: Arc<T>, group: &str, own: Incarnation) -> Self {
+    pub fn new(table: Arc<T>, group: &str, own: Incarnation) -> Self {
         Self { table, key: format!("term/{group}"), own }
     }
 
-    /// Begins a new term led by this process, greater than all earlier ones.
-    pub(super) async fn claim(&self) -> Result<ClaimedTerm, TableError> {
+    /// Begins a new term led by this process, greater than the stored one and than the latest one
+    /// that this process knows of: the store may have come back from an older copy.
+    ///
+    /// # Errors
+    /// As [`Table`] says; [`TableError::Conflict`] if another process claims a term at the same time.
+    ///
+    /// ```
+    /// # use std::sync::Arc;
+    /// # use ebonyusher::{id::Incarnation, remap::TermStore};
+    /// # use ebonyusher_standin::MemPlatform;
+    /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+    /// let table = Arc::new(MemPlatform::new());
+    /// let terms = TermStore::new(table, "group-1", Incarnation::random());
+    /// assert_eq!(terms.claim(0).await.unwrap().term, 1);
+    /// assert_eq!(terms.claim(7).await.unwrap().term, 8);
+    /// # });
+    /// ```
+    pub async fn claim(&self, known: u64) -> Result<ClaimedTerm, TableError> {
         let row = self.table.get(&self.key).await?;
         let version = row.as_ref().map(|row| row.version);
         let before = row.map(|row| row.read::<TermRow>()).transpose()?;
-        let term = before.map_or(0, |before| before.term) + 1;
+        let term = before.map_or(0, |before| before.term).max(known) + 1;
         let switcher = before.and_then(|before| before.switcher);
         self.write(TermRow { holder: self.own, switcher, term }, version).await?;
         Ok(ClaimedTerm { term, switcher })
     }
 
     /// Records, before the first switch of a term, which rank the leader is beside.
-    pub(super) async fn record_switcher(&self, term: u64, rank: usize) -> Result<(), TableError> {
+    ///
+    /// # Errors
+    /// As [`Table`] says; [`TableError::Conflict`] if the stored term is not this one.
+    pub async fn record_switcher(&self, term: u64, rank: usize) -> Result<(), TableError> {
         let row = self.table.get(&self.key).await?;
         let version = row.as_ref().map(|row| row.version);
         let present = row.map(|row| row.read::<TermRow>()).transpose()?;
-        if present.is_none_or(|present| present.holder != self.own || present.term != term) {
+        let has_other_leader = present.is_some_and(|present| {
+            present.term > term || (present.term == term && present.holder != self.own)
+        });
+        // A row of an earlier term, or none, is what a store that came back from an older copy has.
+        if has_other_leader {
             return Err(TableError::Conflict);
         }
         self.write(TermRow { holder: self.own, switcher: Some(rank), term }, version).await
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -22,6 +22,7 @@
 mod routing;
 mod settings_order;
 mod suspects;
+mod term_store;
 mod test_cluster;
 mod vote_search;
 mod whole_path;
