--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -14,6 +14,9 @@
 /// Field with the fingerprint that a request has each time that its caller sends it.
 const FINGERPRINT: &str = "print";
 
+/// Event that each refusal for crashes logs; those of other requests tell nothing new.
+const REFUSED_BY_CRASHES: &str = "quarantined";
+
 /// A line of a structured log.
 #[derive(Clone, Debug, PartialEq)]
 struct LogLine {
@@ -52,8 +55,9 @@
         request_lines.iter().filter_map(|line| line.field(FINGERPRINT)).collect();
     let is_context = |line: &&LogLine| {
         if let Some(fingerprint) = line.field(FINGERPRINT) {
-            let is_other = line.field("id") != Some(id);
-            return is_other && line.at <= last && fingerprints.contains(fingerprint);
+            let is_own = line.field("id") == Some(id);
+            let is_telling = !is_own && line.event != REFUSED_BY_CRASHES;
+            return is_telling && line.at <= last && fingerprints.contains(fingerprint);
         }
         let in_time = line.at + BEFORE_MS >= first && line.at <= last;
         let upstream = line.field("upstream").is_none_or(|name| upstreams.contains(name));
--- a/tests/it/explain.rs
+++ b/tests/it/explain.rs
@@ -5,6 +5,7 @@
 const LOG: &str = r#"{"at":100,"node":"entry-2","event":"crashed","upstream":"u-1","print":"7f","crashes":3,"proof":"connection refused"}
 {"at":110,"node":"entry-2","event":"crashed","upstream":"u-1","print":"8a","crashes":1,"proof":"connection refused"}
 {"at":9000,"node":"entry-1","event":"suspected","id":"earlier","upstream":"u-2","print":"7f","sign":"silence"}
+{"at":20000,"node":"entry-1","event":"quarantined","id":"before","print":"7f","crashes":3}
 {"at":30000,"node":"entry-1","event":"quarantined","id":"asked","print":"7f","crashes":3}
 {"at":30000,"node":"entry-1","event":"ended","id":"asked","status":503,"reason":"poison"}
 {"at":40000,"node":"entry-1","event":"crashes-cleared","id":"later","print":"7f","crashes":3}"#;
