A crash row with an absurd time is no overflow; the reason why a crash is not counted in plain words

Cause: the age of a row was worked out with a sum that overflows for a time near the largest number, which ends the following task in a debug build; 'same incident' no longer says what is compared. Change: a saturating sum; 'in flight with a counted attempt'.

--- a/src/direct/crash_recorder.rs
+++ b/src/direct/crash_recorder.rs
@@ -105,9 +105,10 @@
 
     fn log_crash(&self, upstream: &Upstream, fingerprint: u64, crashes: Option<u32>, proof: &str) {
         let (upstream, fingerprint) = (&upstream.listed.id, hex(fingerprint));
+        let reason = "in flight with a counted attempt";
         let event = match crashes {
             Some(crashes) => Event::Crashed { upstream, fingerprint, crashes, proof },
-            None => Event::CrashNotCounted { upstream, fingerprint, reason: "same incident" },
+            None => Event::CrashNotCounted { upstream, fingerprint, reason },
         };
         self.log.write(Level::Warn, &event);
     }
--- a/src/direct/shared_crash_count.rs
+++ b/src/direct/shared_crash_count.rs
@@ -27,7 +27,7 @@
     /// assert!(shared.is_recent(160) && !shared.is_recent(9_000));
     /// ```
     pub const fn is_recent(self, now: u64) -> bool {
-        self.at + MAX_AGE_S > now
+        self.at.saturating_add(MAX_AGE_S) > now
     }
 
     /// Returns what decides which of two counts holds.
