Log when and where an attempt ended whose crash counts or does not

'crash-not-counted' did not tell copies of one request, whose upstreams end one after the other, from the loss of a failure domain, whose upstreams end together. Change: 'crashed' and 'crash-not-counted' carry the upstream's failure domain, how long the attempt ran and how long ago it ended. No decision is changed.

--- a/src/direct/crash_recorder.rs
+++ b/src/direct/crash_recorder.rs
@@ -7,6 +7,7 @@
 use super::connection::Connection;
 use super::dispatch_log::hex;
 use super::event::Event;
+use super::request_tracker::millis;
 use super::trial::Trials;
 use super::{CrashedAttempt, Crashes, Upstream};
 use crate::event_log::{EventLog, Level};
@@ -99,16 +100,41 @@
     fn record_crash(&self, upstream: &Upstream, proof: &str) {
         for (fingerprint, attempt) in upstream.take_suspects() {
             let crashes = self.crashes.record(fingerprint, attempt);
-            self.log_crash(upstream, fingerprint, crashes, proof);
+            self.log_crash(upstream, fingerprint, attempt, crashes, proof);
         }
     }
 
-    fn log_crash(&self, upstream: &Upstream, fingerprint: u64, crashes: Option<u32>, proof: &str) {
-        let (upstream, fingerprint) = (&upstream.listed.id, hex(fingerprint));
+    fn log_crash(
+        &self,
+        upstream: &Upstream,
+        fingerprint: u64,
+        attempt: CrashedAttempt,
+        crashes: Option<u32>,
+        proof: &str,
+    ) {
+        let ran_ms = millis(attempt.ended.saturating_duration_since(attempt.started));
+        let ended_ms_ago = millis(attempt.ended.elapsed());
+        let (domain, fingerprint) = (upstream.listed.domain.as_str(), hex(fingerprint));
+        let upstream = &upstream.listed.id;
         let reason = "in flight with a counted attempt";
         let event = match crashes {
-            Some(crashes) => Event::Crashed { upstream, fingerprint, crashes, proof },
-            None => Event::CrashNotCounted { upstream, fingerprint, reason },
+            Some(crashes) => Event::Crashed {
+                upstream,
+                domain,
+                fingerprint,
+                crashes,
+                proof,
+                ran_ms,
+                ended_ms_ago,
+            },
+            None => Event::CrashNotCounted {
+                upstream,
+                domain,
+                fingerprint,
+                reason,
+                ran_ms,
+                ended_ms_ago,
+            },
         };
         self.log.write(Level::Warn, &event);
     }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -28,10 +28,13 @@
     /// An upstream crashed while it ran the request with this fingerprint.
     Crashed {
         upstream: &'a str,
+        domain: &'a str,
         #[serde(rename = "print")]
         fingerprint: String,
         crashes: u32,
         proof: &'a str,
+        ran_ms: u64,
+        ended_ms_ago: u64,
     },
     /// An attempt ended in a way that its upstream's crash would explain.
     Suspected {
@@ -44,9 +47,12 @@
     /// A crash was not counted against this request.
     CrashNotCounted {
         upstream: &'a str,
+        domain: &'a str,
         #[serde(rename = "print")]
         fingerprint: String,
         reason: &'a str,
+        ran_ms: u64,
+        ended_ms_ago: u64,
     },
     /// Other entries know of more crashes of a request than this one did.
     CrashesLearned {
