Copies of a request count each crash that the loss of a failure domain does not explain

Cause: crashes of attempts that overlapped counted once, so that the loss of a failure domain blames no request, and entries shared a number, of which the highest held: three upstreams that ended at three entries were three numbers of one. A round of copies counted one. Change: what is kept and shared is the set of upstream incarnations that ended under the request, which entries join in any order. A crash counts by itself if another upstream of the failure domain lives, by an open idle connection or one that it accepts 50 ms after the break. Others count once as far as they overlap, as before. Rows have a new key: entries of the last landing and of this one don't share crashes while both run. Why it works: two sets can be joined and two numbers can't; and a failure domain that has not been lost is no explanation for the crash.

--- a/src/direct/crash_recorder.rs
+++ b/src/direct/crash_recorder.rs
@@ -2,19 +2,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
+use rand::seq::IndexedRandom;
 use tokio::time::{Instant, sleep, sleep_until};
 
 use super::connection::Connection;
+use super::crash::SuspectedAttempt;
 use super::dispatch_log::hex;
 use super::event::Event;
 use super::request_tracker::millis;
 use super::trial::Trials;
-use super::{CrashedAttempt, Crashes, Upstream};
+use super::{Crashes, Roster, Upstream};
 use crate::event_log::{EventLog, Level};
 
 /// Time between a connection's break and the check whether its upstream still listens, since a
 /// process that exits may close its connections before its listening socket.
 const PROBE_DELAY: Duration = Duration::from_millis(50);
+/// Maximum number of upstreams of a failure domain that are asked whether they live.
+const MAX_WITNESSES: usize = 3;
 
 /// Why an attempt is suspected to have been in flight as its upstream crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +40,25 @@
     }
 }
 
+/// What shows that an upstream has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CrashProof {
+    /// It refuses connections.
+    ConnectionRefused,
+    /// The platform lists it no longer, or as started anew.
+    NoLongerListed,
+}
+
+impl CrashProof {
+    /// Returns the proof's name in the log.
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::ConnectionRefused => "connection refused",
+            Self::NoLongerListed => "no longer listed",
+        }
+    }
+}
+
 /// Finds out which requests were in flight as upstreams crashed.
 ///
 /// An attempt that ends with a [`CrashSign`] is suspected. It counts once its upstream is known to
@@ -42,6 +66,7 @@
 #[derive(Debug)]
 pub(super) struct CrashRecorder {
     pub(super) crashes: Arc<Crashes>,
+    pub(super) roster: Arc<Roster>,
     pub(super) trials: Trials,
     pub(super) log: EventLog,
 }
@@ -56,7 +81,7 @@
         started: Instant,
         sign: CrashSign,
     ) {
-        let attempt = CrashedAttempt { started, ended: Instant::now() };
+        let attempt = SuspectedAttempt { started, ended: Instant::now() };
         upstream.suspect(fingerprint, attempt);
         if sign == CrashSign::ConnectionBroken && upstream.begin_probe() {
             let (recorder, upstream) = (Arc::clone(self), Arc::clone(upstream));
@@ -73,7 +98,8 @@
         upstream.end_probe();
         match Connection::open(upstream.addr()).await {
             Ok(conn) => upstream.put_idle(conn.into_idle(None)),
-            Err(err) => self.record_failed_connection(upstream, &err),
+            Err(err) if is_refused(&err) => self.record_refused(upstream).await,
+            Err(_) => {}
         }
     }
 
@@ -82,24 +108,51 @@
     async fn watch(self: Arc<Self>, upstream: Arc<Upstream>) {
         while let Some(until) = upstream.suspected_until() {
             tokio::select! {
-                () = upstream.ended() => self.record_crash(&upstream, "no longer listed"),
+                // Upstreams that start anew may listen by now, so none is asked whether it lives.
+                () = upstream.ended() => {
+                    self.record_crash(&upstream, CrashProof::NoLongerListed, false);
+                }
                 () = sleep_until(until) => {}
             }
         }
     }
 
-    /// Records a crash if a connection failed because the upstream does not listen. A timeout proves
-    /// nothing: the way to the upstream may be cut.
-    pub(super) fn record_failed_connection(&self, upstream: &Upstream, err: &io::Error) {
-        if err.kind() == io::ErrorKind::ConnectionRefused {
-            self.record_crash(upstream, "connection refused");
+    /// Records a crash if a connection failed because the upstream does not listen.
+    pub(super) fn record_failed_connection(
+        self: &Arc<Self>,
+        upstream: &Arc<Upstream>,
+        err: &io::Error,
+    ) {
+        if is_refused(err) && upstream.suspected_since().is_some() {
+            let (recorder, upstream) = (Arc::clone(self), Arc::clone(upstream));
+            tokio::spawn(async move { recorder.record_refused(&upstream).await });
+        }
+    }
+
+    async fn record_refused(&self, upstream: &Upstream) {
+        if let Some(since) = upstream.suspected_since() {
+            let isolated = self.is_domain_alive(upstream, since).await;
+            self.record_crash(upstream, CrashProof::ConnectionRefused, isolated);
         }
     }
 
+    /// Returns whether another upstream of the failure domain, known since before the crash, lives.
+    /// Those at which the same request is suspected are not asked: it may have crashed them too.
+    async fn is_domain_alive(&self, upstream: &Upstream, crashed: Instant) -> bool {
+        let fits = |peer: &Upstream| {
+            peer.is_known_before(crashed) && !peer.is_draining() && !upstream.shares_suspect(peer)
+        };
+        let peers = self.roster.domain_peers(upstream, fits);
+        let asked = peers.choose_multiple(&mut rand::rng(), MAX_WITNESSES);
+        let answers = join_all(asked.map(|peer| peer.accepts_connections())).await;
+        answers.contains(&true)
+    }
+
     /// Records that the upstream has crashed, for the requests that are suspected.
-    fn record_crash(&self, upstream: &Upstream, proof: &str) {
+    fn record_crash(&self, upstream: &Upstream, proof: CrashProof, isolated: bool) {
         for (fingerprint, attempt) in upstream.take_suspects() {
-            let crashes = self.crashes.record(fingerprint, attempt);
+            let crash = attempt.crash(&upstream.listed, isolated);
+            let crashes = self.crashes.record(fingerprint, crash, attempt.ended);
             self.log_crash(upstream, fingerprint, attempt, crashes, proof);
         }
     }
@@ -108,15 +161,15 @@
         &self,
         upstream: &Upstream,
         fingerprint: u64,
-        attempt: CrashedAttempt,
+        attempt: SuspectedAttempt,
         crashes: Option<u32>,
-        proof: &str,
+        proof: CrashProof,
     ) {
         let ran_ms = millis(attempt.ended.saturating_duration_since(attempt.started));
         let ended_ms_ago = millis(attempt.ended.elapsed());
         let (domain, fingerprint) = (upstream.listed.domain.as_str(), hex(fingerprint));
-        let upstream = &upstream.listed.id;
-        let reason = "in flight with a counted attempt";
+        let (upstream, proof) = (&upstream.listed.id, proof.as_str());
+        let reason = "the loss of the failure domain may explain it, or it is known";
         let event = match crashes {
             Some(crashes) => Event::Crashed {
                 upstream,
@@ -139,3 +192,8 @@
         self.log.write(Level::Warn, &event);
     }
 }
+
+/// Returns whether an upstream does not listen. A timeout does not tell: the way to it may be cut.
+fn is_refused(err: &io::Error) -> bool {
+    err.kind() == io::ErrorKind::ConnectionRefused
+}
--- a/src/direct/crash_sharing.rs
+++ b/src/direct/crash_sharing.rs
@@ -7,7 +7,7 @@
 use super::dispatch_log::hex;
 use super::event::Event;
 use super::platform_health::PlatformHealth;
-use super::{Crashes, Directory, DirectoryError, RowChange, SharedCrashCount};
+use super::{Crashes, Directory, DirectoryError, RowChange, SharedCrashes};
 use crate::event_log::{EventLog, Level};
 use crate::platform::{Table, TableError, Txn};
 use crate::units::unix_seconds;
@@ -15,14 +15,14 @@
 /// Maximum time that one call waits for crashes recorded by other entries.
 const MAX_WAIT: Duration = Duration::from_secs(20);
 /// Prefix of the keys of crash rows.
-const KEY_PREFIX: &str = "crashes/";
+const KEY_PREFIX: &str = "crashed/";
 /// Maximum number of rows that one transaction writes.
 const MAX_ROWS: usize = 50;
 
 /// Shares crash counts of requests with the other entries through the platform's table.
 ///
-/// Each row converges to the highest count that any entry knows: an entry writes what it knows until
-/// the table has it, and again when a row says less. So writes need no condition, and one that is
+/// Each row converges to all crashes that any entry knows: an entry writes what it knows until the
+/// table has it, and again when a row lacks some. So writes need no condition, and one that is
 /// lost, late or overtaken does no lasting harm.
 #[derive(Debug)]
 pub(super) struct CrashSharing<D> {
@@ -66,10 +66,11 @@
             RowChange::Removed(_) => return self.crashes.merge_removal(fingerprint),
             RowChange::Unusable(_, err) => return self.log_unusable(err),
         };
-        match row.read::<SharedCrashCount>() {
+        match row.read::<SharedCrashes>() {
             Ok(shared) if shared.is_recent(unix_seconds(Duration::ZERO)) => {
-                if self.crashes.merge(fingerprint, shared, Instant::now()) {
-                    let (fingerprint, crashes) = (hex(fingerprint), shared.crashes);
+                if self.crashes.merge(fingerprint, &shared, Instant::now()) {
+                    let crashes = self.crashes.count(fingerprint);
+                    let fingerprint = hex(fingerprint);
                     let event = Event::CrashesLearned { fingerprint, crashes };
                     self.log.write(Level::Info, &event);
                 }
@@ -87,16 +88,16 @@
             match self.directory.commit(&write_rows(&rows)).await {
                 Ok(_) => {
                     health.record_success();
-                    rows.iter().for_each(|(key, content)| self.confirm(*key, *content));
+                    rows.iter().for_each(|(key, content)| self.confirm(*key, content));
                 }
                 Err(err) => sleep(health.record_failure(&err.to_string())).await,
             }
         }
     }
 
-    fn confirm(&self, fingerprint: u64, content: RowContent) {
+    fn confirm(&self, fingerprint: u64, content: &RowContent) {
         self.crashes.confirm_shared(fingerprint, content);
-        let crashes = content.map_or(0, |shared| shared.crashes);
+        let crashes = content.as_ref().map_or(0, |shared| shared.crashes.count());
         let event = Event::CrashesShared { fingerprint: hex(fingerprint), crashes };
         self.log.write(Level::Info, &event);
     }
--- a/src/direct/crashes.rs
+++ b/src/direct/crashes.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::crash_record::CrashRecord;
-use super::{CrashStatus, CrashedAttempt, SharedCrashCount};
+use super::{Crash, CrashStatus, SharedCrashes};
 
 /// Maximum number of requests on record; beyond it the oldest is dropped.
 const MAX_RECORDS: usize = 4_096;
@@ -32,7 +32,7 @@
 }
 
 /// What a row of the table is to say of a request, `None` if it is to be removed.
-pub(super) type RowContent = Option<SharedCrashCount>;
+pub(super) type RowContent = Option<SharedCrashes>;
 
 impl Crashes {
     /// Creates a record of no crashes. `first_quarantine` is how long a request is refused after
@@ -45,66 +45,71 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that an upstream crashed while it ran this attempt at a request, in any order of the
-    /// attempts. Returns the number of crashes, or `None` if the attempt was in flight together
-    /// with one that is counted: the loss of a failure domain takes down several upstreams
-    /// together, and no request is to blame.
+    /// Records that an upstream crashed while it ran a request, as noticed at `ended`. Returns the
+    /// number of crashes, or `None` if this one does not raise it: the loss of a failure domain may
+    /// explain it as well, or another entry has noticed it.
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use ebonyusher::direct::{CrashStatus, CrashedAttempt, Crashes};
+    /// # use ebonyusher::direct::{Crash, CrashStatus, Crashes};
     /// # use tokio::time::Instant;
     /// let crashes = Crashes::new(Duration::from_secs(60));
     /// let now = Instant::now();
     /// let at = |s| now + Duration::from_secs(s);
-    /// let attempt = |started, ended| CrashedAttempt { started: at(started), ended: at(ended) };
-    /// assert_eq!(crashes.record(7, attempt(2, 3)), Some(1));
-    /// assert_eq!(crashes.record(7, attempt(1, 4)), None);
-    /// assert_eq!(crashes.record(7, attempt(0, 1)), Some(2));
+    /// let crash = |upstream: &str, started, ended| Crash {
+    ///     upstream: upstream.into(), incarnation: None, started, ended, isolated: false,
+    /// };
+    /// assert_eq!(crashes.record(7, crash("u-1", 2, 3), at(3)), Some(1));
+    /// assert_eq!(crashes.record(7, crash("u-2", 1, 4), at(4)), None);
+    /// assert_eq!(crashes.record(7, crash("u-3", 0, 1), at(1)), Some(2));
     /// assert_eq!(crashes.status(7, at(3)), CrashStatus::Clear);
-    /// assert_eq!(crashes.record(7, attempt(3, 4)), Some(3));
-    /// assert!(matches!(crashes.status(7, at(5)), CrashStatus::Quarantined(_)));
-    /// assert!(matches!(crashes.status(7, at(64)), CrashStatus::TrialDue(_)));
+    /// assert_eq!(crashes.record(7, crash("u-4", 4, 5), at(5)), Some(3));
+    /// assert!(matches!(crashes.status(7, at(6)), CrashStatus::Quarantined(_)));
+    /// assert!(matches!(crashes.status(7, at(65)), CrashStatus::TrialDue(_)));
     /// ```
-    pub fn record(&self, fingerprint: u64, attempt: CrashedAttempt) -> Option<u32> {
+    pub fn record(&self, fingerprint: u64, crash: Crash, ended: Instant) -> Option<u32> {
         let mut state = self.lock();
-        let known = state.records.get_mut(&fingerprint);
-        let crashes = match known.filter(|known| !known.is_expired(attempt.ended)) {
-            Some(known) => known.count(attempt)?,
-            None => {
-                state.insert(fingerprint, CrashRecord::first(attempt));
-                1
-            }
+        let known = state.records.get_mut(&fingerprint).filter(|known| !known.is_expired(ended));
+        let Some(known) = known else {
+            state.insert(fingerprint, CrashRecord::first(crash, ended));
+            self.share(&mut state, fingerprint);
+            return Some(1);
         };
-        self.share(&mut state, fingerprint);
-        Some(crashes)
+        let before = known.count();
+        let changed = known.add(crash, ended);
+        let crashes = known.count();
+        if changed {
+            self.share(&mut state, fingerprint);
+        }
+        (crashes > before).then_some(crashes)
     }
 
-    /// Applies the count of a row. Returns whether it says more than is known here. If it says less,
-    /// the row is to be written again.
+    /// Applies the crashes of a row. Returns whether they are more than are known here. If the row
+    /// lacks any that are known here, it is to be written again.
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use ebonyusher::direct::{Crashes, SharedCrashCount};
+    /// # use ebonyusher::direct::{Crashes, SharedCrashes};
     /// # use tokio::time::Instant;
     /// let (crashes, now) = (Crashes::new(Duration::from_secs(60)), Instant::now());
-    /// let shared = |crashes, trials| SharedCrashCount { crashes, trials, at: 100 };
-    /// assert!(crashes.merge(7, shared(2, 0), now));
-    /// assert!(crashes.merge(7, shared(2, 1), now));
-    /// assert!(!crashes.merge(7, shared(1, 2), now));
-    /// assert_eq!(crashes.count(7), 2);
+    /// let shared = |trials| SharedCrashes { trials, at: 100, ..SharedCrashes::default() };
+    /// assert!(crashes.merge(7, &shared(1), now));
+    /// assert!(crashes.merge(7, &shared(2), now));
+    /// assert!(!crashes.merge(7, &shared(1), now));
     /// ```
-    pub fn merge(&self, fingerprint: u64, shared: SharedCrashCount, now: Instant) -> bool {
+    pub fn merge(&self, fingerprint: u64, shared: &SharedCrashes, now: Instant) -> bool {
         let mut state = self.lock();
-        let known = state.records.get(&fingerprint).map(CrashRecord::order);
-        if known.is_some_and(|known| shared.order() < known) {
-            self.share(&mut state, fingerprint);
-            return false;
-        }
-        state.unshared.remove(&fingerprint);
-        let says_more = known != Some(shared.order());
-        if says_more {
+        let known = state.records.get_mut(&fingerprint).filter(|known| !known.is_expired(now));
+        let Some(known) = known else {
+            state.unshared.remove(&fingerprint);
             state.insert(fingerprint, CrashRecord::learned(shared, now));
+            return true;
+        };
+        let says_more = known.join(shared, now);
+        if known.is_said_by(shared) {
+            state.unshared.remove(&fingerprint);
+        } else {
+            self.share(&mut state, fingerprint);
         }
         says_more
     }
@@ -128,7 +133,7 @@
 
     /// Returns the number of crashes on record for a request.
     pub fn count(&self, fingerprint: u64) -> u32 {
-        self.lock().records.get(&fingerprint).map_or(0, |known| known.crashes)
+        self.lock().records.get(&fingerprint).map_or(0, CrashRecord::count)
     }
 
     /// Forgets a request that has completed. Returns the number of crashes on record, if any.
@@ -136,7 +141,7 @@
         let mut state = self.lock();
         let known = state.records.remove(&fingerprint)?;
         self.share(&mut state, fingerprint);
-        Some(known.crashes)
+        Some(known.count())
     }
 
     /// Returns how a request is treated.
@@ -147,7 +152,7 @@
     }
 
     /// Returns the count with one more trial, if one is due.
-    pub(super) fn next_trial(&self, fingerprint: u64, now: Instant) -> Option<SharedCrashCount> {
+    pub(super) fn next_trial(&self, fingerprint: u64, now: Instant) -> Option<SharedCrashes> {
         let is_due = matches!(self.status(fingerprint, now), CrashStatus::TrialDue(_));
         let state = self.lock();
         state.records.get(&fingerprint).filter(|_| is_due).map(CrashRecord::with_trial)
@@ -177,10 +182,14 @@
     }
 
     /// Records that the row of a request says this, unless more has become known meanwhile.
-    pub(super) fn confirm_shared(&self, fingerprint: u64, written: RowContent) {
+    pub(super) fn confirm_shared(&self, fingerprint: u64, written: &RowContent) {
         let mut state = self.lock();
-        let known = state.records.get(&fingerprint).map(CrashRecord::order);
-        if known == written.map(SharedCrashCount::order) {
+        let known = state.records.get(&fingerprint);
+        let is_current = match (known, written) {
+            (Some(known), Some(written)) => known.is_said_by(written),
+            (known, written) => known.is_none() && written.is_none(),
+        };
+        if is_current {
             state.unshared.remove(&fingerprint);
         }
     }
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -125,6 +125,7 @@
             service_states: std::sync::Mutex::default(),
             crash_recorder: Arc::new(CrashRecorder {
                 crashes: Arc::clone(&crashes),
+                roster: Arc::clone(&roster),
                 trials: Trials(trials),
                 log: self.log.clone(),
             }),
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -106,6 +106,27 @@
         self.lock().services.get(service).cloned().unwrap_or_default()
     }
 
+    /// Returns the other upstreams of this one's failure domain: those of the same service or, if
+    /// there are none that fit, those of other services.
+    pub(super) fn domain_peers(
+        &self,
+        upstream: &Upstream,
+        fits: impl Fn(&Upstream) -> bool,
+    ) -> Vec<Arc<Upstream>> {
+        let state = self.lock();
+        let is_peer = |other: &&Arc<Upstream>| {
+            let (listed, own) = (&other.listed, &upstream.listed);
+            listed.domain == own.domain && listed.id != own.id && fits(other)
+        };
+        let (same, others): (Vec<_>, Vec<_>) = state
+            .by_id
+            .values()
+            .filter(is_peer)
+            .cloned()
+            .partition(|other| other.listed.service == upstream.listed.service);
+        if same.is_empty() { others } else { same }
+    }
+
     /// Returns whether no upstream is known.
     pub fn is_empty(&self) -> bool {
         self.lock().by_id.is_empty()
--- a/src/direct/trial.rs
+++ b/src/direct/trial.rs
@@ -53,13 +53,13 @@
         let row = self.directory.get(&key).await?;
         let version = row.as_ref().map(|row| row.version);
         if let Some(row) = row {
-            self.crashes.merge(fingerprint, row.read()?, Instant::now());
+            self.crashes.merge(fingerprint, &row.read()?, Instant::now());
         }
         let Some(next) = self.crashes.next_trial(fingerprint, Instant::now()) else {
             return Ok(false);
         };
         self.directory.commit(&Txn::new().check(&key, version).put(&key, &next)).await?;
-        self.crashes.merge(fingerprint, next, Instant::now());
+        self.crashes.merge(fingerprint, &next, Instant::now());
         Ok(true)
     }
 
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -7,8 +7,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::connection::Connection;
+use super::crash::SuspectedAttempt;
 use super::load::LoadReport;
-use super::{Candidate, CrashedAttempt, Inactivity, ListedUpstream, Liveness, Load};
+use super::{Candidate, Inactivity, ListedUpstream, Liveness, Load};
 
 /// First backoff after the upstream could not be reached, refused a request, or gave no valid
 /// response several times in a row; doubled with each further backoff.
@@ -30,6 +31,8 @@
 pub struct Upstream {
     /// Listing of the upstream by the platform.
     pub listed: ListedUpstream,
+    /// When this entry learned of this incarnation.
+    known_since: Instant,
     /// Cancelled once this incarnation has ended without draining.
     ended: CancellationToken,
     state: Mutex<State>,
@@ -45,7 +48,7 @@
     avoid_until: Option<Instant>,
     /// Attempts that recently ended as if the upstream had crashed, with the fingerprints of their
     /// requests.
-    suspects: SmallVec<[(u64, CrashedAttempt); 4]>,
+    suspects: SmallVec<[(u64, SuspectedAttempt); 4]>,
     /// Whether a task is about to check if the upstream still listens.
     probing: bool,
     /// Whether a task waits for the upstream's end.
@@ -83,7 +86,8 @@
     /// Creates an upstream of which only the listing is known.
     pub fn new(listed: ListedUpstream) -> Self {
         let state = State { draining: listed.draining, ..State::default() };
-        Self { listed, ended: CancellationToken::new(), state: Mutex::new(state) }
+        let (known_since, ended) = (Instant::now(), CancellationToken::new());
+        Self { listed, known_since, ended, state: Mutex::new(state) }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -173,7 +177,7 @@
 
     /// Remembers that an attempt at the request with this fingerprint ended as if the upstream had
     /// crashed. It takes the place of an earlier one, after which the upstream lived on.
-    pub(super) fn suspect(&self, fingerprint: u64, attempt: CrashedAttempt) {
+    pub(super) fn suspect(&self, fingerprint: u64, attempt: SuspectedAttempt) {
         let mut state = self.lock();
         state.suspects.retain(|(other, _)| *other != fingerprint);
         state.suspects.push((fingerprint, attempt));
@@ -181,12 +185,43 @@
 
     /// Removes and returns the suspected attempts. If the upstream has ended, it has crashed while
     /// it ran them.
-    pub(super) fn take_suspects(&self) -> SmallVec<[(u64, CrashedAttempt); 4]> {
+    pub(super) fn take_suspects(&self) -> SmallVec<[(u64, SuspectedAttempt); 4]> {
         let mut state = self.lock();
         state.drop_old_suspects();
         std::mem::take(&mut state.suspects)
     }
 
+    /// Returns whether a request that is suspected here is suspected at the other upstream as well.
+    pub(super) fn shares_suspect(&self, other: &Self) -> bool {
+        let fingerprints: SmallVec<[u64; 4]> = self.lock().fingerprints().collect();
+        other.lock().fingerprints().any(|other| fingerprints.contains(&other))
+    }
+
+    /// Returns when the first attempt that is suspected ended, if any is.
+    pub(super) fn suspected_since(&self) -> Option<Instant> {
+        let mut state = self.lock();
+        state.drop_old_suspects();
+        state.suspects.iter().map(|(_, attempt)| attempt.ended).min()
+    }
+
+    /// Returns whether this entry knew of this incarnation before a time.
+    pub(super) fn is_known_before(&self, time: Instant) -> bool {
+        self.known_since < time
+    }
+
+    /// Returns whether the upstream lives: a connection to it is open, or it accepts one. That one
+    /// is kept for later requests.
+    pub(super) async fn accepts_connections(&self) -> bool {
+        if self.lock().idle.iter().any(|conn| conn.is_usable(MAX_IDLE_TIME)) {
+            return true;
+        }
+        let conn = Connection::open(self.addr()).await;
+        conn.is_ok_and(|conn| {
+            self.put_idle(conn.into_idle(None));
+            true
+        })
+    }
+
     /// Returns until when the newest suspicion lasts. If there is none, the watch is over.
     pub(super) fn suspected_until(&self) -> Option<Instant> {
         let mut state = self.lock();
@@ -240,6 +275,10 @@
 }
 
 impl State {
+    fn fingerprints(&self) -> impl Iterator<Item = u64> {
+        self.suspects.iter().map(|(fingerprint, _)| *fingerprint)
+    }
+
     fn drop_old_suspects(&mut self) {
         let now = Instant::now();
         self.suspects
--- a/src/units/mod.rs
+++ b/src/units/mod.rs
@@ -8,4 +8,4 @@
 pub use boot_time::BootTime;
 pub use size::Size;
 pub use span::Span;
-pub use unix_time::unix_seconds;
+pub use unix_time::{unix_millis, unix_seconds};
--- a/src/units/unix_time.rs
+++ b/src/units/unix_time.rs
@@ -8,6 +8,21 @@
 /// assert!(unix_seconds(Duration::from_secs(60)) < unix_seconds(Duration::ZERO));
 /// ```
 pub fn unix_seconds(age: Duration) -> u64 {
+    unix_time(age).as_secs()
+}
+
+/// Returns the Unix time in milliseconds at which something happened that is `age` old.
+///
+/// ```
+/// # use std::time::Duration;
+/// # use ebonyusher::units::unix_millis;
+/// assert!(unix_millis(Duration::from_secs(60)) < unix_millis(Duration::ZERO));
+/// ```
+pub fn unix_millis(age: Duration) -> u64 {
+    u64::try_from(unix_time(age).as_millis()).unwrap_or(u64::MAX)
+}
+
+fn unix_time(age: Duration) -> Duration {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since_epoch.saturating_sub(age).as_secs()
+    since_epoch.saturating_sub(age)
 }
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ebonyusher::direct::{
-    CrashedAttempt, Crashes, Freshness, Inactivity, ListedUpstream, RetryBudget, RetryLimits,
+    Crash, CrashSet, Crashes, Freshness, Inactivity, ListedUpstream, RetryBudget, RetryLimits,
     Roster, RosterChange,
 };
 use ebonyusher::net::EventSplitter;
@@ -58,10 +58,33 @@
 /// First quarantine time of requests that crash upstreams.
 const QUARANTINE: Duration = Duration::from_secs(60);
 
-/// An attempt that was in flight between these times, in seconds.
-fn crashed_attempt(since: Instant, started: u64, ended: u64) -> CrashedAttempt {
-    let at = |seconds| since + Duration::from_secs(seconds);
-    CrashedAttempt { started: at(started), ended: at(ended) }
+/// A crash of the upstream `at`, with the request in flight between these times.
+fn crash(at: usize, started: u64, ended: u64) -> Crash {
+    Crash { upstream: format!("u-{at}"), incarnation: Some(1), started, ended, isolated: false }
+}
+
+fn crash_sets() -> impl Strategy<Value = Vec<CrashSet>> {
+    let parts = (0..12_usize, 0..20_u64, 1..9_u64, any::<bool>());
+    let crash = parts.prop_map(|(at, started, length, isolated)| Crash {
+        isolated,
+        ..crash(at, started, started + length)
+    });
+    let set = prop::collection::vec(crash, 0..5).prop_map(|crashes| {
+        let mut set = CrashSet::default();
+        crashes.into_iter().for_each(|crash| {
+            set.insert(crash);
+        });
+        set
+    });
+    prop::collection::vec(set, 1..4)
+}
+
+fn joined<'a>(sets: impl IntoIterator<Item = &'a CrashSet>) -> CrashSet {
+    let mut all = CrashSet::default();
+    sets.into_iter().for_each(|set| {
+        all.join(set);
+    });
+    all
 }
 
 proptest! {
@@ -71,28 +94,56 @@
     fn crashes_of_attempts_one_after_another_count_each_in_any_order(
         order in Just((0..4_u64).collect::<Vec<_>>()).prop_shuffle(),
     ) {
-        let (crashes, start) = (Crashes::new(QUARANTINE), Instant::now());
+        let (crashes, now) = (Crashes::new(QUARANTINE), Instant::now());
 
         for at in order {
-            crashes.record(1, crashed_attempt(start, at, at + 1));
+            crashes.record(1, crash(at as usize, at, at + 1), now);
         }
 
         prop_assert_eq!(crashes.count(1), 4);
     }
 
     #[test]
-    fn crashes_of_attempts_in_flight_together_count_once(
+    fn crashes_that_the_loss_of_a_failure_domain_explains_count_once(
         attempts in prop::collection::vec((0..10_u64, 10..20_u64), 1..8),
     ) {
-        let (crashes, start) = (Crashes::new(QUARANTINE), Instant::now());
+        let (crashes, now) = (Crashes::new(QUARANTINE), Instant::now());
 
-        for (started, ended) in attempts {
-            crashes.record(1, crashed_attempt(start, started, ended));
+        for (at, (started, ended)) in attempts.into_iter().enumerate() {
+            crashes.record(1, crash(at, started, ended), now);
         }
 
         prop_assert_eq!(crashes.count(1), 1);
     }
 
+    #[test]
+    fn crashes_that_it_does_not_explain_count_each(
+        attempts in prop::collection::vec((0..10_u64, 10..20_u64), 1..8),
+    ) {
+        let (crashes, now) = (Crashes::new(QUARANTINE), Instant::now());
+        let number = attempts.len() as u32;
+
+        for (at, (started, ended)) in attempts.into_iter().enumerate() {
+            let crash = Crash { isolated: true, ..crash(at, started, ended) };
+            crashes.record(1, crash, now);
+        }
+
+        prop_assert_eq!(crashes.count(1), number);
+    }
+
+    #[test]
+    fn sets_of_crashes_join_to_the_same_in_any_order(sets in crash_sets()) {
+        let forward = joined(&sets);
+        let backward = joined(sets.iter().rev());
+        let twice = joined(sets.iter().chain(&sets));
+
+        prop_assert_eq!(&forward, &backward);
+        prop_assert_eq!(&forward, &twice);
+        for set in &sets {
+            prop_assert!(forward.count() >= set.count());
+        }
+    }
+
     #[test]
     fn listings_in_any_order_never_restore_an_earlier_incarnation(listings in listings()) {
         let roster = Roster::default();
