A request that may have run is not called not run when no other upstream is left

Cause: the choice of an upstream for a retry answered 'not-run' by itself, whatever earlier attempts had done. Change: it answers with what the attempts so far allow to say, as all other refusals after an attempt do. Only requests that may run again reach that line after an attempt that may have run, so no promise about others was broken.

--- a/src/direct/pick.rs
+++ b/src/direct/pick.rs
@@ -46,7 +46,7 @@
         let is_local = |at: usize| eligible[at].listed.domain == self.domain;
         let chosen =
             choose(&candidates, &loads, is_local, |_| rand::random_range(0.0..TIE_BREAK_SPREAD));
-        let chosen = chosen.ok_or(Refusal::not_run(Reason::NoUpstream))?;
+        let chosen = chosen.ok_or(history.refusal(Reason::NoUpstream))?;
         Ok(Chosen { upstream: Arc::clone(eligible[chosen]), candidate: candidates[chosen] })
     }
 
