--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -71,6 +71,7 @@
         };
         in_flight.record_activity();
         let (head, body) = response.into_parts();
+        self.log_unknown_headers(upstream, &head.headers);
         if head.headers.get(&self.header_names.attempt) != Some(&request.id) {
             return Err(self.response_lost(
                 upstream,
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -1,3 +1,4 @@
+use http::HeaderMap;
 use tokio::time::Instant;
 
 use super::attempt::FailedAttempt;
@@ -37,6 +38,13 @@
         self.log.write(Level::Info, &event);
     }
 
+    pub(super) fn log_unknown_headers(&self, upstream: &Upstream, headers: &HeaderMap) {
+        for name in self.header_watch.new_names(headers) {
+            let event = Event::UnknownHeader { upstream: &upstream.listed.id, name: name.as_str() };
+            self.log.write(Level::Info, &event);
+        }
+    }
+
     pub(super) fn log_failed(
         &self,
         request: &CheckedRequest,
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -14,6 +14,7 @@
 use super::checked_request::CheckedRequest;
 use super::connection::Connection;
 use super::crash_recorder::CrashRecorder;
+use super::header_watch::HeaderWatch;
 use super::pick::Chosen;
 use super::service_state::ServiceState;
 use super::upstream::InFlight;
@@ -31,6 +32,7 @@
 #[derive(Debug)]
 pub(super) struct Dispatcher {
     pub(super) header_names: HeaderNames,
+    pub(super) header_watch: HeaderWatch,
     pub(super) domain: String,
     pub(super) roster: Arc<Roster>,
     pub(super) freshness: Arc<Freshness>,
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -91,6 +91,8 @@
     },
     /// Crash counts could not be read from or shared with other entries.
     CrashesUnusable { detail: String },
+    /// A response has a header that this version does not know, logged once for each name.
+    UnknownHeader { upstream: &'a str, name: &'a str },
     /// An upstream was chosen for a request.
     Sent {
         id: &'a str,
--- a/src/direct/header_names.rs
+++ b/src/direct/header_names.rs
@@ -22,3 +22,21 @@
     /// Number of prompt tokens, and maximum number of response tokens.
     pub tokens: HeaderName,
 }
+
+impl HeaderNames {
+    /// Returns the names of the headers that upstreams set in responses.
+    ///
+    /// ```
+    /// # use ebonyusher::direct::HeaderNames;
+    /// # let name = http::HeaderName::from_static;
+    /// # let names = HeaderNames {
+    /// #     attempt: name("id"), deadline: name("d"), account: name("a"), upstream: name("u"),
+    /// #     not_run: name("n"), load: name("l"), seal: name("seal"), urgency: name("p"),
+    /// #     tokens: name("t"),
+    /// # };
+    /// assert!(names.in_responses().any(|name| *name == names.seal));
+    /// ```
+    pub fn in_responses(&self) -> impl Iterator<Item = &HeaderName> {
+        [&self.attempt, &self.not_run, &self.load, &self.seal].into_iter()
+    }
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -26,6 +26,7 @@
 mod freshness;
 mod handler;
 mod header_names;
+mod header_watch;
 mod inactivity;
 mod liveness;
 mod load;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -15,6 +15,7 @@
 use super::dispatcher::Dispatcher;
 use super::event::Event;
 use super::handler::DirectHandler;
+use super::header_watch::HeaderWatch;
 use super::monitoring::{MetricsHandler, ReadinessHandler};
 use super::request_tracker::millis;
 use super::routing_follower::RoutingFollower;
@@ -117,6 +118,7 @@
         let crashes = Arc::new(Crashes::new(first_quarantine));
         let (trials, trial_claims) = mpsc::channel(TRIAL_QUEUE);
         let dispatcher = Arc::new(Dispatcher {
+            header_watch: HeaderWatch::new(&header_names),
             header_names,
             domain: file.domain.clone(),
             roster: Arc::clone(&roster),
