Entries together keep to the limit that an upstream names

Cause: no entry read the limit; nor could one have kept to it, since entries don't know how many others send. Change: src/direct/limits. Entries tell each other of limits, and that they live, by rows of the table, read with the crash rows by one follower; up to two entries for each request a second share a limit, evenly spaced, and an entry that does not know the others sends its part of the most that may run. Why it works: every attempt passes the choice, and the sum over entries is bounded by how they divide it: at most 4 L and one an entry, 6 L, in any 4 s.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -14,8 +14,10 @@
 use super::connection::{Connection, SendError};
 use super::crash_recorder::CrashSign;
 use super::dispatcher::{Dispatcher, Stream, UpstreamResponse};
-use super::{Load, Upstream};
+use super::event::Event;
+use super::{Load, NamedLimit, Upstream};
 use crate::entry::Failure;
+use crate::event_log::Level;
 use crate::net::header_str;
 use crate::outcome::Reason;
 
@@ -79,6 +81,7 @@
                 "response belongs to another attempt",
             ));
         }
+        self.hear_limit(upstream, &head.headers);
         if let Some(load) = header_str(&head.headers, &self.header_names.load).and_then(Load::parse)
         {
             upstream.record_load(load);
@@ -108,6 +111,15 @@
         self.check_response(request, upstream, head, body)
     }
 
+    /// Records what a response says of the upstream's limit.
+    fn hear_limit(&self, upstream: &Upstream, headers: &HeaderMap) {
+        let named = NamedLimit::read(headers, &self.header_names.limit);
+        if let Some(change) = self.limits.hear(&upstream.listed, named, Instant::now()) {
+            self.log.write(Level::Info, &Event::limit(&change, "response"));
+            self.meter.limited_upstreams(self.limits.len());
+        }
+    }
+
     /// Classifies a complete response.
     fn check_response(
         &self,
--- a/src/direct/crash_sharing.rs
+++ b/src/direct/crash_sharing.rs
@@ -7,13 +7,11 @@
 use super::dispatch_log::hex;
 use super::event::Event;
 use super::platform_health::PlatformHealth;
-use super::{Crashes, Directory, DirectoryError, RowChange, SharedCrashes};
+use super::{Crashes, RowChange, SharedCrashes};
 use crate::event_log::{EventLog, Level};
 use crate::platform::{Table, TableError, Txn};
 use crate::units::unix_seconds;
 
-/// Maximum time that one call waits for crashes recorded by other entries.
-const MAX_WAIT: Duration = Duration::from_secs(20);
 /// Prefix of the keys of crash rows.
 const KEY_PREFIX: &str = "crashed/";
 /// Maximum number of rows that one transaction writes.
@@ -24,40 +22,20 @@
 /// Each row converges to all crashes that any entry knows: an entry writes what it knows until the
 /// table has it, and again when a row lacks some. So writes need no condition, and one that is
 /// lost, late or overtaken does no lasting harm.
-#[derive(Debug)]
-pub(super) struct CrashSharing<D> {
-    pub(super) directory: Arc<D>,
+#[derive(Clone, Debug)]
+pub(super) struct CrashSharing {
     pub(super) crashes: Arc<Crashes>,
     pub(super) log: EventLog,
 }
 
-impl<D: Directory + Table> CrashSharing<D> {
-    /// Applies the counts of other entries until the process ends.
-    pub(super) async fn follow(self) {
-        let mut health = PlatformHealth::new("crashes", self.log.clone());
-        let mut cursor = None;
-        loop {
-            match self.directory.rows(cursor, health.next_wait(MAX_WAIT)).await {
-                Ok(changes) => {
-                    health.record_success();
-                    changes.items.iter().for_each(|change| self.apply(change));
-                    if cursor.is_none() {
-                        let listed = changes.items.iter().filter_map(fingerprint_of);
-                        self.crashes.share_all_but(&listed.collect());
-                    }
-                    cursor = Some(changes.cursor);
-                }
-                Err(DirectoryError::HistoryGone) => cursor = None,
-                Err(DirectoryError::Rewound(era)) => {
-                    health.record_rewind(era);
-                    cursor = None;
-                }
-                Err(err) => sleep(health.record_failure(&err.to_string())).await,
-            }
-        }
+impl CrashSharing {
+    /// Writes again what the table, read as a whole, does not hold.
+    pub(super) fn share_missing(&self, rows: &[RowChange]) {
+        self.crashes.share_all_but(&rows.iter().filter_map(fingerprint_of).collect());
     }
 
-    fn apply(&self, change: &RowChange) {
+    /// Applies a change of the table, if it is a crash row.
+    pub(super) fn apply(&self, change: &RowChange) {
         let Some(fingerprint) = fingerprint_of(change) else {
             return;
         };
@@ -81,11 +59,11 @@
     }
 
     /// Writes what this entry knows for the other entries until the process ends.
-    pub(super) async fn publish(self) {
+    pub(super) async fn publish(self, table: Arc<impl Table>) {
         let mut health = PlatformHealth::new("crash counts", self.log.clone());
         loop {
             let rows = self.crashes.unshared(MAX_ROWS).await;
-            match self.directory.commit(&write_rows(&rows)).await {
+            match table.commit(&write_rows(&rows)).await {
                 Ok(_) => {
                     health.record_success();
                     rows.iter().for_each(|(key, content)| self.confirm(*key, content));
--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -42,6 +42,7 @@
     last_byte: Histogram,
     in_flight: Gauge,
     revision: Gauge,
+    limited_upstreams: Gauge,
 }
 
 impl fmt::Debug for DirectMeter {
@@ -80,7 +81,19 @@
         registry.register("in_flight", "Requests in flight", in_flight.clone());
         let revision = Gauge::default();
         registry.register("settings_revision", "Revision in force", revision.clone());
-        Self { registry, ended, retries, first_byte, last_byte, in_flight, revision }
+        let limited_upstreams = Gauge::default();
+        let help = "Upstreams that name a limit of requests per second";
+        registry.register("limited_upstreams", help, limited_upstreams.clone());
+        Self {
+            registry,
+            ended,
+            retries,
+            first_byte,
+            last_byte,
+            in_flight,
+            revision,
+            limited_upstreams,
+        }
     }
 
     /// Counts a finished request.
@@ -114,6 +127,11 @@
         self.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
     }
 
+    /// Records how many upstreams name a limit.
+    pub fn limited_upstreams(&self, number: usize) {
+        self.limited_upstreams.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -15,6 +15,7 @@
 use super::connection::Connection;
 use super::crash_recorder::CrashRecorder;
 use super::header_watch::HeaderWatch;
+use super::limits::UpstreamLimits;
 use super::pick::Chosen;
 use super::service_state::ServiceState;
 use super::upstream::InFlight;
@@ -39,6 +40,7 @@
     pub(super) retry_limits: RetryLimits,
     pub(super) service_states: Mutex<HashMap<String, Arc<ServiceState>>>,
     pub(super) crash_recorder: Arc<CrashRecorder>,
+    pub(super) limits: Arc<UpstreamLimits>,
     pub(super) meter: Arc<DirectMeter>,
     pub(super) log: EventLog,
 }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -1,5 +1,7 @@
 use serde::Serialize;
 
+use super::LimitChange;
+
 /// A record of the structured log of a direct entry.
 #[derive(Clone, Debug)]
 #[derive(Serialize)]
@@ -91,6 +93,9 @@
     },
     /// Crash counts could not be read from or shared with other entries.
     CrashesUnusable { detail: String },
+    /// An upstream names a limit, another one, or none any more. The source is the entry that told
+    /// of it, or "response".
+    Limit { upstream: &'a str, before: Option<f64>, rate: Option<f64>, source: &'a str },
     /// A response has a header that this version does not know, logged once for each name.
     UnknownHeader { upstream: &'a str, name: &'a str },
     /// An upstream was chosen for a request.
@@ -142,3 +147,11 @@
         retry_after_ms: Option<u64>,
     },
 }
+
+impl<'a> Event<'a> {
+    /// Returns the record of a change of a limit.
+    pub(super) fn limit(change: &'a LimitChange, source: &'a str) -> Self {
+        let LimitChange { upstream, before, rate } = change;
+        Self::Limit { upstream, before: *before, rate: *rate, source }
+    }
+}
--- a/src/direct/header_names.rs
+++ b/src/direct/header_names.rs
@@ -15,6 +15,8 @@
     pub not_run: HeaderName,
     /// Load of the upstream: running and waiting requests, and slots.
     pub load: HeaderName,
+    /// Limit of the upstream: requests per second that it accepts from all entries together.
+    pub limit: HeaderName,
     /// Present in every response that the upstream itself produced.
     pub seal: HeaderName,
     /// Urgency of a request, from the priority in the settings; 0 is the most urgent.
@@ -31,12 +33,12 @@
     /// # let name = http::HeaderName::from_static;
     /// # let names = HeaderNames {
     /// #     attempt: name("id"), deadline: name("d"), account: name("a"), upstream: name("u"),
-    /// #     not_run: name("n"), load: name("l"), seal: name("seal"), urgency: name("p"),
+    /// #     not_run: name("n"), load: name("l"), limit: name("r"), seal: name("seal"), urgency: name("p"),
     /// #     tokens: name("t"),
     /// # };
     /// assert!(names.in_responses().any(|name| *name == names.seal));
     /// ```
     pub fn in_responses(&self) -> impl Iterator<Item = &HeaderName> {
-        [&self.attempt, &self.not_run, &self.load, &self.seal].into_iter()
+        [&self.attempt, &self.not_run, &self.load, &self.limit, &self.seal].into_iter()
     }
 }
--- /dev/null
+++ b/src/direct/limits/mod.rs
@@ -0,0 +1,12 @@
+//! Request rates that upstreams name, and how the entries share them.
+
+mod limit_row;
+mod limit_sharing;
+mod limited_upstream;
+mod named_limit;
+mod upstream_limits;
+
+pub use limit_row::{LimitRow, RowLimit};
+pub(super) use limit_sharing::LimitSharing;
+pub use named_limit::NamedLimit;
+pub use upstream_limits::{LimitChange, UpstreamLimits};
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -16,9 +16,11 @@
 use super::event::Event;
 use super::handler::DirectHandler;
 use super::header_watch::HeaderWatch;
+use super::limits::{LimitSharing, UpstreamLimits};
 use super::monitoring::{MetricsHandler, ReadinessHandler};
 use super::request_tracker::millis;
 use super::routing_follower::RoutingFollower;
+use super::row_follower::RowFollower;
 use super::trial::Trials;
 use super::upstream_follower::UpstreamFollower;
 use super::watch::RoutingPublisher;
@@ -116,6 +118,7 @@
         let (publisher, routing) = RoutingPublisher::new();
         let first_quarantine = Duration::from_secs_f64(file.quarantine_seconds);
         let crashes = Arc::new(Crashes::new(first_quarantine));
+        let limits = Arc::new(UpstreamLimits::new(&file.name, file.retries.entries));
         let (trials, trial_claims) = mpsc::channel(TRIAL_QUEUE);
         let dispatcher = Arc::new(Dispatcher {
             header_watch: HeaderWatch::new(&header_names),
@@ -132,16 +135,25 @@
                 log: self.log.clone(),
             }),
             meter: Arc::clone(&meter),
+            limits: Arc::clone(&limits),
             log: self.log.clone(),
         });
-        let crash_sharing = || CrashSharing {
+        let crash_sharing = CrashSharing { crashes, log: self.log.clone() };
+        let publish_crashes = crash_sharing.clone().publish(Arc::clone(&directory));
+        let grant_trials = crash_sharing.clone().grant_trials(Arc::clone(&directory), trial_claims);
+        let limit_sharing = Arc::new(LimitSharing {
+            limits,
+            roster: Arc::clone(&roster),
+            meter: Arc::clone(&meter),
+            log: self.log.clone(),
+        });
+        let publish_limits = Arc::clone(&limit_sharing).publish(Arc::clone(&directory));
+        let row_follower = RowFollower {
             directory: Arc::clone(&directory),
-            crashes: Arc::clone(&crashes),
+            crash_sharing,
+            limit_sharing,
             log: self.log.clone(),
         };
-        let (follow_crashes, publish_crashes) =
-            (crash_sharing().follow(), crash_sharing().publish());
-        let grant_trials = crash_sharing().grant_trials(trial_claims);
         let routing_follower = RoutingFollower {
             directory: Arc::clone(&directory),
             publisher,
@@ -154,7 +166,8 @@
         let stop = &self.background_stop;
         tokio::spawn(stop.clone().run_until_cancelled_owned(routing_follower.run()));
         tokio::spawn(stop.clone().run_until_cancelled_owned(upstream_follower.run()));
-        tokio::spawn(stop.clone().run_until_cancelled_owned(follow_crashes));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(row_follower.run()));
+        tokio::spawn(stop.clone().run_until_cancelled_owned(publish_limits));
         tokio::spawn(stop.clone().run_until_cancelled_owned(publish_crashes));
         tokio::spawn(stop.clone().run_until_cancelled_owned(grant_trials));
         let ready = ReadinessHandler {
--- a/src/direct/pick.rs
+++ b/src/direct/pick.rs
@@ -29,11 +29,12 @@
         history: &AttemptHistory,
     ) -> Result<Chosen, Refusal> {
         let upstreams = self.roster.service_upstreams(&request.service.name);
-        let eligible: SmallVec<[&Arc<Upstream>; 16]> = upstreams
+        let now = Instant::now();
+        let mut eligible: SmallVec<[&Arc<Upstream>; 16]> = upstreams
             .iter()
             .filter(|upstream| !upstream.is_draining() && !history.has_tried(&upstream.listed.id))
             .collect();
-        let now = Instant::now();
+        self.drop_limited(&mut eligible, request, history, now)?;
         let candidates: SmallVec<[Candidate; 16]> = eligible
             .iter()
             .map(|upstream| upstream.candidate(&request.state.liveness, now))
@@ -47,9 +48,35 @@
         let chosen =
             choose(&candidates, &loads, is_local, |_| rand::random_range(0.0..TIE_BREAK_SPREAD));
         let chosen = chosen.ok_or(history.refusal(Reason::NoUpstream))?;
+        self.limits.record_send(&eligible[chosen].listed, now);
         Ok(Chosen { upstream: Arc::clone(eligible[chosen]), candidate: candidates[chosen] })
     }
 
+    /// Drops the upstreams that may not get another request from this entry yet. Refuses the
+    /// request if that leaves none.
+    fn drop_limited(
+        &self,
+        eligible: &mut SmallVec<[&Arc<Upstream>; 16]>,
+        request: &CheckedRequest,
+        history: &AttemptHistory,
+        now: Instant,
+    ) -> Result<(), Refusal> {
+        if self.limits.is_empty() {
+            return Ok(());
+        }
+        let mut first = None;
+        eligible.retain(|upstream| {
+            let next = self.limits.next_send(&upstream.listed, now);
+            first = first.into_iter().chain([next]).min();
+            next <= now
+        });
+        let Some(first) = first.filter(|_| eligible.is_empty()) else {
+            return Ok(());
+        };
+        let retry_after = request.state.return_queue.enqueue(first, now);
+        Err(history.refusal(Reason::UpstreamLimit).retry_after(retry_after))
+    }
+
     fn admit(
         &self,
         request: &CheckedRequest,
--- /dev/null
+++ b/src/direct/row_follower.rs
@@ -0,0 +1,53 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::crash_sharing::CrashSharing;
+use super::limits::LimitSharing;
+use super::platform_health::PlatformHealth;
+use super::{Directory, DirectoryError, RowChange};
+use crate::event_log::EventLog;
+
+/// Maximum time that one call waits for rows written by other entries.
+const MAX_WAIT: Duration = Duration::from_secs(20);
+
+/// Follows the rows of the platform's table by which entries share what they know.
+#[derive(Debug)]
+pub(super) struct RowFollower<D> {
+    pub(super) directory: Arc<D>,
+    pub(super) crash_sharing: CrashSharing,
+    pub(super) limit_sharing: Arc<LimitSharing>,
+    pub(super) log: EventLog,
+}
+
+impl<D: Directory> RowFollower<D> {
+    /// Applies what other entries write until the process ends.
+    pub(super) async fn run(self) {
+        let mut health = PlatformHealth::new("shared rows", self.log.clone());
+        let mut cursor = None;
+        loop {
+            match self.directory.rows(cursor, health.next_wait(MAX_WAIT)).await {
+                Ok(changes) => {
+                    health.record_success();
+                    changes.items.iter().for_each(|change| self.apply(change));
+                    if cursor.is_none() {
+                        self.crash_sharing.share_missing(&changes.items);
+                    }
+                    cursor = Some(changes.cursor);
+                }
+                Err(DirectoryError::HistoryGone) => cursor = None,
+                Err(DirectoryError::Rewound(era)) => {
+                    health.record_rewind(era);
+                    cursor = None;
+                }
+                Err(err) => sleep(health.record_failure(&err.to_string())).await,
+            }
+        }
+    }
+
+    fn apply(&self, change: &RowChange) {
+        self.crash_sharing.apply(change);
+        self.limit_sharing.apply(change);
+    }
+}
--- a/src/direct/service_state.rs
+++ b/src/direct/service_state.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use super::{Liveness, RetryBudget, RetryLimits, StreamStats};
+use super::{Liveness, RetryBudget, RetryLimits, ReturnQueue, StreamStats};
 
 /// State that an entry keeps for a service across requests.
 #[derive(Debug)]
@@ -8,12 +8,18 @@
     pub(super) retry_budget: RetryBudget,
     pub(super) stream_stats: StreamStats,
     pub(super) liveness: Arc<Liveness>,
+    pub(super) return_queue: ReturnQueue,
 }
 
 impl ServiceState {
     /// Creates the state of a service without any requests yet.
     pub(super) fn new(limits: RetryLimits) -> Self {
         let retry_budget = RetryBudget::new(limits);
-        Self { retry_budget, stream_stats: StreamStats::default(), liveness: Arc::default() }
+        Self {
+            retry_budget,
+            stream_stats: StreamStats::default(),
+            liveness: Arc::default(),
+            return_queue: ReturnQueue::default(),
+        }
     }
 }
--- a/src/direct/trial.rs
+++ b/src/direct/trial.rs
@@ -1,9 +1,9 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
-use super::Directory;
 use super::crash_sharing::{CrashSharing, row_key};
 use super::dispatch_log::hex;
 use super::event::Event;
@@ -34,23 +34,27 @@
     }
 }
 
-impl<D: Directory + Table> CrashSharing<D> {
+impl CrashSharing {
     /// Answers claims of trials until the process ends.
-    pub(super) async fn grant_trials(self, mut claims: mpsc::Receiver<TrialClaim>) {
+    pub(super) async fn grant_trials(
+        self,
+        table: Arc<impl Table>,
+        mut claims: mpsc::Receiver<TrialClaim>,
+    ) {
         while let Some(TrialClaim { fingerprint, granted }) = claims.recv().await {
             if granted.is_closed() {
                 continue;
             }
-            let result = self.claim_trial(fingerprint).await;
+            let result = self.claim_trial(&*table, fingerprint).await;
             self.log_trial(fingerprint, &result);
             granted.send(result == Ok(true)).ok();
         }
     }
 
     /// Writes that a trial begins, if no other entry knows of more crashes or trials.
-    async fn claim_trial(&self, fingerprint: u64) -> Result<bool, TableError> {
+    async fn claim_trial(&self, table: &impl Table, fingerprint: u64) -> Result<bool, TableError> {
         let key = row_key(fingerprint);
-        let row = self.directory.get(&key).await?;
+        let row = table.get(&key).await?;
         let version = row.as_ref().map(|row| row.version);
         if let Some(row) = row {
             self.crashes.merge(fingerprint, &row.read()?, Instant::now());
@@ -58,7 +62,7 @@
         let Some(next) = self.crashes.next_trial(fingerprint, Instant::now()) else {
             return Ok(false);
         };
-        self.directory.commit(&Txn::new().check(&key, version).put(&key, &next)).await?;
+        table.commit(&Txn::new().check(&key, version).put(&key, &next)).await?;
         self.crashes.merge(fingerprint, &next, Instant::now());
         Ok(true)
     }
--- a/src/outcome/reason.rs
+++ b/src/outcome/reason.rs
@@ -62,11 +62,13 @@
     CallerGone,
     /// the upstream ran the request and failed it
     UpstreamFailed,
+    /// every upstream of the service gets as many requests as it accepts
+    UpstreamLimit,
 }
 
 impl Reason {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 28] = [
+    pub const ALL: [Self; 29] = [
         Self::BadKey,
         Self::NoRoute,
         Self::BadHeader,
@@ -95,6 +97,7 @@
         Self::StaleSettings,
         Self::CallerGone,
         Self::UpstreamFailed,
+        Self::UpstreamLimit,
     ];
 
     /// Returns the stable name of the reason.
@@ -128,6 +131,7 @@
             Self::StaleSettings => "stale-settings",
             Self::CallerGone => "caller-gone",
             Self::UpstreamFailed => "upstream-failed",
+            Self::UpstreamLimit => "upstream-limit",
         }
     }
 
@@ -160,6 +164,7 @@
             | Self::Leaving
             | Self::StoreDown
             | Self::UpstreamDown
+            | Self::UpstreamLimit
             | Self::WrongService
             | Self::NoSettings
             | Self::StaleSettings
@@ -176,6 +181,7 @@
                 | Self::Leaving
                 | Self::StoreDown
                 | Self::UpstreamDown
+                | Self::UpstreamLimit
                 | Self::UpstreamLost
                 | Self::UpstreamTimeout
                 | Self::LinkLost
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -13,7 +13,7 @@
 use proptest::prelude::*;
 use tokio::time::Instant;
 
-fn proptest_config() -> ProptestConfig {
+pub fn proptest_config() -> ProptestConfig {
     ProptestConfig {
         cases: 128,
         rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_204),
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod input;
 mod leases;
 mod leaving;
+mod limit_shares;
 mod limits;
 mod links;
 mod models;
