A request that completes is not blamed for the crashes beside it

Cause: a completion removed what was known, but what came later about earlier crashes counted anew. Why it works: a request that crashes the upstreams that run it never completes, so a completion proves more than any number of crashes beside it.

--- a/src/direct/crash_recorder.rs
+++ b/src/direct/crash_recorder.rs
@@ -169,7 +169,8 @@
         let ended_ms_ago = millis(attempt.ended.elapsed());
         let (domain, fingerprint) = (upstream.listed.domain.as_str(), hex(fingerprint));
         let (upstream, proof) = (&upstream.listed.id, proof.as_str());
-        let reason = "the loss of the failure domain may explain it, or it is known";
+        let reason =
+            "known, explained by the loss of the failure domain, or shortly after a completion";
         let event = match crashes {
             Some(crashes) => Event::Crashed {
                 upstream,
--- a/src/direct/crash_set.rs
+++ b/src/direct/crash_set.rs
@@ -80,6 +80,24 @@
         incidents
     }
 
+    /// Drops the crashes that ended up to a Unix time in milliseconds. Returns whether there were
+    /// any.
+    pub(super) fn drop_until(&mut self, time: u64) -> bool {
+        let before = self.0.len();
+        self.0.retain(|crash| crash.ended > time);
+        self.0.len() < before
+    }
+
+    /// Returns whether the set has no crashes.
+    ///
+    /// ```
+    /// # use ebonyusher::direct::CrashSet;
+    /// assert!(CrashSet::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     fn drop_excess(&mut self) {
         while self.0.len() > MAX_CRASHES {
             let rank = |at: &usize| (self.0[*at].isolated, self.0[*at].ended);
--- a/src/direct/crashes.rs
+++ b/src/direct/crashes.rs
@@ -6,9 +6,14 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::completions::Completions;
 use super::crash_record::CrashRecord;
 use super::{Crash, CrashStatus, SharedCrashes};
+use crate::units::unix_millis;
 
+/// Time after a completion of a request in which it is not blamed for crashes: one that crashes
+/// upstreams does not complete.
+const COMPLETION_GRACE: Duration = Duration::from_secs(3);
 /// Maximum number of requests on record; beyond it the oldest is dropped.
 const MAX_RECORDS: usize = 4_096;
 
@@ -19,6 +24,7 @@
     /// Quarantine time of a request after the crash that makes it quarantined.
     first_quarantine: Duration,
     state: Mutex<State>,
+    completions: Completions,
     /// Notified when a request is to be shared.
     unshared: Notify,
 }
@@ -38,7 +44,8 @@
     /// Creates a record of no crashes. `first_quarantine` is how long a request is refused after
     /// the crash that makes it quarantined.
     pub fn new(first_quarantine: Duration) -> Self {
-        Self { first_quarantine, state: Mutex::default(), unshared: Notify::new() }
+        let (state, completions) = (Mutex::default(), Completions::default());
+        Self { first_quarantine, state, completions, unshared: Notify::new() }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -47,7 +54,7 @@
 
     /// Records that an upstream crashed while it ran a request, as noticed at `ended`. Returns the
     /// number of crashes, or `None` if this one does not raise it: the loss of a failure domain may
-    /// explain it as well, or another entry has noticed it.
+    /// explain it as well, another entry has noticed it, or the request completed shortly before.
     ///
     /// ```
     /// # use std::time::Duration;
@@ -68,6 +75,9 @@
     /// assert!(matches!(crashes.status(7, at(65)), CrashStatus::TrialDue(_)));
     /// ```
     pub fn record(&self, fingerprint: u64, crash: Crash, ended: Instant) -> Option<u32> {
+        if self.blameless_until(fingerprint).is_some_and(|time| crash.ended <= time) {
+            return None;
+        }
         let mut state = self.lock();
         let known = state.records.get_mut(&fingerprint).filter(|known| !known.is_expired(ended));
         let Some(known) = known else {
@@ -98,15 +108,26 @@
     /// assert!(!crashes.merge(7, &shared(1), now));
     /// ```
     pub fn merge(&self, fingerprint: u64, shared: &SharedCrashes, now: Instant) -> bool {
+        let mut shared = shared.clone();
+        let blameless_until = self.blameless_until(fingerprint);
+        let dropped = blameless_until.is_some_and(|time| shared.crashes.drop_until(time));
         let mut state = self.lock();
+        if dropped {
+            self.share(&mut state, fingerprint);
+            if shared.crashes.is_empty() {
+                return false;
+            }
+        }
         let known = state.records.get_mut(&fingerprint).filter(|known| !known.is_expired(now));
         let Some(known) = known else {
-            state.unshared.remove(&fingerprint);
-            state.insert(fingerprint, CrashRecord::learned(shared, now));
+            if !dropped {
+                state.unshared.remove(&fingerprint);
+            }
+            state.insert(fingerprint, CrashRecord::learned(&shared, now));
             return true;
         };
-        let says_more = known.join(shared, now);
-        if known.is_said_by(shared) {
+        let says_more = known.join(&shared, now);
+        if known.is_said_by(&shared) && !dropped {
             state.unshared.remove(&fingerprint);
         } else {
             self.share(&mut state, fingerprint);
@@ -138,12 +159,20 @@
 
     /// Forgets a request that has completed. Returns the number of crashes on record, if any.
     pub fn clear(&self, fingerprint: u64) -> Option<u32> {
+        self.completions.record(fingerprint, unix_millis(Duration::ZERO));
         let mut state = self.lock();
         let known = state.records.remove(&fingerprint)?;
         self.share(&mut state, fingerprint);
         Some(known.count())
     }
 
+    /// Returns the Unix time in milliseconds up to which crashes do not count against a request,
+    /// if it is known to have completed.
+    fn blameless_until(&self, fingerprint: u64) -> Option<u64> {
+        let grace = u64::try_from(COMPLETION_GRACE.as_millis()).unwrap_or(u64::MAX);
+        self.completions.last(fingerprint).map(|at| at.saturating_add(grace))
+    }
+
     /// Returns how a request is treated.
     pub fn status(&self, fingerprint: u64, now: Instant) -> CrashStatus {
         let state = self.lock();
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -9,6 +9,7 @@
 mod body;
 mod checked_request;
 mod choice;
+mod completions;
 mod connection;
 mod crash;
 mod crash_gate;
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -6,10 +6,10 @@
 
 use ebonyusher::direct::{
     Crash, CrashSet, Crashes, Freshness, Inactivity, ListedUpstream, RetryBudget, RetryLimits,
-    Roster, RosterChange,
+    Roster, RosterChange, SharedCrashes,
 };
 use ebonyusher::net::EventSplitter;
-use ebonyusher::units::BootTime;
+use ebonyusher::units::{BootTime, unix_millis};
 use proptest::prelude::*;
 use tokio::time::Instant;
 
@@ -87,6 +87,37 @@
     all
 }
 
+#[test]
+fn a_request_that_completed_shortly_before_is_not_blamed_for_crashes() {
+    let (crashes, now) = (Crashes::new(QUARANTINE), Instant::now());
+    crashes.clear(1);
+    let time = unix_millis(Duration::ZERO);
+
+    for at in 0..3 {
+        let crash = Crash { isolated: true, ..crash(at, time, time + 500 + at as u64) };
+        crashes.record(1, crash.clone(), now);
+        crashes.record(2, crash, now);
+    }
+
+    assert_eq!((crashes.count(1), crashes.count(2)), (0, 3));
+}
+
+#[test]
+fn a_row_of_crashes_before_a_completion_is_not_learned() {
+    let (crashes, now) = (Crashes::new(QUARANTINE), Instant::now());
+    let time = unix_millis(Duration::ZERO);
+    let mut late = SharedCrashes { at: time / 1_000, ..SharedCrashes::default() };
+    for at in 0..3 {
+        late.crashes.insert(Crash { isolated: true, ..crash(at, time - 9, time - 5) });
+    }
+    crashes.clear(1);
+
+    let learned = crashes.merge(1, &late, now);
+
+    assert!(!learned);
+    assert_eq!(crashes.count(1), 0);
+}
+
 proptest! {
     #![proptest_config(proptest_config())]
 
