What handles crashing requests has a folder of its own; one conversion to milliseconds

Clean-up: src/direct had all files on one floor, and the crash files knew the dispatcher's log. src/direct/quarantine now has them, behind one list of re-exports, and uses nothing of the dispatcher; the gate before an attempt stays with the dispatcher.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -12,9 +12,9 @@
 
 use super::checked_request::CheckedRequest;
 use super::connection::{Connection, SendError};
-use super::crash_recorder::CrashSign;
 use super::dispatcher::{Dispatcher, Stream, UpstreamResponse};
 use super::event::Event;
+use super::quarantine::CrashSign;
 use super::{Load, NamedLimit, Upstream};
 use crate::entry::Failure;
 use crate::event_log::Level;
--- a/src/direct/crash_gate.rs
+++ b/src/direct/crash_gate.rs
@@ -5,9 +5,8 @@
 
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
-use super::crash_record::CRASHES_TO_QUARANTINE;
-use super::crash_recorder::CrashSign;
 use super::dispatcher::Dispatcher;
+use super::quarantine::{CRASHES_TO_QUARANTINE, CrashSign};
 use super::{CrashStatus, Quarantine, Upstream};
 use crate::outcome::{Reason, Refusal};
 
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -4,13 +4,14 @@
 use super::attempt::FailedAttempt;
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
-use super::crash_recorder::CrashSign;
 use super::dispatcher::Dispatcher;
 use super::event::Event;
-use super::request_tracker::millis;
+use super::quarantine::CrashSign;
+use super::quarantine::hex;
 use super::{Candidate, EngineLoad, Quarantine, Upstream};
 use crate::event_log::Level;
 use crate::units::BootTime;
+use crate::units::millis;
 
 impl Dispatcher {
     pub(super) fn log_sent(
@@ -116,8 +117,3 @@
         self.log.write(Level::Warn, &event);
     }
 }
-
-/// Returns a fingerprint as it is written in the log and in the keys of the table.
-pub(super) fn hex(fingerprint: u64) -> String {
-    format!("{fingerprint:x}")
-}
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -10,18 +10,17 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::crash_recorder::CrashRecorder;
-use super::crash_sharing::CrashSharing;
 use super::dispatcher::Dispatcher;
 use super::event::Event;
 use super::handler::DirectHandler;
 use super::header_watch::HeaderWatch;
 use super::limits::{LimitSharing, UpstreamLimits};
 use super::monitoring::{MetricsHandler, ReadinessHandler};
-use super::request_tracker::millis;
+use super::quarantine::CrashRecorder;
+use super::quarantine::CrashSharing;
+use super::quarantine::Trials;
 use super::routing_follower::RoutingFollower;
 use super::row_follower::RowFollower;
-use super::trial::Trials;
 use super::upstream_follower::UpstreamFollower;
 use super::watch::RoutingPublisher;
 use super::{Crashes, DirectMeter, Directory, Freshness, HeaderNames, RetryLimits, Roster};
@@ -30,6 +29,7 @@
 use crate::net::{H1Limits, Shutdown, serve_h1};
 use crate::platform::Table;
 use crate::settings::{DirectFile, ParseError, RetrySettings};
+use crate::units::millis;
 
 /// Time in which the balancer before the entries notices that the process is no longer ready: it
 /// asks every second, and twice before it acts. It is less than 3 s, since a request accepted later
--- a/src/direct/platform_health.rs
+++ b/src/direct/platform_health.rs
@@ -1,8 +1,8 @@
 use std::time::{Duration, Instant};
 
 use super::event::Event;
-use super::request_tracker::millis;
 use crate::event_log::{EventLog, Level};
+use crate::units::millis;
 
 /// First backoff after a failed call, doubled with each further one.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
--- a/src/direct/completions.rs
+++ b/src/direct/quarantine/completions.rs
@@ -5,7 +5,7 @@
 
 /// When requests last ran to their end at this entry, by fingerprint.
 #[derive(Debug)]
-pub(super) struct Completions(Mutex<Vec<Completion>>);
+pub(in crate::direct) struct Completions(Mutex<Vec<Completion>>);
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Completion {
@@ -22,13 +22,13 @@
 
 impl Completions {
     /// Records that a request ran to its end.
-    pub(super) fn record(&self, fingerprint: u64, at: u64) {
+    pub(in crate::direct) fn record(&self, fingerprint: u64, at: u64) {
         let mut slots = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         slots[slot(fingerprint)] = Completion { fingerprint, at };
     }
 
     /// Returns the Unix time in milliseconds at which a request last ran to its end, if known.
-    pub(super) fn last(&self, fingerprint: u64) -> Option<u64> {
+    pub(in crate::direct) fn last(&self, fingerprint: u64) -> Option<u64> {
         let slots = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let found = slots[slot(fingerprint)];
         (found.fingerprint == fingerprint && found.at > 0).then_some(found.at)
--- a/src/direct/crash.rs
+++ b/src/direct/quarantine/crash.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use super::ListedUpstream;
+use crate::direct::ListedUpstream;
 use crate::units::unix_millis;
 
 /// The end of one incarnation of an upstream while a request was in flight there.
@@ -22,12 +22,12 @@
 
 impl Crash {
     /// Returns what identifies the incarnation that ended.
-    pub(super) fn incarnation(&self) -> (&str, Option<u64>) {
+    pub(in crate::direct) fn incarnation(&self) -> (&str, Option<u64>) {
         (&self.upstream, self.incarnation)
     }
 
     /// Combines what two entries have noticed of the end of the same incarnation.
-    pub(super) fn combine(&mut self, other: &Self) {
+    pub(in crate::direct) fn combine(&mut self, other: &Self) {
         self.started = self.started.min(other.started);
         self.ended = self.ended.min(other.ended);
         self.isolated |= other.isolated;
@@ -36,16 +36,16 @@
 
 /// An attempt that was in flight as its upstream may have ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct SuspectedAttempt {
+pub(in crate::direct) struct SuspectedAttempt {
     /// When it was sent.
-    pub(super) started: Instant,
+    pub(in crate::direct) started: Instant,
     /// When this entry noticed its end.
-    pub(super) ended: Instant,
+    pub(in crate::direct) ended: Instant,
 }
 
 impl SuspectedAttempt {
     /// Returns the crash that this attempt was in flight at.
-    pub(super) fn crash(&self, listed: &ListedUpstream, isolated: bool) -> Crash {
+    pub(in crate::direct) fn crash(&self, listed: &ListedUpstream, isolated: bool) -> Crash {
         Crash {
             upstream: listed.id.clone(),
             incarnation: listed.started_at_ms,
--- a/src/direct/crash_record.rs
+++ b/src/direct/quarantine/crash_record.rs
@@ -7,7 +7,7 @@
 use crate::units::unix_seconds;
 
 /// Number of crashes from which a request is quarantined.
-pub(super) const CRASHES_TO_QUARANTINE: u32 = 3;
+pub(in crate::direct) const CRASHES_TO_QUARANTINE: u32 = 3;
 /// Factor by which the quarantine time grows with each further crash.
 const QUARANTINE_GROWTH: u32 = 4;
 /// Upper bound of the quarantine time.
@@ -39,28 +39,28 @@
 
 /// What one entry knows of the crashes at which a request was in flight.
 #[derive(Clone, Debug)]
-pub(super) struct CrashRecord {
+pub(in crate::direct) struct CrashRecord {
     crashes: CrashSet,
     trials: u32,
     /// When this entry noticed the last crash or trial or learned of it.
-    pub(super) last: Instant,
+    pub(in crate::direct) last: Instant,
 }
 
 impl CrashRecord {
     /// Creates the record of a first crash.
-    pub(super) fn first(crash: Crash, ended: Instant) -> Self {
+    pub(in crate::direct) fn first(crash: Crash, ended: Instant) -> Self {
         let mut crashes = CrashSet::default();
         crashes.insert(crash);
         Self { crashes, trials: 0, last: ended }
     }
 
     /// Creates the record of crashes that other entries have noticed.
-    pub(super) fn learned(shared: &SharedCrashes, now: Instant) -> Self {
+    pub(in crate::direct) fn learned(shared: &SharedCrashes, now: Instant) -> Self {
         Self { crashes: shared.crashes.clone(), trials: shared.trials, last: now }
     }
 
     /// Adds a crash. Returns whether the record changed.
-    pub(super) fn add(&mut self, crash: Crash, ended: Instant) -> bool {
+    pub(in crate::direct) fn add(&mut self, crash: Crash, ended: Instant) -> bool {
         let before = self.count();
         let changed = self.crashes.insert(crash);
         if self.count() > before {
@@ -71,7 +71,7 @@
 
     /// Adds what other entries have noticed. Returns whether it raises the number of crashes or
     /// trials.
-    pub(super) fn join(&mut self, shared: &SharedCrashes, now: Instant) -> bool {
+    pub(in crate::direct) fn join(&mut self, shared: &SharedCrashes, now: Instant) -> bool {
         let before = (self.count(), self.trials);
         self.crashes.join(&shared.crashes);
         self.trials = self.trials.max(shared.trials);
@@ -83,35 +83,39 @@
     }
 
     /// Returns the number of crashes that count.
-    pub(super) fn count(&self) -> u32 {
+    pub(in crate::direct) fn count(&self) -> u32 {
         self.crashes.count()
     }
 
     /// Returns whether a row says as much as this record.
-    pub(super) fn is_said_by(&self, shared: &SharedCrashes) -> bool {
+    pub(in crate::direct) fn is_said_by(&self, shared: &SharedCrashes) -> bool {
         self.crashes == shared.crashes && self.trials == shared.trials
     }
 
     /// Returns whether the last crash is too long ago to count.
-    pub(super) fn is_expired(&self, now: Instant) -> bool {
+    pub(in crate::direct) fn is_expired(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.last) >= RETENTION
     }
 
     /// Returns the crashes for the other entries.
-    pub(super) fn shared(&self) -> SharedCrashes {
+    pub(in crate::direct) fn shared(&self) -> SharedCrashes {
         let at = unix_seconds(self.last.elapsed());
         SharedCrashes { crashes: self.crashes.clone(), trials: self.trials, at }
     }
 
     /// Returns the crashes with one more trial, which begins now.
-    pub(super) fn with_trial(&self) -> SharedCrashes {
+    pub(in crate::direct) fn with_trial(&self) -> SharedCrashes {
         let at = unix_seconds(Duration::ZERO);
         SharedCrashes { crashes: self.crashes.clone(), trials: self.trials + 1, at }
     }
 
     /// Returns how the request is treated. `first_quarantine` is the quarantine time after the
     /// crash that makes it quarantined.
-    pub(super) fn status(&self, first_quarantine: Duration, now: Instant) -> CrashStatus {
+    pub(in crate::direct) fn status(
+        &self,
+        first_quarantine: Duration,
+        now: Instant,
+    ) -> CrashStatus {
         let crashes = self.count();
         let Some(further) = crashes.checked_sub(CRASHES_TO_QUARANTINE) else {
             return CrashStatus::Clear;
--- a/src/direct/crash_recorder.rs
+++ b/src/direct/quarantine/crash_recorder.rs
@@ -6,14 +6,15 @@
 use rand::seq::IndexedRandom;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::connection::Connection;
+use super::Crashes;
 use super::crash::SuspectedAttempt;
-use super::dispatch_log::hex;
-use super::event::Event;
-use super::request_tracker::millis;
+use super::hex::hex;
 use super::trial::Trials;
-use super::{Crashes, Roster, Upstream};
+use crate::direct::connection::Connection;
+use crate::direct::event::Event;
+use crate::direct::{Roster, Upstream};
 use crate::event_log::{EventLog, Level};
+use crate::units::millis;
 
 /// Time between a connection's break and the check whether its upstream still listens, since a
 /// process that exits may close its connections before its listening socket.
@@ -23,7 +24,7 @@
 
 /// Why an attempt is suspected to have been in flight as its upstream crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CrashSign {
+pub(in crate::direct) enum CrashSign {
     /// The connection broke while the request ran.
     ConnectionBroken,
     /// The upstream sent nothing until the entry gave up.
@@ -32,7 +33,7 @@
 
 impl CrashSign {
     /// Returns the sign's name in the log.
-    pub(super) const fn as_str(self) -> &'static str {
+    pub(in crate::direct) const fn as_str(self) -> &'static str {
         match self {
             Self::ConnectionBroken => "connection broken",
             Self::Silence => "silence",
@@ -64,17 +65,17 @@
 /// An attempt that ends with a [`CrashSign`] is suspected. It counts once its upstream is known to
 /// have ended: it refuses connections, or the platform lists it no longer or as started anew.
 #[derive(Debug)]
-pub(super) struct CrashRecorder {
-    pub(super) crashes: Arc<Crashes>,
-    pub(super) roster: Arc<Roster>,
-    pub(super) trials: Trials,
-    pub(super) log: EventLog,
+pub(in crate::direct) struct CrashRecorder {
+    pub(in crate::direct) crashes: Arc<Crashes>,
+    pub(in crate::direct) roster: Arc<Roster>,
+    pub(in crate::direct) trials: Trials,
+    pub(in crate::direct) log: EventLog,
 }
 
 impl CrashRecorder {
     /// Suspects a request of the crash that the end of its attempt is a sign of, and starts to
     /// check whether the upstream has crashed.
-    pub(super) fn suspect(
+    pub(in crate::direct) fn suspect(
         self: &Arc<Self>,
         upstream: &Arc<Upstream>,
         fingerprint: u64,
@@ -93,7 +94,7 @@
     }
 
     /// Checks whether the upstream still listens. The connection is kept for later requests.
-    pub(super) async fn probe(&self, upstream: &Upstream) {
+    pub(in crate::direct) async fn probe(&self, upstream: &Upstream) {
         sleep(PROBE_DELAY).await;
         upstream.end_probe();
         match Connection::open(upstream.addr()).await {
@@ -118,7 +119,7 @@
     }
 
     /// Records a crash if a connection failed because the upstream does not listen.
-    pub(super) fn record_failed_connection(
+    pub(in crate::direct) fn record_failed_connection(
         self: &Arc<Self>,
         upstream: &Arc<Upstream>,
         err: &io::Error,
--- a/src/direct/crash_set.rs
+++ b/src/direct/quarantine/crash_set.rs
@@ -82,7 +82,7 @@
 
     /// Drops the crashes that ended up to a Unix time in milliseconds. Returns whether there were
     /// any.
-    pub(super) fn drop_until(&mut self, time: u64) -> bool {
+    pub(in crate::direct) fn drop_until(&mut self, time: u64) -> bool {
         let before = self.0.len();
         self.0.retain(|crash| crash.ended > time);
         self.0.len() < before
--- a/src/direct/crash_sharing.rs
+++ b/src/direct/quarantine/crash_sharing.rs
@@ -4,10 +4,11 @@
 use tokio::time::{Instant, sleep};
 
 use super::crashes::RowContent;
-use super::dispatch_log::hex;
-use super::event::Event;
-use super::platform_health::PlatformHealth;
-use super::{Crashes, RowChange, SharedCrashes};
+use super::hex::hex;
+use super::{Crashes, SharedCrashes};
+use crate::direct::RowChange;
+use crate::direct::event::Event;
+use crate::direct::platform_health::PlatformHealth;
 use crate::event_log::{EventLog, Level};
 use crate::platform::{Table, TableError, Txn};
 use crate::units::unix_seconds;
@@ -23,19 +24,19 @@
 /// table has it, and again when a row lacks some. So writes need no condition, and one that is
 /// lost, late or overtaken does no lasting harm.
 #[derive(Clone, Debug)]
-pub(super) struct CrashSharing {
-    pub(super) crashes: Arc<Crashes>,
-    pub(super) log: EventLog,
+pub(in crate::direct) struct CrashSharing {
+    pub(in crate::direct) crashes: Arc<Crashes>,
+    pub(in crate::direct) log: EventLog,
 }
 
 impl CrashSharing {
     /// Writes again what the table, read as a whole, does not hold.
-    pub(super) fn share_missing(&self, rows: &[RowChange]) {
+    pub(in crate::direct) fn share_missing(&self, rows: &[RowChange]) {
         self.crashes.share_all_but(&rows.iter().filter_map(fingerprint_of).collect());
     }
 
     /// Applies a change of the table, if it is a crash row.
-    pub(super) fn apply(&self, change: &RowChange) {
+    pub(in crate::direct) fn apply(&self, change: &RowChange) {
         let Some(fingerprint) = fingerprint_of(change) else {
             return;
         };
@@ -59,7 +60,7 @@
     }
 
     /// Writes what this entry knows for the other entries until the process ends.
-    pub(super) async fn publish(self, table: Arc<impl Table>) {
+    pub(in crate::direct) async fn publish(self, table: Arc<impl Table>) {
         let mut health = PlatformHealth::new("crash counts", self.log.clone());
         loop {
             let rows = self.crashes.unshared(MAX_ROWS).await;
@@ -96,7 +97,7 @@
 }
 
 /// Returns the key of a request's crash row.
-pub(super) fn row_key(fingerprint: u64) -> String {
+pub(in crate::direct) fn row_key(fingerprint: u64) -> String {
     format!("{KEY_PREFIX}{}", hex(fingerprint))
 }
 
--- a/src/direct/crashes.rs
+++ b/src/direct/quarantine/crashes.rs
@@ -9,7 +9,7 @@
 use super::completions::Completions;
 use super::crash_record::CrashRecord;
 use super::{Crash, CrashStatus, SharedCrashes};
-use crate::units::unix_millis;
+use crate::units::{millis, unix_millis};
 
 /// Time after a completion of a request in which it is not blamed for crashes: one that crashes
 /// upstreams does not complete.
@@ -38,7 +38,7 @@
 }
 
 /// What a row of the table is to say of a request, `None` if it is to be removed.
-pub(super) type RowContent = Option<SharedCrashes>;
+pub(in crate::direct) type RowContent = Option<SharedCrashes>;
 
 impl Crashes {
     /// Creates a record of no crashes. `first_quarantine` is how long a request is refused after
@@ -137,7 +137,7 @@
 
     /// Applies that another entry has removed the row of a request because the request completed.
     /// Crashes that this entry has yet to share were noticed later.
-    pub(super) fn merge_removal(&self, fingerprint: u64) {
+    pub(in crate::direct) fn merge_removal(&self, fingerprint: u64) {
         let mut state = self.lock();
         if !state.unshared.contains(&fingerprint) {
             state.records.remove(&fingerprint);
@@ -145,7 +145,7 @@
     }
 
     /// Marks all requests as to be shared that the table, read as a whole, does not hold.
-    pub(super) fn share_all_but(&self, listed: &HashSet<u64>) {
+    pub(in crate::direct) fn share_all_but(&self, listed: &HashSet<u64>) {
         let mut state = self.lock();
         let missing: Vec<u64> =
             state.records.keys().copied().filter(|key| !listed.contains(key)).collect();
@@ -169,7 +169,7 @@
     /// Returns the Unix time in milliseconds up to which crashes do not count against a request,
     /// if it is known to have completed.
     fn blameless_until(&self, fingerprint: u64) -> Option<u64> {
-        let grace = u64::try_from(COMPLETION_GRACE.as_millis()).unwrap_or(u64::MAX);
+        let grace = millis(COMPLETION_GRACE);
         self.completions.last(fingerprint).map(|at| at.saturating_add(grace))
     }
 
@@ -181,7 +181,11 @@
     }
 
     /// Returns the count with one more trial, if one is due.
-    pub(super) fn next_trial(&self, fingerprint: u64, now: Instant) -> Option<SharedCrashes> {
+    pub(in crate::direct) fn next_trial(
+        &self,
+        fingerprint: u64,
+        now: Instant,
+    ) -> Option<SharedCrashes> {
         let is_due = matches!(self.status(fingerprint, now), CrashStatus::TrialDue(_));
         let state = self.lock();
         state.records.get(&fingerprint).filter(|_| is_due).map(CrashRecord::with_trial)
@@ -194,7 +198,7 @@
 
     /// Waits until requests are to be shared, and returns some of them with what their rows are to
     /// say.
-    pub(super) async fn unshared(&self, max: usize) -> SmallVec<[(u64, RowContent); 8]> {
+    pub(in crate::direct) async fn unshared(&self, max: usize) -> SmallVec<[(u64, RowContent); 8]> {
         loop {
             let rows = self.unshared_now(max);
             if !rows.is_empty() {
@@ -211,7 +215,7 @@
     }
 
     /// Records that the row of a request says this, unless more has become known meanwhile.
-    pub(super) fn confirm_shared(&self, fingerprint: u64, written: &RowContent) {
+    pub(in crate::direct) fn confirm_shared(&self, fingerprint: u64, written: &RowContent) {
         let mut state = self.lock();
         let known = state.records.get(&fingerprint);
         let is_current = match (known, written) {
--- a/src/direct/shared_crashes.rs
+++ b/src/direct/quarantine/shared_crashes.rs
@@ -4,7 +4,7 @@
 
 /// Time in seconds after the last crash or trial for which crashes count, longer than any
 /// quarantine.
-pub(super) const MAX_AGE_S: u64 = 7_200;
+pub(in crate::direct) const MAX_AGE_S: u64 = 7_200;
 
 /// The crashes of one request, as an entry shares them with the others.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/src/direct/trial.rs
+++ b/src/direct/quarantine/trial.rs
@@ -5,8 +5,8 @@
 use tokio::time::{Instant, timeout};
 
 use super::crash_sharing::{CrashSharing, row_key};
-use super::dispatch_log::hex;
-use super::event::Event;
+use super::hex::hex;
+use crate::direct::event::Event;
 use crate::event_log::Level;
 use crate::platform::{Table, TableError, Txn};
 
@@ -15,19 +15,19 @@
 
 /// Asks for the right to run a quarantined request once.
 #[derive(Debug)]
-pub(super) struct TrialClaim {
+pub(in crate::direct) struct TrialClaim {
     fingerprint: u64,
     granted: oneshot::Sender<bool>,
 }
 
 /// Claims trials of quarantined requests, one among all entries, through the platform's table.
 #[derive(Debug)]
-pub(super) struct Trials(pub(super) mpsc::Sender<TrialClaim>);
+pub(in crate::direct) struct Trials(pub(in crate::direct) mpsc::Sender<TrialClaim>);
 
 impl Trials {
     /// Returns whether this entry may run the request once. It may not if another entry does or if
     /// the table can't say.
-    pub(super) async fn claim(&self, fingerprint: u64) -> bool {
+    pub(in crate::direct) async fn claim(&self, fingerprint: u64) -> bool {
         let (granted, answer) = oneshot::channel();
         let is_queued = self.0.try_send(TrialClaim { fingerprint, granted }).is_ok();
         is_queued && timeout(CLAIM_TIMEOUT, answer).await.is_ok_and(|answer| answer == Ok(true))
@@ -36,7 +36,7 @@
 
 impl CrashSharing {
     /// Answers claims of trials until the process ends.
-    pub(super) async fn grant_trials(
+    pub(in crate::direct) async fn grant_trials(
         self,
         table: Arc<impl Table>,
         mut claims: mpsc::Receiver<TrialClaim>,
--- a/src/direct/request_tracker.rs
+++ b/src/direct/request_tracker.rs
@@ -8,6 +8,7 @@
 use super::event::Event;
 use crate::event_log::{EventLog, Level};
 use crate::outcome::{Outcome, Reason, Refusal};
+use crate::units::millis;
 
 /// Tracks one request, and logs and counts its end, also if the caller disconnects.
 #[derive(Debug)]
@@ -105,8 +106,3 @@
         }
     }
 }
-
-/// Converts a time to whole milliseconds for the log.
-pub(super) fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/direct/row_follower.rs
+++ b/src/direct/row_follower.rs
@@ -3,9 +3,9 @@
 
 use tokio::time::sleep;
 
-use super::crash_sharing::CrashSharing;
 use super::limits::LimitSharing;
 use super::platform_health::PlatformHealth;
+use super::quarantine::CrashSharing;
 use super::{Directory, DirectoryError, RowChange};
 use crate::event_log::EventLog;
 
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -7,8 +7,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::connection::Connection;
-use super::crash::SuspectedAttempt;
 use super::load::LoadReport;
+use super::quarantine::SuspectedAttempt;
 use super::{Candidate, Inactivity, ListedUpstream, Liveness, Load};
 
 /// First backoff after the upstream could not be reached, refused a request, or gave no valid
--- a/src/event_log/writer.rs
+++ b/src/event_log/writer.rs
@@ -7,6 +7,7 @@
 
 use super::Level;
 use super::line::{Dropped, Line};
+use crate::units::millis;
 
 /// Maximum number of buffered bytes; lines beyond it are dropped and counted.
 const MAX_BUFFERED_BYTES: usize = 64 << 10;
@@ -123,7 +124,7 @@
     /// Appends one line to the buffer.
     fn append<T: Serialize>(&self, state: &mut State, level: Level, event: &T) {
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let at = u64::try_from(at.as_millis()).unwrap_or(u64::MAX);
+        let at = millis(at);
         let line = Line { at, node: &self.node, level, event };
         let before = state.buffered.len();
         if serde_json::to_writer(&mut state.buffered, &line).is_err() {
--- a/src/remap/leadership.rs
+++ b/src/remap/leadership.rs
@@ -14,6 +14,7 @@
 use crate::event_log::{EventLog, Level};
 use crate::platform::Table;
 use crate::settings::RebalanceSettings;
+use crate::units::millis;
 
 /// Interval between attempts to find all ranks of an incomplete group.
 const ASSEMBLE_INTERVAL: Duration = Duration::from_millis(250);
@@ -99,7 +100,7 @@
         let started = Instant::now();
         let commands = settle_switch(ranks, local, last_armed).await?;
         if commands > 0 {
-            let took_ms = millis(started);
+            let took_ms = millis(started.elapsed());
             let event = Event::Settled { epoch: ranks.epoch(), took_ms, commands };
             self.log.write(Level::Warn, &event);
         }
@@ -162,7 +163,8 @@
             Ok(pass) => {
                 let epoch = group.ranks.epoch();
                 group.map = plan.map;
-                let event = Event::Switched { version, pass, epoch, took_ms: millis(started) };
+                let event =
+                    Event::Switched { version, pass, epoch, took_ms: millis(started.elapsed()) };
                 self.log.write(Level::Info, &event);
                 group.next_plan = started + self.rebalance.interval();
                 Ok(())
@@ -170,7 +172,7 @@
             Err(SwitchError::Deposed) => Err(SwitchError::Deposed),
             Err(SwitchError::Failed(step, detail)) => {
                 let epoch = group.ranks.epoch();
-                let took_ms = millis(started);
+                let took_ms = millis(started.elapsed());
                 let event = Event::SwitchFailed { version, epoch, step, detail, took_ms };
                 self.log.write(Level::Warn, &event);
                 group.next_plan = Instant::now() + FAILURE_BACKOFF;
@@ -190,7 +192,3 @@
         self.log.write(Level::Info, &event);
     }
 }
-
-fn millis(since: Instant) -> u64 {
-    u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/remap/rank_node.rs
+++ b/src/remap/rank_node.rs
@@ -19,6 +19,7 @@
 use crate::peer::RpcListener;
 use crate::platform::{Table, TableError};
 use crate::settings::{ParseError, RankFile};
+use crate::units::millis;
 
 /// Interval at which the sidecar reads the state of its own rank.
 const POLL_INTERVAL: Duration = Duration::from_millis(200);
@@ -183,7 +184,7 @@
             }
         };
         self.watch.record_call(term);
-        let silence_ms = u64::try_from(silence.as_millis()).unwrap_or(u64::MAX);
+        let silence_ms = millis(silence);
         self.log.write(Level::Info, &Event::Leads { term, reason, silence_ms });
         let leadership = Leadership {
             directory: Arc::clone(&self.store),
--- a/src/units/unix_time.rs
+++ b/src/units/unix_time.rs
@@ -1,5 +1,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use super::millis;
+
 /// Returns the Unix time in seconds at which something happened that is `age` old.
 ///
 /// ```
@@ -19,7 +21,7 @@
 /// assert!(unix_millis(Duration::from_secs(60)) < unix_millis(Duration::ZERO));
 /// ```
 pub fn unix_millis(age: Duration) -> u64 {
-    u64::try_from(unix_time(age).as_millis()).unwrap_or(u64::MAX)
+    millis(unix_time(age))
 }
 
 fn unix_time(age: Duration) -> Duration {
