--- a/src/direct/quarantine/crash_recorder.rs
+++ b/src/direct/quarantine/crash_recorder.rs
@@ -83,12 +83,12 @@
         sign: CrashSign,
     ) {
         let attempt = SuspectedAttempt { started, ended: Instant::now() };
-        upstream.suspect(fingerprint, attempt);
-        if sign == CrashSign::ConnectionBroken && upstream.begin_probe() {
+        upstream.suspects.add(fingerprint, attempt);
+        if sign == CrashSign::ConnectionBroken && upstream.suspects.begin_probe() {
             let (recorder, upstream) = (Arc::clone(self), Arc::clone(upstream));
             tokio::spawn(async move { recorder.probe(&upstream).await });
         }
-        if upstream.begin_watch() {
+        if upstream.suspects.begin_watch() {
             tokio::spawn(Arc::clone(self).watch(Arc::clone(upstream)));
         }
     }
@@ -96,7 +96,7 @@
     /// Checks whether the upstream still listens. The connection is kept for later requests.
     pub(in crate::direct) async fn probe(&self, upstream: &Upstream) {
         sleep(PROBE_DELAY).await;
-        upstream.end_probe();
+        upstream.suspects.end_probe();
         match Connection::open(upstream.addr()).await {
             Ok(conn) => upstream.put_idle(conn.into_idle(None)),
             Err(err) if is_refused(&err) => self.record_refused(upstream).await,
@@ -107,7 +107,7 @@
     /// Waits until the platform's list tells that the upstream has ended, as long as any request is
     /// suspected.
     async fn watch(self: Arc<Self>, upstream: Arc<Upstream>) {
-        while let Some(until) = upstream.suspected_until() {
+        while let Some(until) = upstream.suspects.watch_until() {
             tokio::select! {
                 // Upstreams that start anew may listen by now, so none is asked whether it lives.
                 () = upstream.ended() => {
@@ -124,14 +124,14 @@
         upstream: &Arc<Upstream>,
         err: &io::Error,
     ) {
-        if is_refused(err) && upstream.suspected_since().is_some() {
+        if is_refused(err) && upstream.suspects.since().is_some() {
             let (recorder, upstream) = (Arc::clone(self), Arc::clone(upstream));
             tokio::spawn(async move { recorder.record_refused(&upstream).await });
         }
     }
 
     async fn record_refused(&self, upstream: &Upstream) {
-        if let Some(since) = upstream.suspected_since() {
+        if let Some(since) = upstream.suspects.since() {
             let isolated = self.is_domain_alive(upstream, since).await;
             self.record_crash(upstream, CrashProof::ConnectionRefused, isolated);
         }
@@ -141,7 +141,9 @@
     /// Those at which the same request is suspected are not asked: it may have crashed them too.
     async fn is_domain_alive(&self, upstream: &Upstream, crashed: Instant) -> bool {
         let fits = |peer: &Upstream| {
-            peer.is_known_before(crashed) && !peer.is_draining() && !upstream.shares_suspect(peer)
+            peer.is_known_before(crashed)
+                && !peer.is_draining()
+                && !upstream.suspects.shares_any(&peer.suspects)
         };
         let peers = self.roster.domain_peers(upstream, fits);
         let asked = peers.choose_multiple(&mut rand::rng(), MAX_WITNESSES);
@@ -151,7 +153,7 @@
 
     /// Records that the upstream has crashed, for the requests that are suspected.
     fn record_crash(&self, upstream: &Upstream, proof: CrashProof, isolated: bool) {
-        for (fingerprint, attempt) in upstream.take_suspects() {
+        for (fingerprint, attempt) in upstream.suspects.take() {
             let crash = attempt.crash(&upstream.listed, isolated);
             let crashes = self.crashes.record(fingerprint, crash, attempt.ended);
             self.log_crash(upstream, fingerprint, attempt, crashes, proof);
--- a/src/direct/quarantine/mod.rs
+++ b/src/direct/quarantine/mod.rs
@@ -10,9 +10,10 @@
 mod hex;
 mod shared_crashes;
 mod trial;
+mod upstream_suspects;
 
 pub use crash::Crash;
-pub(super) use crash::SuspectedAttempt;
+use crash::SuspectedAttempt;
 pub(super) use crash_record::CRASHES_TO_QUARANTINE;
 pub use crash_record::{CrashStatus, Quarantine};
 pub(super) use crash_recorder::{CrashRecorder, CrashSign};
@@ -22,3 +23,4 @@
 pub(super) use hex::hex;
 pub use shared_crashes::SharedCrashes;
 pub(super) use trial::Trials;
+pub(super) use upstream_suspects::UpstreamSuspects;
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -2,13 +2,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use smallvec::SmallVec;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use super::connection::Connection;
 use super::load::LoadReport;
-use super::quarantine::SuspectedAttempt;
+use super::quarantine::UpstreamSuspects;
 use super::{Candidate, Inactivity, ListedUpstream, Liveness, Load};
 
 /// First backoff after the upstream could not be reached, refused a request, or gave no valid
@@ -18,9 +17,6 @@
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// Number of consecutive requests without a valid response that start a backoff.
 const LOSSES_TO_BACK_OFF: u32 = 3;
-/// Time after the end of an attempt within which the end of its upstream means that it crashed
-/// under the request. An upstream that ends silently is listed for some seconds.
-const SUSPICION_TIME: Duration = Duration::from_secs(8);
 /// Maximum number of idle connections to an upstream.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 /// Idle time after which a connection is not reused, shorter than the usual timeout of upstreams.
@@ -33,6 +29,8 @@
     pub listed: ListedUpstream,
     /// When this entry learned of this incarnation.
     known_since: Instant,
+    /// Attempts that may have crashed it.
+    pub(super) suspects: UpstreamSuspects,
     /// Cancelled once this incarnation has ended without draining.
     ended: CancellationToken,
     state: Mutex<State>,
@@ -46,13 +44,6 @@
     losses: u32,
     backoff: Duration,
     avoid_until: Option<Instant>,
-    /// Attempts that recently ended as if the upstream had crashed, with the fingerprints of their
-    /// requests.
-    suspects: SmallVec<[(u64, SuspectedAttempt); 4]>,
-    /// Whether a task is about to check if the upstream still listens.
-    probing: bool,
-    /// Whether a task waits for the upstream's end.
-    watching: bool,
     inactivity: Inactivity,
     idle: Vec<Connection>,
 }
@@ -87,7 +78,13 @@
     pub fn new(listed: ListedUpstream) -> Self {
         let state = State { draining: listed.draining, ..State::default() };
         let (known_since, ended) = (Instant::now(), CancellationToken::new());
-        Self { listed, known_since, ended, state: Mutex::new(state) }
+        Self {
+            listed,
+            known_since,
+            suspects: UpstreamSuspects::default(),
+            ended,
+            state: Mutex::new(state),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -175,35 +172,6 @@
         }
     }
 
-    /// Remembers that an attempt at the request with this fingerprint ended as if the upstream had
-    /// crashed. It takes the place of an earlier one, after which the upstream lived on.
-    pub(super) fn suspect(&self, fingerprint: u64, attempt: SuspectedAttempt) {
-        let mut state = self.lock();
-        state.suspects.retain(|(other, _)| *other != fingerprint);
-        state.suspects.push((fingerprint, attempt));
-    }
-
-    /// Removes and returns the suspected attempts. If the upstream has ended, it has crashed while
-    /// it ran them.
-    pub(super) fn take_suspects(&self) -> SmallVec<[(u64, SuspectedAttempt); 4]> {
-        let mut state = self.lock();
-        state.drop_old_suspects();
-        std::mem::take(&mut state.suspects)
-    }
-
-    /// Returns whether a request that is suspected here is suspected at the other upstream as well.
-    pub(super) fn shares_suspect(&self, other: &Self) -> bool {
-        let fingerprints: SmallVec<[u64; 4]> = self.lock().fingerprints().collect();
-        other.lock().fingerprints().any(|other| fingerprints.contains(&other))
-    }
-
-    /// Returns when the first attempt that is suspected ended, if any is.
-    pub(super) fn suspected_since(&self) -> Option<Instant> {
-        let mut state = self.lock();
-        state.drop_old_suspects();
-        state.suspects.iter().map(|(_, attempt)| attempt.ended).min()
-    }
-
     /// Returns whether this entry knew of this incarnation before a time.
     pub(super) fn is_known_before(&self, time: Instant) -> bool {
         self.known_since < time
@@ -222,30 +190,6 @@
         })
     }
 
-    /// Returns until when the newest suspicion lasts. If there is none, the watch is over.
-    pub(super) fn suspected_until(&self) -> Option<Instant> {
-        let mut state = self.lock();
-        state.drop_old_suspects();
-        let newest = state.suspects.last().map(|(_, attempt)| attempt.ended + SUSPICION_TIME);
-        state.watching = newest.is_some();
-        newest
-    }
-
-    /// Returns whether the caller is to check if the upstream listens: nobody else is about to.
-    pub(super) fn begin_probe(&self) -> bool {
-        !std::mem::replace(&mut self.lock().probing, true)
-    }
-
-    /// Records that the check begins, so that it does not cover what breaks from now on.
-    pub(super) fn end_probe(&self) {
-        self.lock().probing = false;
-    }
-
-    /// Returns whether the caller is to wait for the upstream's end: nobody else does.
-    pub(super) fn begin_watch(&self) -> bool {
-        !std::mem::replace(&mut self.lock().watching, true)
-    }
-
     /// Returns the state on which the choice of an upstream is based.
     pub fn candidate(&self, liveness: &Liveness, now: Instant) -> Candidate {
         let state = self.lock();
@@ -275,16 +219,6 @@
 }
 
 impl State {
-    fn fingerprints(&self) -> impl Iterator<Item = u64> {
-        self.suspects.iter().map(|(fingerprint, _)| *fingerprint)
-    }
-
-    fn drop_old_suspects(&mut self) {
-        let now = Instant::now();
-        self.suspects
-            .retain(|(_, attempt)| now.saturating_duration_since(attempt.ended) < SUSPICION_TIME);
-    }
-
     fn begin_backoff(&mut self) {
         self.backoff = (self.backoff * 2).clamp(INITIAL_BACKOFF, MAX_BACKOFF);
         self.avoid_until = Some(Instant::now() + self.backoff);
