Rows of limits say when an upstream was heard, and cost the same with hundreds of entries

Cause: each write of a row is read by all entries, so renewals every 8 s by n entries are n * n / 8 reads a second: 17,000 for 370 entries where the platform's store allows 2,000 for all calls (worked out, not run). And news was what changed between two rows of an entry, so an entry had to write on news of others, or its row would tell old news later. Change: what was heard last holds, so rows may be late; an entry writes at once only what it heard itself, or to be counted at all. Renewals are a second apart for each entry, and each entry reads at most once in 3 ms for each other one.

--- a/src/direct/limits/limit_sharing.rs
+++ b/src/direct/limits/limit_sharing.rs
@@ -12,8 +12,6 @@
 
 /// Prefix of the keys of the entries' rows.
 const KEY_PREFIX: &str = "limits/";
-/// Interval at which the row is written while any upstream names a limit.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(8);
 /// Minimum time between two writes.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -36,7 +34,7 @@
         if let RowChange::Written(row) = change
             && let Ok(row) = row.read::<LimitRow>()
         {
-            let changes = self.limits.apply(entry, row, Instant::now());
+            let changes = self.limits.apply(entry, &row, Instant::now());
             changes.iter().for_each(|change| self.log_change(change, entry));
             self.meter.limited_upstreams(self.limits.len());
         }
@@ -50,7 +48,8 @@
             if self.limits.is_empty() {
                 self.limits.changed().await;
             } else {
-                timeout(RENEWAL_INTERVAL, self.limits.changed()).await.ok();
+                let interval = self.limits.renewal_interval(Instant::now());
+                timeout(interval, self.limits.changed()).await.ok();
             }
             let listed = self.roster.ids();
             self.limits.retain(|id| listed.iter().any(|other| other == id));
--- a/src/direct/limits/upstream_limits.rs
+++ b/src/direct/limits/upstream_limits.rs
@@ -9,13 +9,21 @@
 use super::limited_upstream::{LimitedUpstream, Sharers};
 use super::{LimitRow, NamedLimit, RowLimit};
 use crate::direct::ListedUpstream;
+use crate::units::unix_millis;
 
-/// Time for which another entry counts as one that shares the limits, after its last renewal.
-const LEASE: Duration = Duration::from_secs(24);
-/// Maximum age of the proof that this entry knows the others: its own row as read from the table.
-const PROOF_AGE: Duration = Duration::from_secs(16);
-/// Time for which what an upstream told this entry goes before what other entries say.
-const HEARD_PRECEDENCE: Duration = Duration::from_secs(1);
+/// Time between two renewals of an entry's row, at least.
+const MIN_RENEWAL_INTERVAL: Duration = Duration::from_secs(8);
+/// Time between the renewals of any two entries: each is read by all.
+const RENEWAL_SPACING: Duration = Duration::from_secs(1);
+/// Number of renewals after which an entry without one no longer counts.
+const LEASE_RENEWALS: u32 = 3;
+/// Number of renewals for which this entry's own row, as read from the table, proves that it knows
+/// the others.
+const PROOF_RENEWALS: u32 = 2;
+/// Time between two reads of the table for each entry that shares limits.
+const READ_SPACING: Duration = Duration::from_millis(3);
+/// Time in milliseconds for which the end of a limit is told to the other entries.
+const ENDED_RETENTION_MS: u64 = 60_000;
 
 /// What has changed about the limit of an upstream.
 #[derive(Clone, Debug, PartialEq)]
@@ -43,8 +51,8 @@
 #[derive(Debug, Default)]
 struct State {
     upstreams: HashMap<String, LimitedUpstream>,
-    /// Rows of the other entries, and when each was last renewed.
-    others: HashMap<String, (LimitRow, Instant)>,
+    /// Last renewal of each other entry, and when it was read.
+    others: HashMap<String, (u64, Instant)>,
     /// Number of the last renewal that this entry has written, and when that was read.
     renewal: u64,
     proven: Option<Instant>,
@@ -90,15 +98,15 @@
     ) -> Option<LimitChange> {
         let mut state = self.lock();
         let rate = match named {
-            NamedLimit::None if state.upstreams.is_empty() => return None,
+            NamedLimit::None if !state.upstreams.contains_key(&listed.id) => return None,
             NamedLimit::None => None,
             NamedLimit::Rate(rate) => Some(rate),
             NamedLimit::Unreadable => return None,
         };
-        let change = state.set(&listed.id, listed.started_at_ms, rate, now);
-        if let Some(known) = state.upstreams.get_mut(&listed.id) {
-            known.heard = Some(now);
-        }
+        let heard = unix_millis(Duration::ZERO);
+        let incarnation = listed.started_at_ms;
+        let said = LimitedUpstream { incarnation, rate, heard, last: now };
+        let change = state.learn(&listed.id, said);
         if change.is_some() {
             self.changed.notify_one();
         }
@@ -113,14 +121,15 @@
             return now;
         };
         let others = state.live_others(now);
+        let proof_age = state.renewal_interval(now) * PROOF_RENEWALS;
         let is_proven =
-            state.proven.is_some_and(|at| now.saturating_duration_since(at) < PROOF_AGE);
+            state.proven.is_some_and(|at| now.saturating_duration_since(at) < proof_age);
         let sharers = if is_proven {
             Sharers::Known(&self.entry, &others)
         } else {
             Sharers::AtMost(self.max_entries)
         };
-        known.next(&listed.id, sharers)
+        known.next(&listed.id, sharers).unwrap_or(now)
     }
 
     /// Records that a request is sent to an upstream.
@@ -132,7 +141,7 @@
 
     /// Returns the number of upstreams that name a limit.
     pub fn len(&self) -> usize {
-        self.lock().upstreams.len()
+        self.lock().upstreams.values().filter(|known| known.rate.is_some()).count()
     }
 
     /// Returns whether no upstream names a limit.
@@ -140,27 +149,45 @@
         self.len() == 0
     }
 
-    /// Drops the limits of upstreams that are not listed any more.
+    /// Returns the time between two renewals of this entry's row.
+    pub(super) fn renewal_interval(&self, now: Instant) -> Duration {
+        self.lock().renewal_interval(now)
+    }
+
+    /// Returns the time between two reads of the table, which bounds the reads of all entries
+    /// together while they write about limits.
+    pub(in crate::direct) fn read_interval(&self, now: Instant) -> Duration {
+        let state = self.lock();
+        READ_SPACING * u32::try_from(state.live_others(now).len()).unwrap_or(u32::MAX)
+    }
+
+    /// Drops what is known of upstreams that are not listed any more, and old ends of limits.
     pub(super) fn retain(&self, is_listed: impl Fn(&str) -> bool) {
-        self.lock().upstreams.retain(|id, _| is_listed(id));
+        let now = unix_millis(Duration::ZERO);
+        let is_recent =
+            |known: &LimitedUpstream| known.heard.saturating_add(ENDED_RETENTION_MS) > now;
+        let mut state = self.lock();
+        state
+            .upstreams
+            .retain(|id, known| is_listed(id) && (known.rate.is_some() || is_recent(known)));
     }
 
-    /// Applies the row of an entry. What has changed since its last one is news, unless an upstream
-    /// has just told this entry itself.
+    /// Applies the row of an entry: what it heard later than is known here.
     ///
     /// ```
     /// # use ebonyusher::direct::{LimitRow, RowLimit, UpstreamLimits};
     /// # use tokio::time::Instant;
     /// let (limits, now) = (UpstreamLimits::new("entry-1", 2.0), Instant::now());
-    /// let limit = RowLimit { upstream: "u-1".into(), incarnation: Some(1), rate: 2.0 };
-    /// let named = LimitRow { renewal: 1, limits: vec![limit] };
-    /// let ended = LimitRow { renewal: 2, limits: Vec::new() };
-    /// assert_eq!(limits.apply("entry-2", named, now).len(), 1);
-    /// assert_eq!(limits.next_row().limits.len(), 1);
-    /// limits.apply("entry-2", ended, now);
+    /// let row = |renewal, rate| LimitRow {
+    ///     renewal,
+    ///     limits: vec![RowLimit { upstream: "u-1".into(), incarnation: Some(1), rate, heard: renewal }],
+    /// };
+    /// assert_eq!(limits.apply("entry-2", &row(1, Some(2.0)), now).len(), 1);
+    /// assert_eq!(limits.len(), 1);
+    /// limits.apply("entry-2", &row(2, None), now);
     /// assert!(limits.is_empty());
     /// ```
-    pub fn apply(&self, entry: &str, row: LimitRow, now: Instant) -> Vec<LimitChange> {
+    pub fn apply(&self, entry: &str, row: &LimitRow, now: Instant) -> Vec<LimitChange> {
         let mut state = self.lock();
         if entry == self.entry {
             if row.renewal == state.renewal {
@@ -168,19 +195,21 @@
             }
             return Vec::new();
         }
-        let before = state.others.get(entry).map(|(row, _)| row.clone()).unwrap_or_default();
-        let ended = before.limits.iter().filter(|limit| !row.limits_incarnation(limit));
-        let ended = ended.map(|limit| (limit, None));
-        let named = row.limits.iter().filter(|limit| !before.names(limit));
-        let named = named.map(|limit| (limit, Some(limit.rate)));
-        let news = named.chain(ended);
-        let changes: Vec<_> =
-            news.filter_map(|(limit, rate)| state.learn(limit, rate, now)).collect();
-        let is_renewed = state.others.get(entry).is_none_or(|(known, _)| *known != row);
-        if is_renewed {
-            state.others.insert(entry.to_owned(), (row, now));
+        let said = |limit: &RowLimit| LimitedUpstream {
+            incarnation: limit.incarnation,
+            rate: limit.rate,
+            heard: limit.heard,
+            last: now,
+        };
+        let limits = row.limits.iter();
+        let changes =
+            limits.filter_map(|limit| state.learn(&limit.upstream, said(limit))).collect();
+        let known = state.others.get(entry);
+        if known.is_none_or(|(renewal, _)| *renewal != row.renewal) {
+            state.others.insert(entry.to_owned(), (row.renewal, now));
         }
-        if !changes.is_empty() {
+        // Only entries that have a row count among those that share a limit.
+        if state.proven.is_none() {
             self.changed.notify_one();
         }
         changes
@@ -194,6 +223,7 @@
             upstream: id.clone(),
             incarnation: known.incarnation,
             rate: known.rate,
+            heard: known.heard,
         };
         LimitRow { renewal: state.renewal, limits: state.upstreams.iter().map(limit).collect() }
     }
@@ -205,50 +235,40 @@
 }
 
 impl State {
-    /// Sets or ends the limit of an incarnation. Returns what has changed.
-    fn set(
-        &mut self,
-        id: &str,
-        incarnation: Option<u64>,
-        rate: Option<f64>,
-        now: Instant,
-    ) -> Option<LimitChange> {
-        let known = self.upstreams.get(id);
-        let known = known.filter(|known| known.incarnation == incarnation);
-        let before = known.map(|known| known.rate);
-        if before == rate {
+    /// Learns what an upstream said, if that is later than what is known. Returns what has changed.
+    fn learn(&mut self, id: &str, said: LimitedUpstream) -> Option<LimitChange> {
+        let known = self.upstreams.get_mut(id);
+        if known.as_ref().is_some_and(|known| known.order() > said.order()) {
             return None;
         }
-        let (last, heard) = known.map_or((now, None), |known| (known.last, known.heard));
-        match rate {
-            Some(rate) => {
-                let known = LimitedUpstream { incarnation, rate, heard, last };
-                self.upstreams.insert(id.to_owned(), known);
+        let same = known.filter(|known| known.incarnation == said.incarnation);
+        let (before, rate) = (same.as_ref().and_then(|known| known.rate), said.rate);
+        match same {
+            // Its time of the last request stays, unless the limit is new.
+            Some(known) if before.is_some() => {
+                *known = LimitedUpstream { last: known.last, ..said };
             }
-            None => {
-                self.upstreams.remove(id);
-            }
-        }
-        Some(LimitChange { upstream: id.to_owned(), before, rate })
-    }
-
-    /// Learns news from another entry. News of an earlier incarnation tell nothing.
-    fn learn(&mut self, limit: &RowLimit, rate: Option<f64>, now: Instant) -> Option<LimitChange> {
-        if let Some(known) = self.upstreams.get(&limit.upstream) {
-            let is_heard =
-                known.heard.is_some_and(|at| now.saturating_duration_since(at) < HEARD_PRECEDENCE);
-            if known.incarnation > limit.incarnation
-                || (known.incarnation == limit.incarnation && is_heard)
-            {
-                return None;
+            _ => {
+                self.upstreams.insert(id.to_owned(), said);
             }
         }
-        self.set(&limit.upstream, limit.incarnation, rate, now)
+        (before != rate).then(|| LimitChange { upstream: id.to_owned(), before, rate })
     }
 
     fn live_others(&self, now: Instant) -> SmallVec<[&str; 16]> {
-        let is_live = |at: &Instant| now.saturating_duration_since(*at) < LEASE;
+        let number = u32::try_from(self.others.len()).unwrap_or(u32::MAX);
+        let lease = renewal_interval(number) * LEASE_RENEWALS;
+        let is_live = |at: &Instant| now.saturating_duration_since(*at) < lease;
         let live = self.others.iter().filter(|(_, (_, at))| is_live(at));
         live.map(|(entry, _)| entry.as_str()).collect()
     }
+
+    fn renewal_interval(&self, now: Instant) -> Duration {
+        renewal_interval(u32::try_from(self.live_others(now).len()).unwrap_or(u32::MAX))
+    }
+}
+
+/// Returns the time between two renewals of an entry among this number of others.
+fn renewal_interval(others: u32) -> Duration {
+    MIN_RENEWAL_INTERVAL.max(RENEWAL_SPACING * others.saturating_add(1))
 }
--- a/src/direct/row_follower.rs
+++ b/src/direct/row_follower.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::limits::LimitSharing;
 use super::platform_health::PlatformHealth;
@@ -35,6 +35,7 @@
                         self.crash_sharing.share_missing(&changes.items);
                     }
                     cursor = Some(changes.cursor);
+                    sleep(self.limit_sharing.limits.read_interval(Instant::now())).await;
                 }
                 Err(DirectoryError::HistoryGone) => cursor = None,
                 Err(DirectoryError::Rewound(era)) => {
--- a/src/settings/direct_file.rs
+++ b/src/settings/direct_file.rs
@@ -44,7 +44,8 @@
     pub window_seconds: f64,
     /// Retries allowed in addition to the share, for all entries together.
     pub slack: f64,
-    /// Number of entries among which the slack is divided.
+    /// Maximum number of entries, among which the slack is divided, and the limits that upstreams
+    /// name as long as the entries don't know each other.
     #[serde(default = "default_entries")]
     pub entries: f64,
 }
