An entry that hears of a second limit from others only shares it too

Cause, found while reading the diff: an entry wrote its row on news of others only as long as it had never read its own; after a first limit had ended it waited for its own responses to tell it of the next, and meanwhile sent a sixteenth. Two statements of one millisecond could also pass each other's place for ever. Change: the first limit after none has the row written, whoever told of it; what an entry hears itself is later than all that it knows, and of two statements of one time the known one stays.

--- a/src/direct/limits/upstream_limits.rs
+++ b/src/direct/limits/upstream_limits.rs
@@ -53,8 +53,9 @@
     upstreams: HashMap<String, LimitedUpstream>,
     /// Last renewal of each other entry, and when it was read.
     others: HashMap<String, (u64, Instant)>,
-    /// Number of the last renewal that this entry has written, and when that was read.
+    /// Number of the last renewal that this entry has begun to write.
     renewal: u64,
+    /// When this entry last read that renewal in the table.
     proven: Option<Instant>,
 }
 
@@ -103,7 +104,9 @@
             NamedLimit::Rate(rate) => Some(rate),
             NamedLimit::Unreadable => return None,
         };
-        let heard = unix_millis(Duration::ZERO);
+        // What this entry hears is later than all that it knows, whatever the clocks of others say.
+        let known = state.upstreams.get(&listed.id).map_or(0, |known| known.heard);
+        let heard = unix_millis(Duration::ZERO).max(known.saturating_add(1));
         let incarnation = listed.started_at_ms;
         let said = LimitedUpstream { incarnation, rate, heard, last: now };
         let change = state.learn(&listed.id, said);
@@ -146,7 +149,7 @@
 
     /// Returns whether no upstream names a limit.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        !self.lock().has_limits()
     }
 
     /// Returns the time between two renewals of this entry's row.
@@ -202,14 +205,15 @@
             last: now,
         };
         let limits = row.limits.iter();
+        let had_limits = state.has_limits();
         let changes =
             limits.filter_map(|limit| state.learn(&limit.upstream, said(limit))).collect();
         let known = state.others.get(entry);
         if known.is_none_or(|(renewal, _)| *renewal != row.renewal) {
             state.others.insert(entry.to_owned(), (row.renewal, now));
         }
-        // Only entries that have a row count among those that share a limit.
-        if state.proven.is_none() {
+        // Only entries that renew their rows count among those that share a limit.
+        if !had_limits && state.has_limits() {
             self.changed.notify_one();
         }
         changes
@@ -235,10 +239,14 @@
 }
 
 impl State {
+    fn has_limits(&self) -> bool {
+        self.upstreams.values().any(|known| known.rate.is_some())
+    }
+
     /// Learns what an upstream said, if that is later than what is known. Returns what has changed.
     fn learn(&mut self, id: &str, said: LimitedUpstream) -> Option<LimitChange> {
         let known = self.upstreams.get_mut(id);
-        if known.as_ref().is_some_and(|known| known.order() > said.order()) {
+        if known.as_ref().is_some_and(|known| known.order() >= said.order()) {
             return None;
         }
         let same = known.filter(|known| known.incarnation == said.incarnation);
--- a/src/direct/quarantine/crash_set.rs
+++ b/src/direct/quarantine/crash_set.rs
@@ -61,12 +61,12 @@
     pub fn count(&self) -> u32 {
         let isolated = self.0.iter().filter(|crash| crash.isolated).count();
         let isolated = u32::try_from(isolated).unwrap_or(u32::MAX);
-        isolated + self.unexplained_incidents()
+        isolated + self.grouped_incidents()
     }
 
-    /// Returns the maximum number of crashes that are not isolated, no two of them in flight at the
-    /// same time.
-    fn unexplained_incidents(&self) -> u32 {
+    /// Returns how many of the crashes that are not isolated count: the maximum number of them with
+    /// no two in flight at the same time.
+    fn grouped_incidents(&self) -> u32 {
         let mut others: SmallVec<[&Crash; MAX_CRASHES]> =
             self.0.iter().filter(|crash| !crash.isolated).collect();
         others.sort_unstable_by_key(|crash| crash.ended);
--- a/tests/it/limit_shares.rs
+++ b/tests/it/limit_shares.rs
@@ -128,7 +128,6 @@
     share(&entries, start);
     share(&entries, start);
     let stale = entries[2].next_row();
-    std::thread::sleep(Duration::from_millis(2));
 
     entries[0].hear(&upstream(1), NamedLimit::None, later);
     entries[1].apply("entry-0", &entries[0].next_row(), later);
