Log each attempt that is abandoned while an upstream has its request

Change: an attempt is a guard that logs 'abandoned' (upstream, took_ms, silent_ms) if dropped open. What an attempt brings is a type of its own, so that the dispatcher makes the stream with its attempt. No decision changes.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -12,7 +12,7 @@
 
 use super::checked_request::CheckedRequest;
 use super::connection::{Connection, SendError};
-use super::dispatcher::{Dispatcher, Stream, UpstreamResponse};
+use super::dispatcher::{BegunStream, Dispatcher, Exchanged};
 use super::event::Event;
 use super::quarantine::CrashSign;
 use super::{Load, NamedLimit, Upstream};
@@ -60,8 +60,7 @@
         request: &CheckedRequest,
         upstream: &Arc<Upstream>,
         last_event: Option<&Bytes>,
-    ) -> Result<UpstreamResponse, FailedAttempt> {
-        let started = Instant::now();
+    ) -> Result<Exchanged, FailedAttempt> {
         let in_flight = upstream.begin_request(&request.state.liveness);
         let exchange = self.exchange(request, upstream, last_event);
         let (mut conn, response) = match timeout_at(request.deadline, exchange).await {
@@ -89,9 +88,7 @@
         if request.route.delivery.is_stream() && head.status.is_success() {
             self.check_success(upstream, &head)?;
             upstream.record_success();
-            let upstream = Arc::clone(upstream);
-            let stream = Stream { head, body, conn, upstream, in_flight, started };
-            return Ok(UpstreamResponse::Stream(Box::new(stream)));
+            return Ok(Exchanged::Begun(BegunStream { head, body, conn, in_flight }));
         }
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let body = match timeout_at(request.deadline, body).await {
@@ -127,7 +124,7 @@
         upstream: &Arc<Upstream>,
         head: Parts,
         body: Bytes,
-    ) -> Result<UpstreamResponse, FailedAttempt> {
+    ) -> Result<Exchanged, FailedAttempt> {
         if head.status == StatusCode::MISDIRECTED_REQUEST {
             upstream.end();
             return Err(FailedAttempt::new(
@@ -153,7 +150,7 @@
             self.clear_crashes(request);
         }
         upstream.record_success();
-        Ok(UpstreamResponse::Complete(Response::from_parts(head, body)))
+        Ok(Exchanged::Complete(Response::from_parts(head, body)))
     }
 
     /// Checks that a success response comes from the upstream itself: it has the seal, and it has
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -15,6 +15,7 @@
 use super::connection::Connection;
 use super::header_watch::HeaderWatch;
 use super::limits::UpstreamLimits;
+use super::open_attempt::OpenAttempt;
 use super::pick::Chosen;
 use super::quarantine::CrashRecorder;
 use super::service_state::ServiceState;
@@ -54,16 +55,30 @@
     Stream(Box<Stream>),
 }
 
-/// A stream that has begun, with its connection and the guard that counts it as in flight.
+/// What one attempt brought.
 #[derive(Debug)]
-pub(super) struct Stream {
+pub(super) enum Exchanged {
+    /// A complete response.
+    Complete(Response<Bytes>),
+    /// The head of a stream.
+    Begun(BegunStream),
+}
+
+/// A stream whose head has arrived, with its connection and the guard that counts it as in flight.
+#[derive(Debug)]
+pub(super) struct BegunStream {
     pub(super) head: Parts,
     pub(super) body: Incoming,
     pub(super) conn: Connection,
-    pub(super) upstream: Arc<Upstream>,
     pub(super) in_flight: InFlight,
-    /// When the request was sent.
-    pub(super) started: Instant,
+}
+
+/// A stream that has begun, with the attempt that it belongs to.
+#[derive(Debug)]
+pub(super) struct Stream {
+    pub(super) begun: BegunStream,
+    pub(super) upstream: Arc<Upstream>,
+    pub(super) attempt: OpenAttempt,
 }
 
 impl Dispatcher {
@@ -96,23 +111,32 @@
                         .map_or(Err(refusal), |response| Ok(UpstreamResponse::Complete(response)));
                 }
             };
-            let started = Instant::now();
             history.record_start(&upstream.listed.id);
+            let attempt = OpenAttempt::start(&self.log, &request.id, history.attempts, &upstream);
+            let started = attempt.started();
             self.log_sent(request, history, &upstream, &candidate, started);
             let (result, is_charged) = tokio::select! {
                 result = self.send(request, &upstream, last_event) => (result, false),
                 stuck = self.wait_until_stuck(request, history, &upstream) => (Err(stuck), true),
             };
             let failed = match result {
-                Ok(UpstreamResponse::Complete(response))
-                    if self.may_retry_response(request, history, &response) =>
-                {
+                Ok(Exchanged::Begun(begun)) => {
+                    let stream = Stream { begun, upstream, attempt };
+                    return Ok(UpstreamResponse::Stream(Box::new(stream)));
+                }
+                Ok(Exchanged::Complete(response)) => {
+                    attempt.close();
+                    if !self.may_retry_response(request, history, &response) {
+                        return Ok(UpstreamResponse::Complete(response));
+                    }
                     self.meter.retried(Reason::UpstreamFailed);
                     fallback = Some(response);
                     continue;
                 }
-                Ok(response) => return Ok(response),
-                Err(failed) => failed,
+                Err(failed) => {
+                    attempt.close();
+                    failed
+                }
             };
             if let Some(response) = fallback {
                 return Ok(UpstreamResponse::Complete(response));
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -134,6 +134,10 @@
         detail: String,
         took_ms: u64,
     },
+    /// The entry closed the connection of an attempt whose response was not complete, because the
+    /// caller left or the deadline passed. `silent_ms` is for how long the upstream had sent
+    /// nothing on any connection of this entry.
+    Abandoned { id: &'a str, attempt: u32, upstream: &'a str, took_ms: u64, silent_ms: Option<u64> },
     /// A request ended: the caller got the complete response or a refusal, the response broke off,
     /// or the caller disconnected.
     Ended {
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -87,8 +87,8 @@
             Ok(UpstreamResponse::Stream(stream)) => {
                 let (sender, body) = ChannelBody::new();
                 let mut response = Response::new(DirectBody::stream(body));
-                *response.status_mut() = stream.head.status;
-                response.headers_mut().clone_from(&stream.head.headers);
+                *response.status_mut() = stream.begun.head.status;
+                response.headers_mut().clone_from(&stream.begun.head.headers);
                 strip_headers(response.headers_mut());
                 let dispatcher = Arc::clone(&self.dispatcher);
                 let splitter = EventSplitter::default();
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -27,6 +27,7 @@
 mod load;
 mod monitoring;
 mod node;
+mod open_attempt;
 mod pick;
 mod platform_health;
 mod quarantine;
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -8,7 +8,7 @@
 use super::attempt::FailedAttempt;
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
-use super::dispatcher::{Dispatcher, Stream, UpstreamResponse};
+use super::dispatcher::{BegunStream, Dispatcher, Stream, UpstreamResponse};
 use super::quarantine::CrashSign;
 use super::request_tracker::RequestTracker;
 use super::upstream::InFlight;
@@ -60,11 +60,14 @@
     /// caller disconnects.
     pub(super) async fn run(mut self, mut stream: Box<Stream>, sender: BodySender) {
         loop {
-            let Stream { head, mut body, conn, upstream, in_flight, started } = *stream;
+            let Stream { begun, upstream, attempt } = *stream;
+            let BegunStream { head, mut body, conn, in_flight } = begun;
+            let started = attempt.started();
             let end = self.forward(&mut body, &in_flight, &upstream, &sender).await;
             drop(in_flight);
             let (err, is_charged) = match end {
                 RelayEnd::Complete => {
+                    attempt.close();
                     sender.close().await;
                     self.dispatcher.clear_crashes(&self.request);
                     if let Some(first) = self.event_timing.first {
@@ -82,6 +85,7 @@
                     let (request, history) = (&self.request, &self.history);
                     let broken = FailedAttempt::broken(&err);
                     self.dispatcher.log_failed(request, history, &upstream, &broken, started);
+                    attempt.close();
                     let sign = CrashSign::ConnectionBroken;
                     self.dispatcher.suspect(request, &upstream, started, sign);
                     upstream.record_loss();
@@ -90,6 +94,7 @@
                 RelayEnd::Stuck(stuck) => {
                     let (request, history) = (&self.request, &self.history);
                     self.dispatcher.log_failed(request, history, &upstream, &stuck, started);
+                    attempt.close();
                     let sign = CrashSign::Silence;
                     self.dispatcher.suspect(request, &upstream, started, sign);
                     (BodyError::Truncated, true)
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -45,6 +45,8 @@
     backoff: Duration,
     avoid_until: Option<Instant>,
     inactivity: Inactivity,
+    /// When the upstream last sent anything.
+    last_activity: Option<Instant>,
     idle: Vec<Connection>,
 }
 
@@ -58,8 +60,11 @@
 impl InFlight {
     /// Records activity of the upstream.
     pub(super) fn record_activity(&self) {
-        let active_time = self.liveness.record_activity(Instant::now());
-        self.upstream.lock().inactivity.record_activity(active_time);
+        let now = Instant::now();
+        let active_time = self.liveness.record_activity(now);
+        let mut state = self.upstream.lock();
+        state.inactivity.record_activity(active_time);
+        state.last_activity = Some(now);
     }
 }
 
@@ -143,6 +148,11 @@
         self.lock().inactivity.is_stuck(liveness.active_time())
     }
 
+    /// Returns for how long the upstream has sent nothing, or `None` if it never sent anything.
+    pub(super) fn silent_for(&self) -> Option<Duration> {
+        self.lock().last_activity.map(|last_activity| last_activity.elapsed())
+    }
+
     /// Records the load that a response reported.
     pub(super) fn record_load(&self, load: Load) {
         let mut state = self.lock();
