A request that is given up on is taken back from its upstream by a reset

Cause: an open exchange was ended by the usual close of its connection. An upstream that has not read the request yet, because its machine stands still, reads it when it goes on, and one that takes the end of its input for no more than that runs it. Ending one's own side is not taking the request back. Change: the connection knows whether a response is outstanding; if so, dropping it resets it. A connection whose response is complete, or that carried none, closes as before.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -179,6 +179,7 @@
         upstream: &Upstream,
         head: &HeaderMap,
     ) -> bool {
+        conn.complete_exchange();
         let closes = header_str(head, &CONNECTION).is_some_and(|v| v.eq_ignore_ascii_case("close"));
         if closes || upstream.is_draining() {
             return false;
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -14,6 +14,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::net::{ExchangeState, ExchangeStream};
+
 /// Time limit for a new connection. The latency between failure domains is a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum size of a response head, and of the part of a body that is read ahead.
@@ -29,11 +31,13 @@
     Lost(hyper::Error),
 }
 
-/// A connection to an upstream that carries one request at a time and closes when dropped.
+/// A connection to an upstream that carries one request at a time. Dropping it closes it, or resets
+/// it if a response is outstanding.
 #[derive(Debug)]
 pub(super) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    exchange: ExchangeState,
     idle_since: Instant,
     /// Keep-alive timeout of the upstream, if it announced one.
     keep_alive: Option<Duration>,
@@ -52,6 +56,8 @@
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         let builder = Builder::new().max_buf_size(MAX_BUFFER_BYTES).clone();
+        let exchange = ExchangeState::default();
+        let stream = ExchangeStream::new(stream, exchange.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, conn) = handshake.map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -59,7 +65,7 @@
             conn.await.ok();
         });
         let task = task.abort_handle();
-        Ok(Self { sender, task, idle_since: Instant::now(), keep_alive: None })
+        Ok(Self { sender, task, exchange, idle_since: Instant::now(), keep_alive: None })
     }
 
     /// Returns whether the connection is open and has not been idle for too long.
@@ -77,6 +83,11 @@
         self
     }
 
+    /// Records that the response to the last request is complete.
+    pub(super) fn complete_exchange(&self) {
+        self.exchange.complete();
+    }
+
     /// Waits until the previous exchange has ended on both sides. Returns whether the connection
     /// can carry another request.
     pub(super) async fn wait_until_ready(&mut self) -> bool {
@@ -88,6 +99,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.exchange.begin();
         self.sender.try_send_request(request).await.map_err(|mut err| match err.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
             None => SendError::Lost(err.into_error()),
