Callers get their final answer before they would leave

Cause: the entry knew only the deadline that the request names. Callers of a stream leave earlier, after a time without an event that follows from the route's targets, and the answer at a deadline needs time to arrive. What was known not to be served any more was not told, and the work of a caller that leaves can be cancelled only at upstreams that still listen.

--- a/src/direct/checked_request.rs
+++ b/src/direct/checked_request.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{
@@ -12,6 +13,7 @@
 use super::service_state::ServiceState;
 use super::{Account, HeaderNames, Route, Service, Upstream};
 use crate::net::LAST_EVENT_ID;
+use crate::outcome::Reason;
 
 /// Headers that are not forwarded: the hop-by-hop headers (RFC 9110, 7.6.1), the caller's API key,
 /// and the content length, which the HTTP library sets where it is known.
@@ -26,6 +28,11 @@
     TRANSFER_ENCODING,
     UPGRADE,
 ];
+/// Time before a caller disconnects at which it is told that its request has failed, so that the
+/// answer still reaches it.
+const ANSWER_LEAD: Duration = Duration::from_millis(50);
+/// Maximum share of a caller's time that this lead takes.
+const MAX_LEAD_SHARE: f64 = 0.25;
 /// Maximum urgency value that upstreams know, which is the least urgent; 0 is the most urgent.
 const MAX_URGENCY: u8 = 9;
 /// Obsolete hop-by-hop header that is still in use.
@@ -50,6 +57,8 @@
     pub(super) state: Arc<ServiceState>,
     /// Revision of the settings that the route and the service come from.
     pub(super) revision: u64,
+    pub(super) arrival: Instant,
+    /// When the caller must have the complete response.
     pub(super) deadline: Instant,
 }
 
@@ -60,6 +69,19 @@
         account_priority.unwrap_or(self.route.priority)
     }
 
+    /// Returns when to give up if the caller of a stream gets no event after `last_event`, or after
+    /// its request if that is `None`.
+    pub(super) fn give_up_at(&self, last_event: Option<Instant>) -> Instant {
+        let patience = self.route.patience.map(answer_time);
+        let due = patience.map(|patience| last_event.unwrap_or(self.arrival) + patience);
+        due.map_or(self.deadline, |due| due.min(self.deadline))
+    }
+
+    /// Returns why a request that is given up on now got no response in time.
+    pub(super) fn timeout_reason(&self, now: Instant) -> Reason {
+        if now < self.deadline { Reason::UpstreamTimeout } else { Reason::Deadline }
+    }
+
     /// Builds the HTTP request for an upstream. `last_event` is the id of the last event of the
     /// stream that the caller has received.
     pub(super) fn build_http_request(
@@ -96,6 +118,11 @@
     }
 }
 
+/// Returns the time that is left for an answer to a caller that waits for `wait`.
+pub(super) fn answer_time(wait: Duration) -> Duration {
+    wait - ANSWER_LEAD.min(wait.mul_f64(MAX_LEAD_SHARE))
+}
+
 /// Removes the headers that must not be forwarded, also those that the Connection header names.
 pub(super) fn strip_headers(headers: &mut HeaderMap) {
     let named = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -12,7 +12,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::attempt_history::AttemptHistory;
-use super::checked_request::{CheckedRequest, strip_headers};
+use super::checked_request::{CheckedRequest, answer_time, strip_headers};
 use super::dispatcher::{Dispatcher, UpstreamResponse};
 use super::refusal_response::refusal_response;
 use super::relay::{EventTiming, Relay};
@@ -76,8 +76,8 @@
         request.state.retry_budget.earn(Instant::now());
         let mut history = AttemptHistory::default();
         let dispatch = self.dispatcher.dispatch(&request, &mut history, None);
-        let result = timeout_at(request.deadline, dispatch).await;
-        let result = result.unwrap_or_else(|_| Err(deadline_refusal(&history)));
+        let result = timeout_at(request.give_up_at(None), dispatch).await;
+        let result = result.unwrap_or_else(|_| Err(timeout_refusal(&request, &history)));
         tracker.set_attempts(history.attempts);
         match result {
             Ok(UpstreamResponse::Complete(response)) => {
@@ -116,8 +116,9 @@
         let route = self.find_route(&routing, host, head.uri.path())?;
         let account = self.find_account(&routing, &route, &head.headers)?;
         let left = header_millis(&head.headers, &self.dispatcher.header_names.deadline);
-        let deadline =
-            tracker.arrival() + left.map_or(route.timeout, |left| left.min(route.timeout));
+        let arrival = tracker.arrival();
+        let left = left.map(answer_time);
+        let deadline = arrival + left.map_or(route.timeout, |left| left.min(route.timeout));
         let body = collect(body, routing.limits.body_bytes, BODY_TIMEOUT).await;
         let body = body.map_err(|err| {
             Refusal::not_run(match err {
@@ -146,6 +147,7 @@
             service: Arc::clone(service),
             route,
             revision: routing.revision,
+            arrival,
             deadline,
         })
     }
@@ -198,14 +200,11 @@
     Response::from_parts(head, DirectBody::whole(body))
 }
 
-/// Returns the refusal for a request whose deadline has passed. An attempt that was cut off may
+/// Returns the refusal for a request that got no response in time. An attempt that was cut off may
 /// have run.
-fn deadline_refusal(history: &AttemptHistory) -> Refusal {
-    if history.reached_upstream() {
-        Refusal::unknown(Reason::Deadline)
-    } else {
-        Refusal::not_run(Reason::Deadline)
-    }
+fn timeout_refusal(request: &CheckedRequest, history: &AttemptHistory) -> Refusal {
+    let reason = request.timeout_reason(Instant::now());
+    if history.reached_upstream() { Refusal::unknown(reason) } else { Refusal::not_run(reason) }
 }
 
 /// Adds a retry-after time to the refusal of a request that has not run.
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -52,7 +52,8 @@
     /// The upstream is stuck, and another attempt is allowed.
     Stuck(FailedAttempt),
     CallerGone,
-    DeadlinePassed,
+    /// The caller would disconnect before it gets another event.
+    TimedOut,
 }
 
 impl Relay {
@@ -77,8 +78,8 @@
                     return self.dispatcher.release(conn, &upstream, &head.headers).await;
                 }
                 RelayEnd::CallerGone => return,
-                RelayEnd::DeadlinePassed => {
-                    self.tracker.finish_broken(Reason::Deadline);
+                RelayEnd::TimedOut => {
+                    self.tracker.finish_broken(self.request.timeout_reason(Instant::now()));
                     return sender.fail(BodyError::Deadline).await;
                 }
                 RelayEnd::Broken(err) => {
@@ -125,7 +126,9 @@
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = sender.closed() => return RelayEnd::CallerGone,
-                () = sleep_until(request.deadline) => return RelayEnd::DeadlinePassed,
+                () = sleep_until(request.give_up_at(event_timing.last)) => {
+                    return RelayEnd::TimedOut;
+                }
                 stuck = &mut stuck => return RelayEnd::Stuck(stuck),
             };
             let data = match frame {
@@ -155,10 +158,12 @@
             return None;
         }
         let last = self.splitter.last_id().cloned();
+        let due = self.request.give_up_at(self.event_timing.last);
         let dispatch = self.dispatcher.dispatch(&self.request, &mut self.history, last.as_ref());
         let result = tokio::select! {
             result = dispatch => result,
             () = sender.closed() => return None,
+            () = sleep_until(due) => return None,
         };
         self.tracker.set_attempts(self.history.attempts);
         match result {
--- a/src/direct/route.rs
+++ b/src/direct/route.rs
@@ -30,6 +30,8 @@
     pub first_byte_target: Duration,
     /// Target for the maximum gap between events of a stream.
     pub gap_target: Option<Duration>,
+    /// Time without an event, also before the first one, after which callers of a stream disconnect.
+    pub patience: Option<Duration>,
     /// Priority of the requests; 0 is the most urgent.
     pub priority: u8,
     /// Maximum number of upstreams that one request may reach.
