Callers that leave behind bytes beyond their request are noticed

Cause: HTTP/1.1 tells that a caller has left only by the end of its connection, and the library doesn't look for it while a request runs and bytes after that request (the next one, or a line end) wait to be read. Change: the end of a connection is awaited beside the serving of it, on the listeners of both kinds of entry and of the sidecar; work ends when it comes.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 mod header_value;
 mod headers;
 mod serve;
+mod watched_stream;
 mod whole_body;
 
 pub use answer::{json_answer, refusal_answer, text_answer};
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -18,6 +18,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::BodyError;
+use super::watched_stream::{PeerWatch, WatchedStream};
 
 /// Maximum wait for the first byte and for complete headers, and the interval of HTTP/2 keep-alive
 /// pings.
@@ -150,8 +151,9 @@
     if !received {
         return;
     }
-    serve_until_stopped(builder.serve_connection(TokioIo::new(stream), service(handler)), stop)
-        .await;
+    let (stream, peer) = WatchedStream::new(stream);
+    let conn = builder.serve_connection(TokioIo::new(stream), service(handler));
+    serve_until_ended(conn, peer, stop).await;
 }
 
 async fn serve_h1_connection<H: Handler>(
@@ -161,8 +163,9 @@
     stop: CancellationToken,
 ) {
     stream.set_nodelay(true).ok();
-    serve_until_stopped(builder.serve_connection(TokioIo::new(stream), service(handler)), stop)
-        .await;
+    let (stream, peer) = WatchedStream::new(stream);
+    let conn = builder.serve_connection(TokioIo::new(stream), service(handler));
+    serve_until_ended(conn, peer, stop).await;
 }
 
 /// Makes the service that passes a connection's requests to a handler.
@@ -180,13 +183,22 @@
     })
 }
 
-/// Serves a connection until it ends. Once stopped, the connection ends after its requests in
-/// flight.
-async fn serve_until_stopped(conn: impl GracefulConnection, stop: CancellationToken) {
+/// Serves a connection until it ends or its peer closes it. Once stopped, the connection ends after
+/// its requests in flight.
+async fn serve_until_ended(
+    conn: impl GracefulConnection,
+    peer: PeerWatch,
+    stop: CancellationToken,
+) {
     let mut conn = std::pin::pin!(conn);
+    let mut peer_closed = std::pin::pin!(peer.closed());
     tokio::select! {
         _ = conn.as_mut() => return,
+        () = peer_closed.as_mut() => return,
         () = stop.cancelled() => conn.as_mut().graceful_shutdown(),
     }
-    conn.await.ok();
+    tokio::select! {
+        _ = conn => {}
+        () = peer_closed => {}
+    }
 }
