A sidecar takes back from its upstream what its entry gives up on

Cause: the pooled client of the sidecar closed such a connection in the usual way. Change: its connections are reset if dropped while a response is outstanding; a response carries the state of its connection, which its reader completes. What is written begins an exchange, for the direct entry as well. A request that must not run twice still runs to its end under its claim, as before.

--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -99,7 +99,6 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.exchange.begin();
         self.sender.try_send_request(request).await.map_err(|mut err| match err.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
             None => SendError::Lost(err.into_error()),
--- a/src/net/client.rs
+++ b/src/net/client.rs
@@ -4,9 +4,11 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::client::legacy::{Client, Error as ClientError};
+use hyper_util::client::legacy::{Builder, Client, Error as ClientError};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::ExchangeConnector;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval of HTTP/2 keep-alive pings, and maximum wait for the answer to one.
 const KEEP_ALIVE: Duration = Duration::from_secs(5);
@@ -17,6 +19,9 @@
 /// An HTTP client whose request bodies are held in memory.
 pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
+/// An HTTP client whose connections are reset if a request on them is given up on.
+pub type ExchangeClient = Client<ExchangeConnector, Full<Bytes>>;
+
 /// Makes a client that pools HTTP/2 connections to sidecars.
 pub fn h2_client() -> HttpClient {
     Client::builder(TokioExecutor::new())
@@ -30,17 +35,28 @@
         .build(connector())
 }
 
-/// Makes a client that pools HTTP/1.1 connections to an upstream.
+/// Makes a client that pools HTTP/1.1 connections.
 pub fn h1_client() -> HttpClient {
-    Client::builder(TokioExecutor::new())
+    h1_builder().build(connector())
+}
+
+/// Makes a client that pools HTTP/1.1 connections to an upstream, and resets those whose request is
+/// given up on.
+pub fn exchange_client() -> ExchangeClient {
+    h1_builder().build(ExchangeConnector::default())
+}
+
+fn h1_builder() -> Builder {
+    let mut builder = Client::builder(TokioExecutor::new());
+    builder
         .timer(TokioTimer::new())
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
-        .retry_canceled_requests(false)
-        .build(connector())
+        .retry_canceled_requests(false);
+    builder
 }
 
-fn connector() -> HttpConnector {
+pub(super) fn connector() -> HttpConnector {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
--- a/src/net/exchange_stream.rs
+++ b/src/net/exchange_stream.rs
@@ -49,10 +49,15 @@
 }
 
 impl ExchangeStream {
-    /// Wraps a connection on which nothing was sent yet.
+    /// Wraps a connection on which nothing was sent yet. What is written begins an exchange.
     pub const fn new(stream: TcpStream, exchange: ExchangeState) -> Self {
         Self { stream, exchange }
     }
+
+    /// Returns whether a response is outstanding.
+    pub const fn exchange(&self) -> &ExchangeState {
+        &self.exchange
+    }
 }
 
 impl Drop for ExchangeStream {
@@ -80,6 +85,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.exchange.begin();
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -88,6 +94,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.exchange.begin();
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
@@ -100,6 +107,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.exchange.is_open() {
+            // The end of the stream would reach the peer before the reset does.
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/src/sidecar/admitted_request.rs
+++ b/src/sidecar/admitted_request.rs
@@ -1,17 +1,17 @@
 use bytes::Bytes;
-use http::Response;
 use http::header::CONTENT_TYPE;
 use http::request::Parts;
+use http::{Response, response};
 use http_body::Body;
 use tokio::time::Instant;
 
 use super::claims::{ClaimOutcome, Claims, HeldClaim};
-use super::relay::Relay;
+use super::relay::{Relay, RelayEnd};
 use super::{
     ClaimKey, ClaimRow, Permit, RequestMetadata, SendError, SidecarBody, StoredAnswer, Upstream,
 };
 use crate::metrics::{Event, Meter};
-use crate::net::{REPLAYED, collect};
+use crate::net::{ExchangeState, REPLAYED, collect};
 use crate::outcome::{Reason, Refusal};
 use crate::platform::Table;
 
@@ -39,8 +39,12 @@
         let answer = self.upstream.send(&self.head, self.body, self.deadline).await?;
         let is_chat_stream = self.is_engine && is_event_stream(&answer);
         let (parts, body) = answer.into_parts();
-        let relay =
-            Relay::new(body, self.permit, self.upstream, guard, self.deadline, is_chat_stream);
+        let exchange = exchange_state(&parts);
+        if body.is_end_stream() {
+            exchange.complete();
+        }
+        let end = RelayEnd { upstream: self.upstream, exchange, _guard: guard };
+        let relay = Relay::new(body, self.permit, end, self.deadline, is_chat_stream);
         Ok(Response::from_parts(parts, SidecarBody::stream(Box::new(relay))))
     }
 
@@ -107,10 +111,16 @@
             self.upstream.report_broken();
             SendError::Broken
         })?;
+        exchange_state(&parts).complete();
         Ok(Response::from_parts(parts, body))
     }
 }
 
+/// Returns the state of the connection that a response arrived on.
+fn exchange_state(head: &response::Parts) -> ExchangeState {
+    head.extensions.get().cloned().unwrap_or_default()
+}
+
 /// Rebuilds a stored response for a repeated request.
 fn replay(answer: &StoredAnswer, meter: &Meter) -> Result<Response<SidecarBody>, Refusal> {
     let mut answer = answer.restore().ok_or_else(|| Refusal::unknown(Reason::Unsettled))?;
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -9,7 +9,7 @@
 
 use super::in_flight::InFlightGuard;
 use super::{Permit, Upstream};
-use crate::net::BodyError;
+use crate::net::{BodyError, ExchangeState};
 
 /// Last event of a complete stream in the chat format.
 const DONE_EVENT: &[u8] = b"data: [DONE]";
@@ -23,8 +23,7 @@
 pub struct Relay {
     body: Incoming,
     permit: Option<Permit>,
-    upstream: Upstream,
-    _guard: InFlightGuard,
+    end: RelayEnd,
     deadline: Pin<Box<Sleep>>,
     is_chat_stream: bool,
     /// Last bytes of a chat stream.
@@ -33,21 +32,28 @@
     tokens: u64,
 }
 
+/// What is told of the end of a relayed body.
+#[derive(Debug)]
+pub(super) struct RelayEnd {
+    pub(super) upstream: Upstream,
+    /// State of the connection to the upstream.
+    pub(super) exchange: ExchangeState,
+    pub(super) _guard: InFlightGuard,
+}
+
 impl Relay {
     /// Relays a body. A chat stream must end with the chat format's last event.
-    pub fn new(
+    pub(super) fn new(
         body: Incoming,
         permit: Permit,
-        upstream: Upstream,
-        guard: InFlightGuard,
+        end: RelayEnd,
         deadline: Instant,
         is_chat_stream: bool,
     ) -> Self {
         Self {
             body,
             permit: Some(permit),
-            upstream,
-            _guard: guard,
+            end,
             deadline: Box::pin(sleep_until(deadline)),
             is_chat_stream,
             tail: Vec::new(),
@@ -77,8 +83,9 @@
 
     /// Handles the end of the upstream's body.
     fn finish(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+        self.end.exchange.complete();
         if !self.is_complete() {
-            self.upstream.report_broken();
+            self.end.upstream.report_broken();
             return Some(Err(BodyError::Truncated));
         }
         if let Some(permit) = self.permit.take() {
@@ -109,7 +116,7 @@
                 Some(Ok(frame))
             }
             Some(Err(err)) => {
-                self.upstream.report_broken();
+                self.end.upstream.report_broken();
                 Some(Err(err.into()))
             }
             None => self.finish(),
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -15,14 +15,14 @@
 use super::{RequestMetadata, SendError};
 use crate::metrics::Meter;
 use crate::net::{
-    ACCOUNT, ATTEMPT, COST, DEADLINE_MS, FINGERPRINT, HttpClient, LINK_KEY, REPEAT, SERVICE,
-    SUSPECT, WEIGHT, h1_client, is_not_sent,
+    ACCOUNT, ATTEMPT, COST, DEADLINE_MS, ExchangeClient, FINGERPRINT, LINK_KEY, REPEAT, SERVICE,
+    SUSPECT, WEIGHT, exchange_client, is_not_sent,
 };
 
 /// Client of the upstream beside a sidecar.
 #[derive(Clone, Debug)]
 pub struct Upstream {
-    client: HttpClient,
+    client: ExchangeClient,
     addr: SocketAddr,
     in_flight: InFlight,
     crash_watch: Arc<CrashWatch>,
@@ -33,7 +33,7 @@
     pub fn new(addr: SocketAddr, signals: &Signals, meter: Arc<Meter>) -> Self {
         let in_flight = InFlight::default();
         let crash_watch = CrashWatch::new(addr, in_flight.clone(), signals.clone(), meter);
-        Self { client: h1_client(), addr, in_flight, crash_watch: Arc::new(crash_watch) }
+        Self { client: exchange_client(), addr, in_flight, crash_watch: Arc::new(crash_watch) }
     }
 
     /// Watches the upstream's health until the process ends.
