An upstream that says in its responses that it leaves gets nothing new

Callers saw: requests sent to an upstream that had said in its answers that it leaves, until the store said so too. Cause: no code read Server-Leaving; only the platform's list drained an upstream. Change: the adapter names the header; value 1 in any response of this upstream (success, refusal, error, head of a stream; not one of another upstream at its address) drains the incarnation, which nothing undoes: neither the list nor an outage of the store. Each entry goes by what it heard itself.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -23,6 +23,8 @@
 
 /// Maximum size of a response that is not a stream.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Value of the header by which an upstream says that it drains.
+const DRAINING: &str = "1";
 /// Time in which a connection must be ready again after a complete response to be reused.
 const CONNECTION_READY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -81,6 +83,7 @@
             ));
         }
         self.hear_limit(upstream, &head.headers);
+        self.hear_draining(request, upstream, &head);
         if let Some(load) = header_str(&head.headers, &self.header_names.load).and_then(Load::parse)
         {
             upstream.record_load(load);
@@ -117,6 +120,18 @@
         }
     }
 
+    /// Drains an upstream that says in its response that it does. A misdirected request was answered
+    /// by another one, which speaks for itself only.
+    fn hear_draining(&self, request: &CheckedRequest, upstream: &Upstream, head: &Parts) {
+        let values = head.headers.get_all(&self.header_names.draining);
+        let drains = values.iter().any(|value| value == DRAINING);
+        if !drains || head.status == StatusCode::MISDIRECTED_REQUEST || upstream.is_draining() {
+            return;
+        }
+        upstream.drain();
+        self.log_draining(request, upstream);
+    }
+
     /// Classifies a complete response.
     fn check_response(
         &self,
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -39,6 +39,12 @@
         self.log.write(Level::Info, &event);
     }
 
+    pub(super) fn log_draining(&self, request: &CheckedRequest, upstream: &Upstream) {
+        let id = request.id.to_str().unwrap_or_default();
+        let upstream = &upstream.listed.id;
+        self.log.write(Level::Info, &Event::Draining { id, upstream });
+    }
+
     pub(super) fn log_unknown_headers(&self, upstream: &Upstream, headers: &HeaderMap) {
         for name in self.header_watch.new_names(headers) {
             let event = Event::UnknownHeader { upstream: &upstream.listed.id, name: name.as_str() };
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -96,6 +96,8 @@
     /// An upstream names a limit, another one, or none any more. The source is the entry that told
     /// of it, or "response".
     Limit { upstream: &'a str, before: Option<f64>, rate: Option<f64>, source: &'a str },
+    /// An upstream says in the response to this request that it drains.
+    Draining { id: &'a str, upstream: &'a str },
     /// A response has a header that this version does not know, logged once for each name.
     UnknownHeader { upstream: &'a str, name: &'a str },
     /// An upstream was chosen for a request.
--- a/src/direct/header_names.rs
+++ b/src/direct/header_names.rs
@@ -17,6 +17,8 @@
     pub load: HeaderName,
     /// Limit of the upstream: requests per second that it accepts from all entries together.
     pub limit: HeaderName,
+    /// Value 1 in the responses of an upstream that drains.
+    pub draining: HeaderName,
     /// Present in every response that the upstream itself produced.
     pub seal: HeaderName,
     /// Urgency of a request, from the priority in the settings; 0 is the most urgent.
@@ -33,12 +35,13 @@
     /// # let name = http::HeaderName::from_static;
     /// # let names = HeaderNames {
     /// #     attempt: name("id"), deadline: name("d"), account: name("a"), upstream: name("u"),
-    /// #     not_run: name("n"), load: name("l"), limit: name("r"), seal: name("seal"), urgency: name("p"),
+    /// #     not_run: name("n"), load: name("l"), limit: name("r"), draining: name("v"), seal: name("seal"), urgency: name("p"),
     /// #     tokens: name("t"),
     /// # };
     /// assert!(names.in_responses().any(|name| *name == names.seal));
     /// ```
     pub fn in_responses(&self) -> impl Iterator<Item = &HeaderName> {
-        [&self.attempt, &self.not_run, &self.load, &self.limit, &self.seal].into_iter()
+        [&self.attempt, &self.not_run, &self.load, &self.limit, &self.draining, &self.seal]
+            .into_iter()
     }
 }
