An upstream that refuses with a time is left alone for that time

Callers saw: requests sent to upstreams that had asked to be left alone, refused again. Cause: Retry-After in an upstream's 503 was not read; only the own backoff, 2 s at most, kept requests away. Change: the pause (seconds, fractions too, the longest of several) belongs to the incarnation at this entry; no request is begun in it, also none that was chosen before and not written yet. If all upstreams of a service pause, callers are refused at once and told, one after the other, when the first pause ends. Zero, words, dates, infinities, negative times and other statuses are no pause.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -14,6 +14,7 @@
 use super::connection::{Connection, SendError};
 use super::dispatcher::{BegunStream, Dispatcher, Exchanged};
 use super::event::Event;
+use super::pause::requested_pause;
 use super::quarantine::CrashSign;
 use super::{Load, NamedLimit, Upstream};
 use crate::entry::Failure;
@@ -84,6 +85,7 @@
         }
         self.hear_limit(upstream, &head.headers);
         self.hear_draining(request, upstream, &head);
+        self.hear_pause(request, upstream, &head);
         if let Some(load) = header_str(&head.headers, &self.header_names.load).and_then(Load::parse)
         {
             upstream.record_load(load);
@@ -132,6 +134,14 @@
         self.log_draining(request, upstream);
     }
 
+    /// Leaves an upstream alone for the time that its refusal names.
+    fn hear_pause(&self, request: &CheckedRequest, upstream: &Upstream, head: &Parts) {
+        if let Some(pause) = requested_pause(head) {
+            upstream.pause(pause, Instant::now());
+            self.log_paused(request, upstream, pause);
+        }
+    }
+
     /// Classifies a complete response.
     fn check_response(
         &self,
@@ -259,7 +269,8 @@
         }
     }
 
-    /// Builds the HTTP request, unless the upstream has started draining.
+    /// Builds the HTTP request, unless the upstream has meanwhile started draining or asked for a
+    /// pause.
     fn build_request(
         &self,
         request: &CheckedRequest,
@@ -272,6 +283,12 @@
                 "upstream is draining",
             ));
         }
+        if upstream.paused_until(Instant::now()).is_some() {
+            return Err(FailedAttempt::new(
+                Failure::not_run(Reason::UpstreamDown),
+                "upstream has asked for a pause",
+            ));
+        }
         Ok(request.build_http_request(upstream, &self.header_names, last_event))
     }
 }
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use http::HeaderMap;
 use tokio::time::Instant;
 
@@ -45,6 +47,17 @@
         self.log.write(Level::Info, &Event::Draining { id, upstream });
     }
 
+    pub(super) fn log_paused(
+        &self,
+        request: &CheckedRequest,
+        upstream: &Upstream,
+        pause: Duration,
+    ) {
+        let id = request.id.to_str().unwrap_or_default();
+        let upstream = &upstream.listed.id;
+        self.log.write(Level::Info, &Event::Paused { id, upstream, for_ms: millis(pause) });
+    }
+
     pub(super) fn log_unknown_headers(&self, upstream: &Upstream, headers: &HeaderMap) {
         for name in self.header_watch.new_names(headers) {
             let event = Event::UnknownHeader { upstream: &upstream.listed.id, name: name.as_str() };
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -98,6 +98,8 @@
     Limit { upstream: &'a str, before: Option<f64>, rate: Option<f64>, source: &'a str },
     /// An upstream says in the response to this request that it drains.
     Draining { id: &'a str, upstream: &'a str },
+    /// An upstream that refused this request wants no more from this entry for a time.
+    Paused { id: &'a str, upstream: &'a str, for_ms: u64 },
     /// A response has a header that this version does not know, logged once for each name.
     UnknownHeader { upstream: &'a str, name: &'a str },
     /// An upstream was chosen for a request.
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -28,6 +28,7 @@
 mod monitoring;
 mod node;
 mod open_attempt;
+mod pause;
 mod pick;
 mod platform_health;
 mod quarantine;
--- a/src/direct/pick.rs
+++ b/src/direct/pick.rs
@@ -52,8 +52,8 @@
         Ok(Chosen { upstream: Arc::clone(eligible[chosen]), candidate: candidates[chosen] })
     }
 
-    /// Drops the upstreams that may not get another request from this entry yet. Refuses the
-    /// request if that leaves none.
+    /// Drops the upstreams that may not get another request from this entry yet, by their limits or
+    /// the pauses that they asked for. Refuses the request if that leaves none.
     fn drop_limited(
         &self,
         eligible: &mut SmallVec<[&Arc<Upstream>; 16]>,
@@ -61,12 +61,11 @@
         history: &AttemptHistory,
         now: Instant,
     ) -> Result<(), Refusal> {
-        if self.limits.is_empty() {
-            return Ok(());
-        }
         let mut first = None;
+        let has_limits = !self.limits.is_empty();
         eligible.retain(|upstream| {
-            let next = self.limits.next_send(&upstream.listed, now);
+            let limited = has_limits.then(|| self.limits.next_send(&upstream.listed, now));
+            let next = limited.max(upstream.paused_until(now)).unwrap_or(now);
             first = first.into_iter().chain([next]).min();
             next <= now
         });
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -22,6 +22,9 @@
 /// Idle time after which a connection is not reused, shorter than the usual timeout of upstreams.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 
+/// Longest pause that is kept, longer than any incarnation lives.
+const MAX_PAUSE: Duration = Duration::from_secs(365 * 24 * 3_600);
+
 /// One incarnation of an upstream, as this entry sees it.
 #[derive(Debug)]
 pub struct Upstream {
@@ -44,6 +47,8 @@
     losses: u32,
     backoff: Duration,
     avoid_until: Option<Instant>,
+    /// Until when the upstream wants no requests from this entry.
+    paused_until: Option<Instant>,
     inactivity: Inactivity,
     /// When the upstream last sent anything.
     last_activity: Option<Instant>,
@@ -173,6 +178,19 @@
         self.lock().begin_backoff();
     }
 
+    /// Records that the upstream wants no requests from this entry for a time.
+    pub(super) fn pause(&self, time: Duration, now: Instant) {
+        let mut state = self.lock();
+        // A time that the clock can't hold lasts as long as the upstream.
+        let until = now.checked_add(time).unwrap_or(now + MAX_PAUSE);
+        state.paused_until = state.paused_until.max(Some(until));
+    }
+
+    /// Returns until when the upstream wants no requests from this entry, if it is after `now`.
+    pub(super) fn paused_until(&self, now: Instant) -> Option<Instant> {
+        self.lock().paused_until.filter(|until| *until > now)
+    }
+
     /// Records that a request got no valid response.
     pub(super) fn record_loss(&self) {
         let mut state = self.lock();
--- a/src/outcome/reason.rs
+++ b/src/outcome/reason.rs
@@ -62,7 +62,7 @@
     CallerGone,
     /// the upstream ran the request and failed it
     UpstreamFailed,
-    /// every upstream of the service gets as many requests as it accepts
+    /// every upstream of the service gets as many requests as it accepts at present
     UpstreamLimit,
 }
 
