Bytes without end from an upstream take bounded memory and time

Callers saw: with an upstream that sends one informational response after the other, or an event without end, a 504 or a stream cut at the deadline, though another upstream could serve; the event was kept in memory as long as it grew. A stream whose caller doesn't read was held at its upstream for as long as the caller stayed. Cause: heads and plain bodies were bounded each (16 KiB, 16 MiB), informational responses, events, and all bodies together were not; the relay waited for its caller outside of the deadline, also to tell it of the end. Change: 16 informational responses, 256 KiB an event, 32 MiB for all bodies that are read whole (64 KiB of each not counted); what goes beyond fails the attempt as a wrong answer, which is no sign of a crash, closes the connection, and is retried where that is allowed. The deadline holds while a caller does not read.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -2,11 +2,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::{CONNECTION, CONTENT_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
@@ -19,16 +19,21 @@
 use super::{Load, NamedLimit, Upstream};
 use crate::entry::Failure;
 use crate::event_log::Level;
-use crate::net::header_str;
+use crate::net::{BodyError, header_str};
 use crate::outcome::Reason;
 
-/// Maximum size of a response that is not a stream.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
 /// Value of the header by which an upstream says that it drains.
 const DRAINING: &str = "1";
 /// Time in which a connection must be ready again after a complete response to be reused.
 const CONNECTION_READY_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Why a body can't be read to its end.
+#[derive(Debug)]
+enum ReadError {
+    Broken(hyper::Error),
+    TooLarge,
+}
+
 /// An attempt that brought no usable response, with a detail for the log.
 #[derive(Clone, Debug)]
 pub(super) struct FailedAttempt {
@@ -49,6 +54,16 @@
         Self { failure, detail: err.to_string(), sign: Some(CrashSign::ConnectionBroken) }
     }
 
+    /// Returns the failure of a stream that broke off. An event without end is no sign of a crash.
+    pub(super) fn broken_stream(err: &BodyError) -> Self {
+        match err {
+            BodyError::EventTooLarge => {
+                Self::new(Failure::unknown(Reason::WrongAnswer), err.to_string())
+            }
+            _ => Self::broken(err),
+        }
+    }
+
     /// Returns the failure of an attempt whose upstream sent nothing until the entry gave up.
     pub(super) fn silent(detail: &str) -> Self {
         let failure = Failure::unknown(Reason::UpstreamTimeout);
@@ -95,13 +110,19 @@
             upstream.record_success();
             return Ok(Exchanged::Begun(BegunStream { head, body, conn, in_flight }));
         }
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let body = match timeout_at(request.deadline, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(err)) => {
+        let body = match timeout_at(request.deadline, self.read_body(body)).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(ReadError::Broken(err))) => {
                 upstream.record_loss();
                 return Err(FailedAttempt::broken(&err));
             }
+            Ok(Err(ReadError::TooLarge)) => {
+                return Err(self.response_lost(
+                    upstream,
+                    Reason::WrongAnswer,
+                    "response body larger than allowed",
+                ));
+            }
             Err(_) => {
                 upstream.record_loss();
                 return Err(FailedAttempt::silent("response body incomplete at the deadline"));
@@ -113,6 +134,22 @@
         self.check_response(request, upstream, head, body)
     }
 
+    /// Reads a whole body, as far as there is memory for it.
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, ReadError> {
+        let mut share = self.body_memory.body();
+        let mut read = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let Ok(data) = frame.map_err(ReadError::Broken)?.into_data() else {
+                continue;
+            };
+            if !share.grow(data.len()) {
+                return Err(ReadError::TooLarge);
+            }
+            read.extend_from_slice(&data);
+        }
+        Ok(read.freeze())
+    }
+
     /// Records what a response says of the upstream's limit.
     fn hear_limit(&self, upstream: &Upstream, headers: &HeaderMap) {
         let named = NamedLimit::read(headers, &self.header_names.limit);
@@ -197,6 +234,21 @@
         FailedAttempt::new(Failure::unknown(reason), detail)
     }
 
+    /// Classifies an exchange whose connection broke before the head of a response.
+    fn exchange_lost(&self, upstream: &Upstream, err: &hyper::Error) -> FailedAttempt {
+        if err.is_parse_too_large() {
+            return self.endless_head(upstream);
+        }
+        upstream.record_loss();
+        FailedAttempt::broken(err)
+    }
+
+    /// Returns the failure of an attempt whose response has a head without end, which is no sign
+    /// of a crash.
+    fn endless_head(&self, upstream: &Upstream) -> FailedAttempt {
+        self.response_lost(upstream, Reason::WrongAnswer, "response head larger than allowed")
+    }
+
     /// Returns whether a connection can be reused after a complete response.
     async fn is_reusable(
         &self,
@@ -241,10 +293,8 @@
             match conn.send(http_request).await {
                 Ok(response) => return Ok((conn, response)),
                 Err(SendError::NotSent(_)) => {}
-                Err(SendError::Lost(err)) => {
-                    upstream.record_loss();
-                    return Err(FailedAttempt::broken(&err));
-                }
+                Err(SendError::Lost(err)) => return Err(self.exchange_lost(upstream, &err)),
+                Err(SendError::EndlessHead) => return Err(self.endless_head(upstream)),
             }
         }
         let mut conn = Connection::open(upstream.addr()).await.map_err(|err| {
@@ -262,10 +312,8 @@
                     "connection closed before the request was written",
                 ))
             }
-            Err(SendError::Lost(err)) => {
-                upstream.record_loss();
-                Err(FailedAttempt::broken(&err))
-            }
+            Err(SendError::Lost(err)) => Err(self.exchange_lost(upstream, &err)),
+            Err(SendError::EndlessHead) => Err(self.endless_head(upstream)),
         }
     }
 
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -1,5 +1,6 @@
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,16 +9,20 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::ext::on_informational;
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
+use tokio_util::sync::CancellationToken;
 
 use crate::net::{ExchangeState, ExchangeStream};
 
 /// Time limit for a new connection. The latency between failure domains is a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum number of informational responses (RFC 9110, 15.2) before the response.
+const MAX_INFORMATIONAL: u32 = 16;
 /// Maximum size of a response head, and of the part of a body that is read ahead.
 const MAX_BUFFER_BYTES: usize = 16 << 10;
 
@@ -29,6 +34,8 @@
     NotSent(Box<Request<Full<Bytes>>>),
     /// the connection broke after the request was written: {0}
     Lost(hyper::Error),
+    /// the upstream sent one informational response after the other
+    EndlessHead,
 }
 
 /// A connection to an upstream that carries one request at a time. Dropping it closes it, or resets
@@ -97,9 +104,20 @@
     /// Sends a request and waits for the response head.
     pub(super) async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.sender.try_send_request(request).await.map_err(|mut err| match err.take_message() {
+        let (count, endless) = (AtomicU32::new(0), CancellationToken::new());
+        let limit = endless.clone();
+        on_informational(&mut request, move |_| {
+            if count.fetch_add(1, Ordering::Relaxed) >= MAX_INFORMATIONAL {
+                limit.cancel();
+            }
+        });
+        let response = tokio::select! {
+            response = self.sender.try_send_request(request) => response,
+            () = endless.cancelled() => return Err(SendError::EndlessHead),
+        };
+        response.map_err(|mut err| match err.take_message() {
             Some(request) => SendError::NotSent(Box::new(request)),
             None => SendError::Lost(err.into_error()),
         })
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -20,7 +20,9 @@
 use super::quarantine::CrashRecorder;
 use super::service_state::ServiceState;
 use super::upstream::InFlight;
-use super::{Delivery, DirectMeter, Freshness, HeaderNames, RetryLimits, Roster, Upstream};
+use super::{
+    BodyMemory, Delivery, DirectMeter, Freshness, HeaderNames, RetryLimits, Roster, Upstream,
+};
 use crate::entry::Failure;
 use crate::event_log::EventLog;
 use crate::outcome::{Reason, Refusal};
@@ -42,6 +44,7 @@
     pub(super) service_states: Mutex<HashMap<String, Arc<ServiceState>>>,
     pub(super) crash_recorder: Arc<CrashRecorder>,
     pub(super) limits: Arc<UpstreamLimits>,
+    pub(super) body_memory: BodyMemory,
     pub(super) meter: Arc<DirectMeter>,
     pub(super) log: EventLog,
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod attempt_history;
 mod body;
+mod body_memory;
 mod checked_request;
 mod choice;
 mod connection;
@@ -51,6 +52,7 @@
 
 pub use admission::{Admission, EngineLoad, LatencyTargets};
 pub use body::DirectBody;
+pub use body_memory::{BodyMemory, BodyShare};
 pub use choice::{Candidate, OtherEntriesLoad, choose, estimate_loads};
 pub use delivery::Delivery;
 pub use direct_meter::DirectMeter;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -23,7 +23,9 @@
 use super::row_follower::RowFollower;
 use super::upstream_follower::UpstreamFollower;
 use super::watch::RoutingPublisher;
-use super::{Crashes, DirectMeter, Directory, Freshness, HeaderNames, RetryLimits, Roster};
+use super::{
+    BodyMemory, Crashes, DirectMeter, Directory, Freshness, HeaderNames, RetryLimits, Roster,
+};
 use crate::cli::Node;
 use crate::event_log::{EventLog, Level};
 use crate::net::{H1Limits, Shutdown, serve_h1};
@@ -134,6 +136,7 @@
                 trials: Trials(trials),
                 log: self.log.clone(),
             }),
+            body_memory: BodyMemory::default(),
             meter: Arc::clone(&meter),
             limits: Arc::clone(&limits),
             log: self.log.clone(),
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -3,7 +3,7 @@
 
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use super::attempt::FailedAttempt;
 use super::attempt_history::AttemptHistory;
@@ -79,16 +79,19 @@
                 }
                 RelayEnd::CallerGone => return,
                 RelayEnd::TimedOut => {
+                    // The caller may never take the end of its body.
+                    drop((attempt, body, conn));
                     self.tracker.finish_broken(self.request.timeout_reason(Instant::now()));
                     return sender.fail(BodyError::Deadline).await;
                 }
                 RelayEnd::Broken(err) => {
                     let (request, history) = (&self.request, &self.history);
-                    let broken = FailedAttempt::broken(&err);
+                    let broken = FailedAttempt::broken_stream(&err);
                     self.dispatcher.log_failed(request, history, &upstream, &broken, started);
                     attempt.close();
-                    let sign = CrashSign::ConnectionBroken;
-                    self.dispatcher.suspect(request, &upstream, started, sign);
+                    if let Some(sign) = broken.sign {
+                        self.dispatcher.suspect(request, &upstream, started, sign);
+                    }
                     upstream.record_loss();
                     (err, false)
                 }
@@ -138,13 +141,18 @@
                 None => return RelayEnd::Broken(BodyError::Truncated),
             };
             in_flight.record_activity();
-            let Some(events) = splitter.push(data) else {
-                continue;
+            let events = match splitter.push(data) {
+                Ok(Some(events)) => events,
+                Ok(None) => continue,
+                Err(err) => return RelayEnd::Broken(err),
             };
             tracker.first_byte();
             event_timing.record_event(&request.state.stream_stats);
-            if !sender.send(events).await {
-                return RelayEnd::CallerGone;
+            // A caller that does not read must not hold up the upstream.
+            match timeout_at(request.deadline, sender.send(events)).await {
+                Ok(true) => {}
+                Ok(false) => return RelayEnd::CallerGone,
+                Err(_) => return RelayEnd::TimedOut,
             }
         }
     }
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -69,8 +69,10 @@
                 Ok(frame) => frame.into_data().unwrap_or_default(),
                 Err(err) => return RelayEnd::Broken(err.into()),
             };
-            let Some(events) = self.splitter.push(data) else {
-                continue;
+            let events = match self.splitter.push(data) {
+                Ok(Some(events)) => events,
+                Ok(None) => continue,
+                Err(err) => return RelayEnd::Broken(err),
             };
             if !sender.send(events).await {
                 return RelayEnd::ClientGone;
--- a/src/net/body_error.rs
+++ b/src/net/body_error.rs
@@ -9,6 +9,8 @@
     Peer(#[from] hyper::Error),
     /// the response is incomplete
     Truncated,
+    /// an event of the stream is larger than allowed
+    EventTooLarge,
     /// the deadline has passed
     Deadline,
     /// the writer of the body was dropped before it closed the body
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use ebonyusher::direct::{
-    Crash, CrashSet, Crashes, Freshness, Inactivity, ListedUpstream, RetryBudget, RetryLimits,
-    Roster, RosterChange, SharedCrashes,
+    BodyMemory, Crash, CrashSet, Crashes, Freshness, Inactivity, ListedUpstream, RetryBudget,
+    RetryLimits, Roster, RosterChange, SharedCrashes,
 };
 use ebonyusher::net::EventSplitter;
 use ebonyusher::units::{BootTime, unix_millis};
@@ -277,7 +278,7 @@
                 }
                 let (chunk, left) = rest.split_at((*chunk_size).min(rest.len()));
                 rest = left;
-                if let Some(events) = splitter.push(chunk.to_vec().into()) {
+                if let Some(events) = splitter.push(chunk.to_vec().into()).unwrap() {
                     forwarded.push_str(std::str::from_utf8(&events).unwrap());
                 }
             }
@@ -351,3 +352,40 @@
     let after = Arc::clone(&roster.service_upstreams("ledger")[0]);
     assert!(before.is_draining() && !after.is_draining());
 }
+
+#[test]
+fn an_event_without_end_is_given_up_on() {
+    let mut splitter = EventSplitter::default();
+    let chunk = Bytes::from_static(&[b'x'; 1_024]);
+
+    let count = (0..10_000).take_while(|_| splitter.push(chunk.clone()).is_ok()).count();
+
+    assert!((64..1_024).contains(&count), "{count} KiB were kept");
+}
+
+proptest! {
+    #![proptest_config(proptest_config())]
+
+    /// Whatever bodies arrive together, small ones are read, and all take a bounded memory.
+    #[test]
+    fn bodies_without_end_take_bounded_memory_and_keep_out_no_small_one(
+        chunks in prop::collection::vec(1_usize..200_000, 1..40),
+    ) {
+        const MAX_BYTES: usize = 40 << 20;
+        let memory = BodyMemory::default();
+        let mut bodies: Vec<_> = chunks.iter().map(|_| (memory.body(), 0, true)).collect();
+
+        for _ in 0..200 {
+            for ((share, bytes, is_open), chunk) in bodies.iter_mut().zip(&chunks) {
+                *is_open = *is_open && share.grow(*chunk);
+                *bytes += if *is_open { *chunk } else { 0 };
+            }
+        }
+
+        let kept: usize = bodies.iter().filter(|body| body.2).map(|body| body.1).sum();
+        prop_assert!(kept <= MAX_BYTES, "{kept}");
+        prop_assert!(memory.body().grow(60_000));
+        drop(bodies);
+        prop_assert!(memory.body().grow(16 << 20));
+    }
+}
