A leader whose term another one has claimed steps down

Cause: the row of the term went back, so a second sidecar claimed the same term. The first couldn't record that it may switch ('a checked row has another version'), took that for the platform being down, and tried for ever, calling its ranks all the while, so that nobody else took over. Change: finding a group tells 'not ready' from 'superseded'; superseded, the leader is deposed.

--- a/src/remap/assembly.rs
+++ b/src/remap/assembly.rs
@@ -10,17 +10,28 @@
 use super::{Demand, GroupMap, PeerRank, RankClient, RankConnector, RankSet, RankState};
 use crate::direct::{Directory, Experts, ListChange};
 use crate::event_log::Level;
-use crate::platform::Table;
+use crate::platform::{Table, TableError};
 
 /// Max number of counters that one reading takes from all ranks together: about 40 KB on the wire.
 const MAX_COUNTERS_PER_READING: usize = 8_000;
 
+/// Why a group can't be led at present.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AssembleError {
+    /// It is incomplete or not ready, or the platform can't say who leads it; the caller retries.
+    NotReady,
+    /// Another process has claimed this term or a later one.
+    Superseded,
+}
+
 /// A complete group with its present map.
 pub(super) struct Group<P> {
     pub(super) ranks: RankSet<PeerRank<P>>,
     /// Rank beside this process.
     pub(super) local: usize,
     pub(super) map: GroupMap,
+    /// Version of the map that the ranks had when they were found.
+    pub(super) map_version: u64,
     /// Greatest map version used so far.
     pub(super) version: u64,
     pub(super) demand: Demand,
@@ -31,9 +42,29 @@
 }
 
 impl<D: Table + Directory, R: RankConnector> Leadership<'_, D, R> {
-    /// Finds all ranks of the group and undoes an unfinished switch. Returns `None` if the group is
-    /// incomplete or not ready; the caller retries.
-    pub(super) async fn assemble(&self, experts: &Experts, fence: u64) -> Option<Group<R::Client>> {
+    /// Finds all ranks of the group and undoes an unfinished switch.
+    pub(super) async fn assemble(
+        &self,
+        experts: &Experts,
+        fence: u64,
+    ) -> Result<Group<R::Client>, AssembleError> {
+        let group = self.find_ranks(experts, fence).await.ok_or(AssembleError::NotReady)?;
+        match self.terms.record_switcher(self.term, group.local).await {
+            Ok(()) => {
+                let (epoch, ranks) = (group.ranks.epoch(), group.ranks.len());
+                self.log.write(Level::Info, &Event::Group { epoch, ranks, map: group.map_version });
+                Ok(group)
+            }
+            // Another sidecar has claimed this term or a later one.
+            Err(TableError::Conflict) => Err(AssembleError::Superseded),
+            Err(err) => {
+                self.log.write(Level::Warn, &Event::PlatformDown { detail: err.to_string() });
+                Err(AssembleError::NotReady)
+            }
+        }
+    }
+
+    async fn find_ranks(&self, experts: &Experts, fence: u64) -> Option<Group<R::Client>> {
         let addrs = self.rank_addrs().await?;
         let clients = addrs.iter().filter_map(|addr| self.rank_client(*addr)).collect();
         let read = RankSet::new(clients, 0, fence).states_and_clients().await;
@@ -52,19 +83,23 @@
         if states.iter().any(|state| state.map != states[0].map || !state.is_quiet()) {
             return None;
         }
-        if let Err(err) = self.terms.record_switcher(self.term, local).await {
-            self.log.write(Level::Warn, &Event::PlatformDown { detail: err.to_string() });
-            return None;
-        }
         let version = states.iter().flat_map(|s| [Some(s.map), s.prepared]).flatten().max()?;
         let map_version = states[0].map;
-        let event = Event::Group { epoch, ranks: size, map: map_version };
-        self.log.write(Level::Info, &event);
         let (next_plan, next_states) = (Instant::now(), Instant::now());
         let counters = (experts.sets * experts.count).max(1);
         let sampled = sample(local, size, (MAX_COUNTERS_PER_READING / counters).max(1));
         let demand = Demand::new(sampled.len(), experts.sets, experts.count);
-        Some(Group { ranks, local, map, version, demand, next_plan, next_states, sampled })
+        Some(Group {
+            ranks,
+            local,
+            map,
+            map_version,
+            version,
+            demand,
+            next_plan,
+            next_states,
+            sampled,
+        })
     }
 
     async fn rank_addrs(&self) -> Option<Vec<SocketAddr>> {
--- a/src/remap/leadership.rs
+++ b/src/remap/leadership.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::{Instant, sleep};
 
-use super::assembly::Group;
+use super::assembly::{AssembleError, Group};
 use super::event::Event;
 use super::map_plan::{MapPlan, plan_map};
 use super::switch::{SwitchError, armed_last, settle_switch, switch};
@@ -52,19 +52,28 @@
         let mut fence = first_fence(self.term);
         let Some(experts) = self.experts().await else { return };
         loop {
-            let Some(mut group) = self.assemble(&experts, fence).await else {
-                sleep(ASSEMBLE_INTERVAL).await;
-                continue;
+            let mut group = match self.assemble(&experts, fence).await {
+                Ok(group) => group,
+                Err(AssembleError::NotReady) => {
+                    sleep(ASSEMBLE_INTERVAL).await;
+                    continue;
+                }
+                Err(AssembleError::Superseded) => {
+                    return self.log_deposed("the stored term is another leader's");
+                }
             };
             let ended = self.rebalance(&mut group, &experts).await;
             fence = group.ranks.fence();
             if ended == SwitchError::Deposed {
-                let event = Event::Deposed { term: self.term, reason: "a rank has a newer leader" };
-                return self.log.write(Level::Warn, &event);
+                return self.log_deposed("a rank has a newer leader");
             }
         }
     }
 
+    fn log_deposed(&self, reason: &str) {
+        self.log.write(Level::Warn, &Event::Deposed { term: self.term, reason });
+    }
+
     /// Reads the sizes of the group from the service's settings, and retries until there are
     /// settings. Returns `None` if they state no sizes.
     async fn experts(&self) -> Option<Experts> {
