A request that crashes ranks of a group is quarantined after its second crash

Change: services whose engines are ranks refuse a request from its second crash on, for the first quarantine time; after it a request with two crashes is sent like any other, so an innocent one needs no trial.

--- a/src/direct/crash_gate.rs
+++ b/src/direct/crash_gate.rs
@@ -6,8 +6,8 @@
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
 use super::dispatcher::Dispatcher;
-use super::quarantine::{CRASHES_TO_QUARANTINE, CrashSign};
-use super::{CrashStatus, Quarantine, Upstream};
+use super::quarantine::{CrashSign, MAX_CRASHES};
+use super::{CrashStatus, Quarantine, Service, Upstream};
 use crate::outcome::{Reason, Refusal};
 
 /// Retry-after time of a quarantined request that could not be tried though a trial is due.
@@ -40,7 +40,7 @@
         }
         history.broken += 1;
         let crashes = self.crash_recorder.crashes.count(request.fingerprint);
-        if crashes + history.broken >= CRASHES_TO_QUARANTINE {
+        if crashes + history.broken >= crash_limit(&request.service) {
             self.crash_recorder.probe(upstream).await;
         }
     }
@@ -54,7 +54,8 @@
         if history.may_continue_trial() {
             return Ok(None);
         }
-        match self.crash_recorder.crashes.status(request.fingerprint, Instant::now()) {
+        let limit = crash_limit(&request.service);
+        match self.crash_recorder.crashes.status(request.fingerprint, limit, Instant::now()) {
             CrashStatus::Clear => Ok(None),
             CrashStatus::TrialDue(quarantine) => Ok(Some(quarantine)),
             CrashStatus::Quarantined(quarantine) => {
@@ -97,3 +98,10 @@
         }
     }
 }
+
+/// Returns the number of crashes from which a request of a service is quarantined. The crash of a
+/// rank takes its whole group away for seconds, so one fewer is borne there.
+fn crash_limit(service: &Service) -> u32 {
+    let is_group = service.engine.is_some_and(|engine| engine.experts.is_some());
+    if is_group { MAX_CRASHES - 1 } else { MAX_CRASHES }
+}
--- a/src/direct/quarantine/crash_record.rs
+++ b/src/direct/quarantine/crash_record.rs
@@ -6,8 +6,8 @@
 use super::{Crash, CrashSet, SharedCrashes};
 use crate::units::unix_seconds;
 
-/// Number of crashes from which a request is quarantined.
-pub(in crate::direct) const CRASHES_TO_QUARANTINE: u32 = 3;
+/// Number of crashes from which a request is quarantined, whatever its service.
+pub(in crate::direct) const MAX_CRASHES: u32 = 3;
 /// Factor by which the quarantine time grows with each further crash.
 const QUARANTINE_GROWTH: u32 = 4;
 /// Upper bound of the quarantine time.
@@ -109,26 +109,28 @@
         SharedCrashes { crashes: self.crashes.clone(), trials: self.trials + 1, at }
     }
 
-    /// Returns how the request is treated. `first_quarantine` is the quarantine time after the
-    /// crash that makes it quarantined.
+    /// Returns how the request is treated from `limit` crashes on. `first_quarantine` is the
+    /// quarantine time after the crash that makes it quarantined.
     pub(in crate::direct) fn status(
         &self,
+        limit: u32,
         first_quarantine: Duration,
         now: Instant,
     ) -> CrashStatus {
         let crashes = self.count();
-        let Some(further) = crashes.checked_sub(CRASHES_TO_QUARANTINE) else {
+        if crashes < limit {
             return CrashStatus::Clear;
-        };
-        let growth = QUARANTINE_GROWTH.saturating_pow(further);
+        }
+        let growth = QUARANTINE_GROWTH.saturating_pow(crashes.saturating_sub(MAX_CRASHES));
         let time = first_quarantine.saturating_mul(growth).min(MAX_QUARANTINE);
         let age = now.saturating_duration_since(self.last);
         let left = time.saturating_sub(age);
         let quarantine = Quarantine { crashes, age, left };
-        if left.is_zero() {
-            CrashStatus::TrialDue(quarantine)
-        } else {
-            CrashStatus::Quarantined(quarantine)
+        match left.is_zero() {
+            // Only a request that has crashed so often needs a trial.
+            true if crashes < MAX_CRASHES => CrashStatus::Clear,
+            true => CrashStatus::TrialDue(quarantine),
+            false => CrashStatus::Quarantined(quarantine),
         }
     }
 }
--- a/src/direct/quarantine/crashes.rs
+++ b/src/direct/quarantine/crashes.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use super::completions::Completions;
-use super::crash_record::CrashRecord;
+use super::crash_record::{CrashRecord, MAX_CRASHES};
 use super::{Crash, CrashStatus, SharedCrashes};
 use crate::units::{millis, unix_millis};
 
@@ -69,10 +69,10 @@
     /// assert_eq!(crashes.record(7, crash("u-1", 2, 3), at(3)), Some(1));
     /// assert_eq!(crashes.record(7, crash("u-2", 1, 4), at(4)), None);
     /// assert_eq!(crashes.record(7, crash("u-3", 0, 1), at(1)), Some(2));
-    /// assert_eq!(crashes.status(7, at(3)), CrashStatus::Clear);
+    /// assert_eq!(crashes.status(7, 3, at(3)), CrashStatus::Clear);
     /// assert_eq!(crashes.record(7, crash("u-4", 4, 5), at(5)), Some(3));
-    /// assert!(matches!(crashes.status(7, at(6)), CrashStatus::Quarantined(_)));
-    /// assert!(matches!(crashes.status(7, at(65)), CrashStatus::TrialDue(_)));
+    /// assert!(matches!(crashes.status(7, 3, at(6)), CrashStatus::Quarantined(_)));
+    /// assert!(matches!(crashes.status(7, 3, at(65)), CrashStatus::TrialDue(_)));
     /// ```
     pub fn record(&self, fingerprint: u64, crash: Crash, ended: Instant) -> Option<u32> {
         if self.blameless_until(fingerprint).is_some_and(|time| crash.ended <= time) {
@@ -173,11 +173,11 @@
         self.completions.last(fingerprint).map(|at| at.saturating_add(grace))
     }
 
-    /// Returns how a request is treated.
-    pub fn status(&self, fingerprint: u64, now: Instant) -> CrashStatus {
+    /// Returns how a request is treated whose service quarantines from `limit` crashes on.
+    pub fn status(&self, fingerprint: u64, limit: u32, now: Instant) -> CrashStatus {
         let state = self.lock();
         let known = state.records.get(&fingerprint).filter(|known| !known.is_expired(now));
-        known.map_or(CrashStatus::Clear, |known| known.status(self.first_quarantine, now))
+        known.map_or(CrashStatus::Clear, |known| known.status(limit, self.first_quarantine, now))
     }
 
     /// Returns the count with one more trial, if one is due.
@@ -186,7 +186,7 @@
         fingerprint: u64,
         now: Instant,
     ) -> Option<SharedCrashes> {
-        let is_due = matches!(self.status(fingerprint, now), CrashStatus::TrialDue(_));
+        let is_due = matches!(self.status(fingerprint, MAX_CRASHES, now), CrashStatus::TrialDue(_));
         let state = self.lock();
         state.records.get(&fingerprint).filter(|_| is_due).map(CrashRecord::with_trial)
     }
--- a/src/direct/quarantine/mod.rs
+++ b/src/direct/quarantine/mod.rs
@@ -14,7 +14,7 @@
 
 pub use crash::Crash;
 use crash::SuspectedAttempt;
-pub(super) use crash_record::CRASHES_TO_QUARANTINE;
+pub(super) use crash_record::MAX_CRASHES;
 pub use crash_record::{CrashStatus, Quarantine};
 pub(super) use crash_recorder::{CrashRecorder, CrashSign};
 pub use crash_set::CrashSet;
