What upstreams announce, failed attempts and endless answers have files of their own

Change: announcements.rs, failed_attempt.rs, one way from a failed send to a failed attempt; the sidecar's type is RelaySource; the tests' endless answers are a file.

--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -1,4 +1,3 @@
-use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,17 +12,12 @@
 use super::checked_request::CheckedRequest;
 use super::connection::{Connection, SendError};
 use super::dispatcher::{BegunStream, Dispatcher, Exchanged};
-use super::event::Event;
-use super::pause::requested_pause;
-use super::quarantine::CrashSign;
-use super::{Load, NamedLimit, Upstream};
+use super::failed_attempt::FailedAttempt;
+use super::{Load, Upstream};
 use crate::entry::Failure;
-use crate::event_log::Level;
-use crate::net::{BodyError, header_str};
+use crate::net::header_str;
 use crate::outcome::Reason;
 
-/// Value of the header by which an upstream says that it drains.
-const DRAINING: &str = "1";
 /// Time in which a connection must be ready again after a complete response to be reused.
 const CONNECTION_READY_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -34,43 +28,6 @@
     TooLarge,
 }
 
-/// An attempt that brought no usable response, with a detail for the log.
-#[derive(Clone, Debug)]
-pub(super) struct FailedAttempt {
-    pub(super) failure: Failure,
-    pub(super) detail: String,
-    /// What the end of the attempt is a sign of, if the upstream may have crashed.
-    pub(super) sign: Option<CrashSign>,
-}
-
-impl FailedAttempt {
-    fn new(failure: Failure, detail: impl Into<String>) -> Self {
-        Self { failure, detail: detail.into(), sign: None }
-    }
-
-    /// Returns the failure of an attempt whose connection broke while the request ran.
-    pub(super) fn broken(err: &impl Display) -> Self {
-        let failure = Failure::unknown(Reason::UpstreamLost);
-        Self { failure, detail: err.to_string(), sign: Some(CrashSign::ConnectionBroken) }
-    }
-
-    /// Returns the failure of a stream that broke off. An event without end is no sign of a crash.
-    pub(super) fn broken_stream(err: &BodyError) -> Self {
-        match err {
-            BodyError::EventTooLarge => {
-                Self::new(Failure::unknown(Reason::WrongAnswer), err.to_string())
-            }
-            _ => Self::broken(err),
-        }
-    }
-
-    /// Returns the failure of an attempt whose upstream sent nothing until the entry gave up.
-    pub(super) fn silent(detail: &str) -> Self {
-        let failure = Failure::unknown(Reason::UpstreamTimeout);
-        Self { failure, detail: detail.to_owned(), sign: Some(CrashSign::Silence) }
-    }
-}
-
 impl Dispatcher {
     /// Makes one attempt at one upstream.
     pub(super) async fn send(
@@ -98,9 +55,7 @@
                 "response belongs to another attempt",
             ));
         }
-        self.hear_limit(upstream, &head.headers);
-        self.hear_draining(request, upstream, &head);
-        self.hear_pause(request, upstream, &head);
+        self.hear(request, upstream, &head);
         if let Some(load) = header_str(&head.headers, &self.header_names.load).and_then(Load::parse)
         {
             upstream.record_load(load);
@@ -150,35 +105,6 @@
         Ok(read.freeze())
     }
 
-    /// Records what a response says of the upstream's limit.
-    fn hear_limit(&self, upstream: &Upstream, headers: &HeaderMap) {
-        let named = NamedLimit::read(headers, &self.header_names.limit);
-        if let Some(change) = self.limits.hear(&upstream.listed, named, Instant::now()) {
-            self.log.write(Level::Info, &Event::limit(&change, "response"));
-            self.meter.limited_upstreams(self.limits.len());
-        }
-    }
-
-    /// Drains an upstream that says in its response that it does. A misdirected request was answered
-    /// by another one, which speaks for itself only.
-    fn hear_draining(&self, request: &CheckedRequest, upstream: &Upstream, head: &Parts) {
-        let values = head.headers.get_all(&self.header_names.draining);
-        let drains = values.iter().any(|value| value == DRAINING);
-        if !drains || head.status == StatusCode::MISDIRECTED_REQUEST || upstream.is_draining() {
-            return;
-        }
-        upstream.drain();
-        self.log_draining(request, upstream);
-    }
-
-    /// Leaves an upstream alone for the time that its refusal names.
-    fn hear_pause(&self, request: &CheckedRequest, upstream: &Upstream, head: &Parts) {
-        if let Some(pause) = requested_pause(head) {
-            upstream.pause(pause, Instant::now());
-            self.log_paused(request, upstream, pause);
-        }
-    }
-
     /// Classifies a complete response.
     fn check_response(
         &self,
@@ -234,21 +160,17 @@
         FailedAttempt::new(Failure::unknown(reason), detail)
     }
 
-    /// Classifies an exchange whose connection broke before the head of a response.
-    fn exchange_lost(&self, upstream: &Upstream, err: &hyper::Error) -> FailedAttempt {
-        if err.is_parse_too_large() {
-            return self.endless_head(upstream);
+    /// Classifies an exchange that ended before the head of a response. A head without end is no
+    /// sign of a crash.
+    fn exchange_lost(&self, upstream: &Upstream, err: &SendError) -> FailedAttempt {
+        if err.is_endless_head() {
+            let detail = "response head larger than allowed";
+            return self.response_lost(upstream, Reason::WrongAnswer, detail);
         }
         upstream.record_loss();
         FailedAttempt::broken(err)
     }
 
-    /// Returns the failure of an attempt whose response has a head without end, which is no sign
-    /// of a crash.
-    fn endless_head(&self, upstream: &Upstream) -> FailedAttempt {
-        self.response_lost(upstream, Reason::WrongAnswer, "response head larger than allowed")
-    }
-
     /// Returns whether a connection can be reused after a complete response.
     async fn is_reusable(
         &self,
@@ -293,8 +215,7 @@
             match conn.send(http_request).await {
                 Ok(response) => return Ok((conn, response)),
                 Err(SendError::NotSent(_)) => {}
-                Err(SendError::Lost(err)) => return Err(self.exchange_lost(upstream, &err)),
-                Err(SendError::EndlessHead) => return Err(self.endless_head(upstream)),
+                Err(err) => return Err(self.exchange_lost(upstream, &err)),
             }
         }
         let mut conn = Connection::open(upstream.addr()).await.map_err(|err| {
@@ -312,8 +233,7 @@
                     "connection closed before the request was written",
                 ))
             }
-            Err(SendError::Lost(err)) => Err(self.exchange_lost(upstream, &err)),
-            Err(SendError::EndlessHead) => Err(self.endless_head(upstream)),
+            Err(err) => Err(self.exchange_lost(upstream, &err)),
         }
     }
 
--- a/src/direct/connection.rs
+++ b/src/direct/connection.rs
@@ -38,6 +38,17 @@
     EndlessHead,
 }
 
+impl SendError {
+    /// Returns whether the head of the response was larger than allowed.
+    pub(super) fn is_endless_head(&self) -> bool {
+        match self {
+            Self::NotSent(_) => false,
+            Self::Lost(err) => err.is_parse_too_large(),
+            Self::EndlessHead => true,
+        }
+    }
+}
+
 /// A connection to an upstream that carries one request at a time. Dropping it closes it, or resets
 /// it if a response is outstanding.
 #[derive(Debug)]
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -9,10 +9,10 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep};
 
-use super::attempt::FailedAttempt;
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
 use super::connection::Connection;
+use super::failed_attempt::FailedAttempt;
 use super::header_watch::HeaderWatch;
 use super::limits::UpstreamLimits;
 use super::open_attempt::OpenAttempt;
--- /dev/null
+++ b/src/direct/failed_attempt.rs
@@ -0,0 +1,43 @@
+use std::fmt::Display;
+
+use super::quarantine::CrashSign;
+use crate::entry::Failure;
+use crate::net::BodyError;
+use crate::outcome::Reason;
+
+/// An attempt that brought no usable response, with a detail for the log.
+#[derive(Clone, Debug)]
+pub(super) struct FailedAttempt {
+    pub(super) failure: Failure,
+    pub(super) detail: String,
+    /// What the end of the attempt is a sign of, if the upstream may have crashed.
+    pub(super) sign: Option<CrashSign>,
+}
+
+impl FailedAttempt {
+    pub(super) fn new(failure: Failure, detail: impl Into<String>) -> Self {
+        Self { failure, detail: detail.into(), sign: None }
+    }
+
+    /// Returns the failure of an attempt whose connection broke while the request ran.
+    pub(super) fn broken(err: &impl Display) -> Self {
+        let failure = Failure::unknown(Reason::UpstreamLost);
+        Self { failure, detail: err.to_string(), sign: Some(CrashSign::ConnectionBroken) }
+    }
+
+    /// Returns the failure of a stream that broke off. An event without end is no sign of a crash.
+    pub(super) fn broken_stream(err: &BodyError) -> Self {
+        match err {
+            BodyError::EventTooLarge => {
+                Self::new(Failure::unknown(Reason::WrongAnswer), err.to_string())
+            }
+            _ => Self::broken(err),
+        }
+    }
+
+    /// Returns the failure of an attempt whose upstream sent nothing until the entry gave up.
+    pub(super) fn silent(detail: &str) -> Self {
+        let failure = Failure::unknown(Reason::UpstreamTimeout);
+        Self { failure, detail: detail.to_owned(), sign: Some(CrashSign::Silence) }
+    }
+}
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -4,6 +4,7 @@
 //! and the list of upstreams come from the platform through a [`Directory`].
 
 mod admission;
+mod announcements;
 mod attempt;
 mod attempt_history;
 mod body;
@@ -18,6 +19,7 @@
 mod dispatch_log;
 mod dispatcher;
 mod event;
+mod failed_attempt;
 mod freshness;
 mod handler;
 mod header_names;
--- a/src/direct/relay.rs
+++ b/src/direct/relay.rs
@@ -5,10 +5,10 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::attempt::FailedAttempt;
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
 use super::dispatcher::{BegunStream, Dispatcher, Stream, UpstreamResponse};
+use super::failed_attempt::FailedAttempt;
 use super::quarantine::CrashSign;
 use super::request_tracker::RequestTracker;
 use super::upstream::InFlight;
--- a/src/sidecar/admitted_request.rs
+++ b/src/sidecar/admitted_request.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::claims::{ClaimOutcome, Claims, HeldClaim};
-use super::relay::{Relay, RelayEnd};
+use super::relay::{Relay, RelaySource};
 use super::{
     ClaimKey, ClaimRow, Permit, RequestMetadata, SendError, SidecarBody, StoredAnswer, Upstream,
 };
@@ -43,8 +43,8 @@
         if body.is_end_stream() {
             exchange.complete();
         }
-        let end = RelayEnd { upstream: self.upstream, exchange, _guard: guard };
-        let relay = Relay::new(body, self.permit, end, self.deadline, is_chat_stream);
+        let source = RelaySource { upstream: self.upstream, exchange, _guard: guard };
+        let relay = Relay::new(body, self.permit, source, self.deadline, is_chat_stream);
         Ok(Response::from_parts(parts, SidecarBody::stream(Box::new(relay))))
     }
 
--- a/src/sidecar/relay.rs
+++ b/src/sidecar/relay.rs
@@ -23,7 +23,7 @@
 pub struct Relay {
     body: Incoming,
     permit: Option<Permit>,
-    end: RelayEnd,
+    source: RelaySource,
     deadline: Pin<Box<Sleep>>,
     is_chat_stream: bool,
     /// Last bytes of a chat stream.
@@ -32,9 +32,9 @@
     tokens: u64,
 }
 
-/// What is told of the end of a relayed body.
+/// What a relay holds of the upstream that its body comes from.
 #[derive(Debug)]
-pub(super) struct RelayEnd {
+pub(super) struct RelaySource {
     pub(super) upstream: Upstream,
     /// State of the connection to the upstream.
     pub(super) exchange: ExchangeState,
@@ -46,14 +46,14 @@
     pub(super) fn new(
         body: Incoming,
         permit: Permit,
-        end: RelayEnd,
+        source: RelaySource,
         deadline: Instant,
         is_chat_stream: bool,
     ) -> Self {
         Self {
             body,
             permit: Some(permit),
-            end,
+            source,
             deadline: Box::pin(sleep_until(deadline)),
             is_chat_stream,
             tail: Vec::new(),
@@ -83,9 +83,9 @@
 
     /// Handles the end of the upstream's body.
     fn finish(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
-        self.end.exchange.complete();
+        self.source.exchange.complete();
         if !self.is_complete() {
-            self.end.upstream.report_broken();
+            self.source.upstream.report_broken();
             return Some(Err(BodyError::Truncated));
         }
         if let Some(permit) = self.permit.take() {
@@ -116,7 +116,7 @@
                 Some(Ok(frame))
             }
             Some(Err(err)) => {
-                self.end.upstream.report_broken();
+                self.source.upstream.report_broken();
                 Some(Err(err.into()))
             }
             None => self.finish(),
