Entries judge silent upstreams, share retries and follow the list of upstreams at any size

The slack of retries was divided by 16 entries where 53 to 70 run. The list of upstreams was read again at each change of any of 134 rows, about 4 times a second by each entry. Change: how long an upstream may be silent follows the response times of the service, their mean and four mean deviations, as TCP sets its retransmission timeout, 0.8 s at least. Each entry takes as much of the slack as it has of the load that upstreams report; until it knows, a 512th. Changes of the list are gathered for a quarter of the time in which entries must learn of a draining upstream (drain-ms), one second at most; settings are asked for each 1.6 s instead of 1.2.

--- a/src/direct/choice.rs
+++ b/src/direct/choice.rs
@@ -5,6 +5,8 @@
 
 /// Age at which a load report has half its weight.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(1_000);
+/// Sum of the weights of reports from which the load of other entries is known.
+const MIN_REPORT_WEIGHT: f64 = 2.0;
 /// Number of requests by which an upstream in another failure domain must be less loaded to be
 /// chosen.
 const REMOTE_PENALTY: f64 = 0.4;
@@ -18,6 +20,13 @@
     pub age: Duration,
 }
 
+impl OtherEntriesLoad {
+    /// Weight of the report by its age, from 0 to 1.
+    fn weight(&self) -> f64 {
+        0.5_f64.powf(self.age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64())
+    }
+}
+
 /// State of an upstream on which the choice is based.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -44,9 +53,7 @@
 /// assert_eq!(estimate_loads(&[reported, unreported])[..], [5.0, 5.0]);
 /// ```
 pub fn estimate_loads(candidates: &[Candidate]) -> SmallVec<[f64; 16]> {
-    let weight_of = |report: &OtherEntriesLoad| {
-        0.5_f64.powf(report.age.as_secs_f64() / REPORT_HALF_LIFE.as_secs_f64())
-    };
+    let weight_of = OtherEntriesLoad::weight;
     let reports = || candidates.iter().filter_map(|candidate| candidate.others);
     let total_weight: f64 = reports().map(|report| weight_of(&report)).sum();
     let sum: f64 = reports().map(|report| weight_of(&report) * report.requests).sum();
@@ -64,6 +71,30 @@
     candidates.iter().map(load).collect()
 }
 
+/// Returns this entry's share of a service's load, `None` without enough fresh reports: after a
+/// start, an entry knows only its own requests.
+///
+/// ```
+/// # use std::time::Duration;
+/// # use ebonyusher::direct::{Candidate, OtherEntriesLoad, load_share};
+/// let report = |requests| Some(OtherEntriesLoad { requests, age: Duration::ZERO });
+/// let busy = Candidate { own: 1, others: report(3.0), avoid_until: None };
+/// let idle = Candidate { own: 0, others: None, avoid_until: None };
+/// assert_eq!(load_share(&[busy, busy, busy, idle]), Some(0.2));
+/// assert_eq!(load_share(&[busy, idle, idle, idle]), None);
+/// ```
+pub fn load_share(candidates: &[Candidate]) -> Option<f64> {
+    let reports = || candidates.iter().filter_map(|candidate| candidate.others);
+    let weight: f64 = reports().map(|report| report.weight()).sum();
+    if weight < MIN_REPORT_WEIGHT {
+        return None;
+    }
+    let others = reports().map(|report| report.weight() * report.requests).sum::<f64>() / weight;
+    let own: u32 = candidates.iter().map(|candidate| candidate.own).sum();
+    let own = f64::from(own) / candidates.len() as f64;
+    (own > 0.0).then(|| own / (own + others))
+}
+
 /// Chooses the upstream with the lowest estimated load among those that need not be avoided. If all
 /// have to be avoided, chooses the one for which that ends first.
 ///
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -26,6 +26,7 @@
 use crate::entry::Failure;
 use crate::event_log::EventLog;
 use crate::outcome::{Reason, Refusal};
+use crate::units::millis;
 
 /// Minimum time before the deadline for another attempt to be made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
@@ -218,7 +219,14 @@
             sleep(STUCK_CHECK_INTERVAL).await;
             if upstream.is_stuck(&request.state.liveness) && self.may_resume(request, history) {
                 upstream.record_loss();
-                return FailedAttempt::silent("silent while others answer");
+                let liveness = &request.state.liveness;
+                let silence = upstream.inactive_for(liveness);
+                let limit_ms = millis(liveness.silence_limit());
+                liveness.record_response_time(silence);
+                let silence_ms = millis(silence);
+                return FailedAttempt::silent(format!(
+                    "silent for {silence_ms} ms while others answer, usual are up to {limit_ms}"
+                ));
             }
         }
     }
--- a/src/direct/failed_attempt.rs
+++ b/src/direct/failed_attempt.rs
@@ -36,8 +36,8 @@
     }
 
     /// Returns the failure of an attempt whose upstream sent nothing until the entry gave up.
-    pub(super) fn silent(detail: &str) -> Self {
+    pub(super) fn silent(detail: impl Into<String>) -> Self {
         let failure = Failure::unknown(Reason::UpstreamTimeout);
-        Self { failure, detail: detail.to_owned(), sign: Some(CrashSign::Silence) }
+        Self { failure, detail: detail.into(), sign: Some(CrashSign::Silence) }
     }
 }
--- a/src/direct/inactivity.rs
+++ b/src/direct/inactivity.rs
@@ -2,17 +2,15 @@
 
 use tokio::time::Instant;
 
-/// Inactivity after which new requests go to other upstreams. An engine's events are a tenth of a
-/// second apart.
-const AVOID_AFTER: Duration = Duration::from_millis(400);
-/// Inactivity after which requests that may run again are moved. Callers give up after two seconds.
-const STUCK_AFTER: Duration = Duration::from_millis(800);
+/// Share of the silence limit after which new requests go to other upstreams.
+const AVOID_SHARE: f64 = 0.5;
 /// Time after the end of its last request from which an inactive upstream without requests is tried
 /// again.
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Tracks for how long an upstream with requests in flight has shown no activity, measured in the
-/// active time of its service's [`Liveness`](super::Liveness).
+/// active time of its service's [`Liveness`](super::Liveness) and judged by its
+/// [`SilenceLimit`](super::SilenceLimit).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Inactivity {
     /// Active time at the last activity or, if there was none since the upstream was idle, at the
@@ -36,8 +34,8 @@
     }
 
     /// Records that the upstream has no more requests in flight.
-    pub fn record_idle(&mut self, active_time: Duration, now: Instant) {
-        if self.is_inactive(active_time) {
+    pub fn record_idle(&mut self, active_time: Duration, limit: Duration, now: Instant) {
+        if self.is_inactive(active_time, limit) {
             self.idle_since = Some(now);
         } else {
             *self = Self::default();
@@ -53,24 +51,31 @@
     /// let mut inactivity = Inactivity::default();
     /// let now = Instant::now();
     /// inactivity.record_request(Duration::from_secs(1));
-    /// assert_eq!(inactivity.avoid_until(Duration::from_millis(1_300), now), None);
-    /// assert!(inactivity.avoid_until(Duration::from_millis(1_500), now).is_some());
+    /// let limit = Duration::from_millis(800);
+    /// assert_eq!(inactivity.avoid_until(Duration::from_millis(1_300), limit, now), None);
+    /// assert!(inactivity.avoid_until(Duration::from_millis(1_500), limit, now).is_some());
     /// ```
-    pub fn avoid_until(&self, active_time: Duration, now: Instant) -> Option<Instant> {
+    pub fn avoid_until(
+        &self,
+        active_time: Duration,
+        limit: Duration,
+        now: Instant,
+    ) -> Option<Instant> {
         let until = self.idle_since.unwrap_or(now) + RETRY_INTERVAL;
-        (self.is_inactive(active_time) && until > now).then_some(until)
+        (self.is_inactive(active_time, limit) && until > now).then_some(until)
     }
 
     /// Returns whether requests that may run again should be moved to another upstream.
-    pub fn is_stuck(&self, active_time: Duration) -> bool {
-        self.duration(active_time) > STUCK_AFTER
+    pub fn is_stuck(&self, active_time: Duration, limit: Duration) -> bool {
+        self.duration(active_time) > limit
     }
 
-    fn is_inactive(&self, active_time: Duration) -> bool {
-        self.duration(active_time) > AVOID_AFTER
+    fn is_inactive(&self, active_time: Duration, limit: Duration) -> bool {
+        self.duration(active_time) > limit.mul_f64(AVOID_SHARE)
     }
 
-    fn duration(&self, active_time: Duration) -> Duration {
+    /// Returns for how long the upstream has shown no activity.
+    pub fn duration(&self, active_time: Duration) -> Duration {
         self.since.map_or(Duration::ZERO, |since| active_time.saturating_sub(since))
     }
 }
--- a/src/direct/liveness.rs
+++ b/src/direct/liveness.rs
@@ -3,6 +3,8 @@
 
 use tokio::time::Instant;
 
+use super::SilenceLimit;
+
 /// Maximum gap between two activities that still counts as active time.
 const MAX_ACTIVITY_GAP: Duration = Duration::from_millis(250);
 /// Interval between probe requests to stalled upstreams.
@@ -24,6 +26,7 @@
     last_activity: Option<Instant>,
     /// When the last probe request was sent to stalled upstreams.
     last_probe: Option<Instant>,
+    silence_limit: SilenceLimit,
 }
 
 impl Liveness {
@@ -80,6 +83,17 @@
         true
     }
 
+    /// Records the active time from a request to its first response, or for how long one that was
+    /// given up on had none.
+    pub fn record_response_time(&self, time: Duration) {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).silence_limit.record(time);
+    }
+
+    /// Returns for how much active time an upstream may be silent.
+    pub fn silence_limit(&self) -> Duration {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).silence_limit.get()
+    }
+
     /// Returns the active time.
     pub fn active_time(&self) -> Duration {
         self.state.lock().unwrap_or_else(PoisonError::into_inner).active_time
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -164,8 +164,9 @@
             meter: Arc::clone(&meter),
             log: self.log.clone(),
         };
+        let drain_time = Duration::from_secs_f64(self.file.drain_ms / 1_000.0);
         let upstream_follower =
-            UpstreamFollower::new(directory, Arc::clone(&roster), self.log.clone());
+            UpstreamFollower::new(directory, Arc::clone(&roster), drain_time, self.log.clone());
         let stop = &self.background_stop;
         tokio::spawn(stop.clone().run_until_cancelled_owned(routing_follower.run()));
         tokio::spawn(stop.clone().run_until_cancelled_owned(upstream_follower.run()));
@@ -278,11 +279,13 @@
     metrics: Option<TcpListener>,
 }
 
-/// Returns the retry limits of this entry. The slack of all entries together is divided evenly.
+/// Returns the limits of retries. Until an entry knows its share of the load, it takes an even part
+/// of the slack of the maximum number of entries.
 fn retry_limits(file: &RetrySettings) -> RetryLimits {
     RetryLimits {
         share: file.share,
         window: Duration::from_secs_f64(file.window_seconds),
-        slack: file.slack / file.entries.max(1.0),
+        slack: file.slack,
+        slack_share: 1.0 / file.entries.max(1.0),
     }
 }
--- a/src/direct/retry_budget.rs
+++ b/src/direct/retry_budget.rs
@@ -6,6 +6,13 @@
 
 /// Number of buckets that the window is divided into.
 const BUCKETS: u32 = 10;
+/// Smoothing factor of the exponentially weighted moving average of the share of the load. In a
+/// burst, as after a restart of all entries, each sees its own requests before those of others.
+const LOAD_SMOOTHING: f64 = 0.005;
+/// Part of the share of the load that is used, since reports of others' requests are always late.
+const SAFE_PART: f64 = 0.75;
+/// Larger than any rounding error of a slack.
+const ROUNDING: f64 = 1e-6;
 
 /// Limits on the retries of one entry, such that all entries together stay within the limits in the
 /// settings.
@@ -15,15 +22,22 @@
     pub share: f64,
     /// Length of the window. The limit holds in every span of this length.
     pub window: Duration,
-    /// Retries allowed beyond the share within the window: the part of this entry.
+    /// Retries of all entries together that are allowed beyond the share within the window.
     pub slack: f64,
+    /// Part of the slack that this entry takes at least, and until it knows its share of the load.
+    pub slack_share: f64,
 }
 
 /// Sliding-window budget for the retries of one service at one entry, such that all entries
 /// together stay within the limits.
+///
+/// Entries don't know how many they are. Each takes as much of the slack as it has of the service's
+/// load; the shares of all entries add up to one.
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
+    /// Smoothed share of this entry in the service's load.
+    load_share: Mutex<f64>,
     buckets: Mutex<VecDeque<Bucket>>,
 }
 
@@ -37,7 +51,29 @@
 impl RetryBudget {
     /// Creates a budget without any requests on record.
     pub const fn new(limits: RetryLimits) -> Self {
-        Self { limits, buckets: Mutex::new(VecDeque::new()) }
+        Self {
+            limits,
+            load_share: Mutex::new(limits.slack_share),
+            buckets: Mutex::new(VecDeque::new()),
+        }
+    }
+
+    /// Records this entry's present share of the service's load.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use ebonyusher::direct::{RetryBudget, RetryLimits};
+    /// let window = Duration::from_secs(10);
+    /// let limits = RetryLimits { share: 0.2, window, slack: 100.0, slack_share: 0.01 };
+    /// let budget = RetryBudget::new(limits);
+    /// (0..10_000).for_each(|_| budget.record_load_share(0.2));
+    /// let now = tokio::time::Instant::now();
+    /// assert_eq!((0..99).filter(|_| budget.spend(now)).count(), 15);
+    /// ```
+    pub fn record_load_share(&self, share: f64) {
+        let share = (share * SAFE_PART).clamp(self.limits.slack_share, 1.0);
+        let mut load_share = self.load_share.lock().unwrap_or_else(PoisonError::into_inner);
+        *load_share += LOAD_SMOOTHING * (share - *load_share);
     }
 
     /// Counts a request from a caller.
@@ -50,7 +86,8 @@
     /// ```
     /// # use std::time::Duration;
     /// # use ebonyusher::direct::{RetryBudget, RetryLimits};
-    /// let limits = RetryLimits { share: 0.2, window: Duration::from_secs(10), slack: 3.0 };
+    /// let window = Duration::from_secs(10);
+    /// let limits = RetryLimits { share: 0.2, window, slack: 3.0, slack_share: 1.0 };
     /// let budget = RetryBudget::new(limits);
     /// let now = tokio::time::Instant::now();
     /// assert_eq!((0..9).filter(|_| budget.spend(now)).count(), 3);
@@ -58,6 +95,9 @@
     /// ```
     pub fn spend(&self, now: Instant) -> bool {
         let RetryLimits { share, slack, .. } = self.limits;
+        let slack = slack * *self.load_share.lock().unwrap_or_else(PoisonError::into_inner);
+        // Rounding must not take a whole retry away.
+        let slack = slack + ROUNDING;
         self.with_buckets(now, |bucket, (requests, retries)| {
             let is_allowed = f64::from(retries) + 1.0 <= share * f64::from(requests) + slack;
             bucket.retries += u32::from(is_allowed);
--- a/src/direct/routing_follower.rs
+++ b/src/direct/routing_follower.rs
@@ -12,9 +12,9 @@
 
 /// Maximum time that one call waits for newer settings. Each response confirms that the settings
 /// are fresh.
-const MAX_WAIT: Duration = Duration::from_millis(1_200);
+const MAX_WAIT: Duration = Duration::from_millis(1_600);
 /// Minimum number of calls within the maximum age of fresh settings, so that one may fail.
-const CALLS_PER_MAX_AGE: u32 = 4;
+const CALLS_PER_MAX_AGE: u32 = 3;
 
 /// Keeps the settings in force up to date with the platform.
 #[derive(Debug)]
--- a/src/direct/upstream.rs
+++ b/src/direct/upstream.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -60,6 +61,10 @@
 pub(super) struct InFlight {
     upstream: Arc<Upstream>,
     liveness: Arc<Liveness>,
+    /// Active time at which the request was sent.
+    sent: Duration,
+    /// Whether the upstream has responded to the request.
+    responded: AtomicBool,
 }
 
 impl InFlight {
@@ -67,6 +72,9 @@
     pub(super) fn record_activity(&self) {
         let now = Instant::now();
         let active_time = self.liveness.record_activity(now);
+        if !self.responded.swap(true, Ordering::Relaxed) {
+            self.liveness.record_response_time(active_time.saturating_sub(self.sent));
+        }
         let mut state = self.upstream.lock();
         state.inactivity.record_activity(active_time);
         state.last_activity = Some(now);
@@ -78,7 +86,8 @@
         let mut state = self.upstream.lock();
         state.in_flight = state.in_flight.saturating_sub(1);
         if state.in_flight == 0 {
-            state.inactivity.record_idle(self.liveness.active_time(), Instant::now());
+            let limit = self.liveness.silence_limit();
+            state.inactivity.record_idle(self.liveness.active_time(), limit, Instant::now());
         }
     }
 }
@@ -142,15 +151,26 @@
 
     /// Counts a request as in flight until the returned guard is dropped.
     pub(super) fn begin_request(self: &Arc<Self>, liveness: &Arc<Liveness>) -> InFlight {
+        let sent = liveness.active_time();
         let mut state = self.lock();
         state.in_flight += 1;
-        state.inactivity.record_request(liveness.active_time());
-        InFlight { upstream: Arc::clone(self), liveness: Arc::clone(liveness) }
+        state.inactivity.record_request(sent);
+        InFlight {
+            upstream: Arc::clone(self),
+            liveness: Arc::clone(liveness),
+            sent,
+            responded: AtomicBool::new(false),
+        }
     }
 
     /// Returns whether requests that may run again should be moved to another upstream.
     pub(super) fn is_stuck(&self, liveness: &Liveness) -> bool {
-        self.lock().inactivity.is_stuck(liveness.active_time())
+        self.lock().inactivity.is_stuck(liveness.active_time(), liveness.silence_limit())
+    }
+
+    /// Returns for how much active time the upstream has been silent although it has requests.
+    pub(super) fn inactive_for(&self, liveness: &Liveness) -> Duration {
+        self.lock().inactivity.duration(liveness.active_time())
     }
 
     /// Returns for how long the upstream has sent nothing, or `None` if it never sent anything.
@@ -221,7 +241,8 @@
     /// Returns the state on which the choice of an upstream is based.
     pub fn candidate(&self, liveness: &Liveness, now: Instant) -> Candidate {
         let state = self.lock();
-        let inactive_until = state.inactivity.avoid_until(liveness.active_time(), now);
+        let inactive_until =
+            state.inactivity.avoid_until(liveness.active_time(), liveness.silence_limit(), now);
         Candidate {
             own: state.in_flight,
             others: state.load.map(|report| report.others(now)),
--- a/src/direct/upstream_follower.rs
+++ b/src/direct/upstream_follower.rs
@@ -11,6 +11,11 @@
 
 /// Maximum time that one call waits for changes of the list.
 const MAX_WAIT: Duration = Duration::from_millis(1_500);
+/// Share of the time in which entries must learn of a draining upstream for which changes are
+/// gathered. The rest allows for a call that is lost and one that is slow.
+const GATHER_SHARE: f64 = 0.25;
+/// Maximum time for which changes are gathered, since new upstreams are wanted soon as well.
+const MAX_GATHER_TIME: Duration = Duration::from_millis(1_000);
 /// Time after an outage of the platform within which the upstreams that its list has lost are
 /// listed again.
 const RELIST_GRACE: Duration = Duration::from_millis(2_300);
@@ -26,12 +31,22 @@
     /// them.
     missing: HashMap<String, Instant>,
     cursor: Option<Cursor>,
+    /// Minimum time between two calls that return changes.
+    interval: Duration,
 }
 
 impl<D: Directory> UpstreamFollower<D> {
-    pub(super) fn new(directory: Arc<D>, roster: Arc<Roster>, log: EventLog) -> Self {
+    /// Creates a follower. `drain_time` is the time in which entries must learn that an upstream is
+    /// draining.
+    pub(super) fn new(
+        directory: Arc<D>,
+        roster: Arc<Roster>,
+        drain_time: Duration,
+        log: EventLog,
+    ) -> Self {
         let health = PlatformHealth::new("upstreams", log.clone());
-        Self { directory, roster, log, health, missing: HashMap::new(), cursor: None }
+        let interval = drain_time.mul_f64(GATHER_SHARE).min(MAX_GATHER_TIME);
+        Self { directory, roster, log, health, missing: HashMap::new(), cursor: None, interval }
     }
 
     /// Follows the list until the process ends.
@@ -41,7 +56,12 @@
             match self.directory.upstreams(self.cursor, wait).await {
                 Ok(changes) => {
                     self.health.record_success();
+                    let has_changes = !changes.items.is_empty();
                     self.apply(changes);
+                    if has_changes {
+                        // With many upstreams some row has always changed.
+                        sleep(self.interval.min(self.next_wait())).await;
+                    }
                 }
                 Err(DirectoryError::HistoryGone) => self.cursor = None,
                 Err(DirectoryError::Rewound(era)) => {
--- a/src/settings/direct_file.rs
+++ b/src/settings/direct_file.rs
@@ -22,6 +22,10 @@
     pub platform: SocketAddr,
     /// Seconds after a stop signal within which the process must have exited.
     pub grace_seconds: f64,
+    /// Milliseconds after the platform lists an upstream as draining within which it must get no
+    /// more requests.
+    #[serde(default = "default_drain")]
+    pub drain_ms: f64,
     /// Maximum age in milliseconds of the settings by which keys are checked, no limit if absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub key_age_ms: Option<f64>,
@@ -44,12 +48,17 @@
     pub window_seconds: f64,
     /// Retries allowed in addition to the share, for all entries together.
     pub slack: f64,
-    /// Maximum number of entries, among which the slack is divided, and the limits that upstreams
-    /// name as long as the entries don't know each other.
+    /// Maximum number of entries, among which the slack is divided as long as they don't know their
+    /// shares of the load, and the limits that upstreams name as long as they don't know each other.
     #[serde(default = "default_entries")]
     pub entries: f64,
 }
 
+/// Default time in milliseconds in which entries must learn that an upstream is draining.
+const fn default_drain() -> f64 {
+    2_000.0
+}
+
 /// Default first quarantine time in seconds, in which operators can react to the crashes.
 const fn default_quarantine() -> f64 {
     60.0
@@ -57,5 +66,5 @@
 
 /// Default number of entries: the maximum that may run at the same time.
 const fn default_entries() -> f64 {
-    16.0
+    512.0
 }
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -14,6 +14,9 @@
 use proptest::prelude::*;
 use tokio::time::Instant;
 
+/// Silence after which an upstream is stuck in these tests.
+const SILENCE_LIMIT: Duration = Duration::from_millis(800);
+
 pub fn proptest_config() -> ProptestConfig {
     ProptestConfig {
         cases: 128,
@@ -215,7 +218,7 @@
         events in prop::collection::vec((0_u64..400, any::<bool>()), 1..400),
     ) {
         const WINDOW_MS: u64 = 10_000;
-        let limits = RetryLimits { share: 0.2, window: Duration::from_millis(WINDOW_MS), slack: 6.0 };
+        let limits = RetryLimits { share: 0.2, window: Duration::from_millis(WINDOW_MS), slack: 6.0, slack_share: 1.0 };
         let budget = RetryBudget::new(limits);
         let start = Instant::now();
         let (mut now, mut earned, mut spent) = (0, Vec::new(), Vec::new());
@@ -323,20 +326,20 @@
                 _ if requests > 0 => {
                     requests -= 1;
                     if requests == 0 {
-                        inactivity.record_idle(active_time, now);
+                        inactivity.record_idle(active_time, SILENCE_LIMIT, now);
                     }
                 }
                 _ => {}
             }
-            if inactivity.is_stuck(active_time) && requests > 0 {
-                prop_assert!(active_time - last_activity > Duration::from_millis(400));
+            if inactivity.is_stuck(active_time, SILENCE_LIMIT) && requests > 0 {
+                prop_assert!(active_time - last_activity > SILENCE_LIMIT);
             }
-            let avoided_until = inactivity.avoid_until(active_time, now);
+            let avoided_until = inactivity.avoid_until(active_time, SILENCE_LIMIT, now);
             prop_assert!(avoided_until.is_none_or(|until| until <= now + Duration::from_secs(2)));
         }
         if requests == 0 {
             let later = now + Duration::from_secs(3);
-            prop_assert_eq!(inactivity.avoid_until(active_time, later), None);
+            prop_assert_eq!(inactivity.avoid_until(active_time, SILENCE_LIMIT, later), None);
         }
     }
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod fault_table;
 mod group_run;
 mod input;
+mod large_fleet;
 mod leases;
 mod leaving;
 mod limit_shares;
