Expert maps reach 129 ranks: differences over a tree, and one claim of a term at a time

Change: a map is sent as its difference to the map in force, or to that of a new group, with the digest of the whole; the leader sends it to the square root of the number of ranks, each passes it on to as many. The order to prepare then names the digest; a sidecar that lacks the map is sent the whole one. Weighed: an object of the store (129 reads at 25 ms, 80 a second: 1.6 s and priced), a star of differences (128 x 1.2 KB: 0.2 s of the leader's link, in a tree 0.02 s). A sidecar that finds a newer term than it knows gives its leader time instead of claiming the next, and reads the term at its start. Time limits of calls grow with the group; a sidecar without answer is bypassed until a state read through it, so that a group with one lost sidecar goes on switching. Updates to another base or damaged give no other map.

--- a/bench/src/expert/order_costs.rs
+++ b/bench/src/expert/order_costs.rs
@@ -34,7 +34,7 @@
             .map(|shares| improve_set(&round_robin(ranks, experts), shares, &LIMITS).ranks)
             .collect();
         let plan_ms = began.elapsed().as_secs_f64() * 1e3;
-        let order = RankOrder::Prepare { version: 1_000, map: GroupMap { sets: planned } };
+        let order = RankOrder::Prepare { version: 1_000, map: GroupMap { sets: planned }.into() };
         let map = kilobytes(&RankCommand { order, epoch: 1, fence: 1 << 30 });
         let counts = demand.iter().flatten().map(|share| (share * MAX_TOKENS) as u64).collect();
         let counts = kilobytes(&RankCounts { epoch: 1, counts });
--- a/src/group/layer_state.rs
+++ b/src/group/layer_state.rs
@@ -64,6 +64,11 @@
         self.loads[rank] / self.speeds[rank]
     }
 
+    /// Time of the rank that finishes last.
+    pub(super) fn slowest_time(&self) -> f64 {
+        (0..self.loads.len()).map(|rank| self.time(rank)).fold(0.0, f64::max)
+    }
+
     /// Experts that a rank holds.
     pub(super) fn held(&self, rank: usize) -> &[u16] {
         &self.held[rank * self.slots..(rank + 1) * self.slots]
--- a/src/group/planner.rs
+++ b/src/group/planner.rs
@@ -9,6 +9,8 @@
 /// Lower bound of the excess of skew over one in the price of a fetch. Smaller excesses make no
 /// difference to the price.
 const MIN_EXCESS: f64 = 1e-3;
+/// Relative difference of two times that is only rounding.
+const TIME_TOLERANCE: f64 = 1e-9;
 
 /// How a planner weighs skew against fetches.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -88,6 +90,7 @@
             left -= candidate.change.fetches();
             plan.apply(candidate.change, &mut moves);
         }
+        layers.iter_mut().for_each(|plan| plan.drop_slower_changes(&mut moves));
         let worth = !moves.is_empty() || layers.iter().any(LayerPlan::shares_pay);
         worth.then(|| self.build_plan(present, &layers, moves))
     }
@@ -126,9 +129,12 @@
         let speeds = self.speeds.get();
         let loads = present.layers[layer].loads(tokens);
         let before = super::potential::Potential::new(&loads, speeds).value();
+        let max_time = loads.iter().zip(speeds).map(|(load, speed)| load / speed);
+        let max_time = max_time.fold(0.0, f64::max) * (1.0 + TIME_TOLERANCE);
         let state = LayerState::new(&self.shape, &present.layers[layer], tokens, speeds);
         let best = best_change(&state);
-        LayerPlan { layer, state, best, before }
+        let accepted = Accepted { state: state.clone(), moves: 0 };
+        LayerPlan { layer, state, best, before, max_time, moves: 0, accepted }
     }
 
     /// Builds the plan from the changed layers and their fetches.
@@ -150,11 +156,24 @@
     best: Option<Candidate>,
     /// Potential under the present map with its present shares.
     before: f64,
+    /// Time of the slowest rank that the planned map must not exceed.
+    max_time: f64,
+    /// Number of fetches that the changes so far need.
+    moves: usize,
+    accepted: Accepted,
+}
+
+/// Last state of a layer at which its slowest rank took no longer than under the present map.
+struct Accepted {
+    state: LayerState,
+    /// Number of fetches that lead to the state.
+    moves: usize,
 }
 
 impl LayerPlan {
     fn apply(&mut self, change: MapChange, moves: &mut Vec<Move>) {
         let layer = self.layer;
+        self.moves += change.fetches();
         match change {
             MapChange::Copy { rank, expert, evicted } => {
                 self.state.replace(rank, evicted, expert);
@@ -175,6 +194,21 @@
         }
         self.state.sweep(LOCAL_SWEEPS);
         self.best = best_change(&self.state);
+        if self.state.slowest_time() <= self.max_time {
+            self.accepted = Accepted { state: self.state.clone(), moves: self.moves };
+        }
+    }
+
+    /// Drops the last changes if they leave the slowest rank slower than under the present map. The
+    /// potential may fall although the slowest rank gets slower, if many others get faster.
+    fn drop_slower_changes(&mut self, moves: &mut Vec<Move>) {
+        let mut left = self.accepted.moves;
+        moves.retain(|planned| {
+            let is_kept = planned.layer != self.layer || left > 0;
+            left -= usize::from(is_kept && planned.layer == self.layer);
+            is_kept
+        });
+        self.state = self.accepted.state.clone();
     }
 
     fn shares_pay(&self) -> bool {
--- a/src/remap/assembly.rs
+++ b/src/remap/assembly.rs
@@ -7,7 +7,7 @@
 use super::event::Event;
 use super::leadership::Leadership;
 use super::switch::armed_last;
-use super::{Demand, GroupMap, PeerRank, RankClient, RankConnector, RankSet, RankState};
+use super::{Demand, GroupMap, PeerRank, RankClient, RankConnector, RankSet, RankState, SharedMap};
 use crate::direct::{Directory, Experts, ListChange};
 use crate::event_log::Level;
 use crate::platform::{Table, TableError};
@@ -29,7 +29,7 @@
     pub(super) ranks: RankSet<PeerRank<P>>,
     /// Rank beside this process.
     pub(super) local: usize,
-    pub(super) map: GroupMap,
+    pub(super) map: SharedMap,
     /// Version of the map that the ranks had when they were found.
     pub(super) map_version: u64,
     /// Greatest map version used so far.
@@ -66,7 +66,8 @@
 
     async fn find_ranks(&self, experts: &Experts, fence: u64) -> Option<Group<R::Client>> {
         let addrs = self.rank_addrs().await?;
-        let clients = addrs.iter().filter_map(|addr| self.rank_client(*addr)).collect();
+        let clients = addrs.iter().filter_map(|addr| self.rank_client(*addr, addrs.len()));
+        let clients = clients.collect();
         let read = RankSet::new(clients, 0, fence).states_and_clients().await;
         let (size, epoch) = read.iter().find_map(|(s, _)| s.map(|s| (s.size, s.epoch)))?;
         let known = read.iter().filter(|(state, _)| state.is_some()).count();
@@ -117,23 +118,24 @@
         Some(of_service.collect())
     }
 
-    fn rank_client(&self, addr: SocketAddr) -> Option<PeerRank<R::Client>> {
+    fn rank_client(&self, addr: SocketAddr, ranks: usize) -> Option<PeerRank<R::Client>> {
         let direct = Arc::new(self.connector.client(addr));
         if addr == self.local_addr {
             return Some(PeerRank::local(direct, addr, self.term));
         }
         let sidecar = SocketAddr::new(addr.ip(), self.peer_port);
-        PeerRank::via_sidecar(direct, addr, sidecar, self.term).ok()
+        PeerRank::via_sidecar(direct, addr, sidecar, self.term, ranks).ok()
     }
 
     async fn read_map(
         &self,
         ranks: &RankSet<PeerRank<R::Client>>,
         experts: &Experts,
-    ) -> Option<GroupMap> {
+    ) -> Option<SharedMap> {
         let held = ranks.held().await.into_iter().collect::<Option<Vec<_>>>()?;
         let map = GroupMap::from_ranks(&held);
-        (map.sets.len() == experts.sets && map.is_complete(experts.count)).then_some(map)
+        let is_whole = map.sets.len() == experts.sets && map.is_complete(experts.count);
+        is_whole.then(|| map.into())
     }
 }
 
--- a/src/remap/event.rs
+++ b/src/remap/event.rs
@@ -27,6 +27,13 @@
     GroupIncomplete { known: usize, size: usize },
     /// A map was planned for the measured demand.
     Planned { version: u64, copies: usize, skew_before: f64, skew_after: f64 },
+    /// A map was made known beside the ranks. `bytes` is the size of the update, `missing` the number
+    /// of ranks beside which the map is not known.
+    MapShared { version: u64, bytes: usize, missing: usize, took_ms: u64 },
+    /// An update from the leader gave no map.
+    MapNotLearned { base: String, reason: String },
+    /// Another sidecar has begun a term that this one did not know of.
+    OtherLeads { term: u64 },
     /// All ranks switch to a map at the start of a pass.
     Switched { version: u64, pass: u64, epoch: u64, took_ms: u64 },
     /// A switch to a map failed.
--- a/src/remap/group_map.rs
+++ b/src/remap/group_map.rs
@@ -33,6 +33,20 @@
         Self { sets: (0..sets).map(of_set).collect() }
     }
 
+    /// The map of a new group: each expert has one place, and the ranks take turns.
+    ///
+    /// ```
+    /// # use ebonyusher::remap::GroupMap;
+    /// let map = GroupMap::in_turn(1, 3, 4);
+    /// assert_eq!(map.sets[0][0][..], [0, 3]);
+    /// assert_eq!(map.sets[0][2][..], [2]);
+    /// ```
+    pub fn in_turn(sets: usize, ranks: usize, experts: usize) -> Self {
+        let held = |rank: usize| (rank..experts).step_by(ranks).map(|expert| expert as u16);
+        let set: Vec<HeldExperts> = (0..ranks).map(|rank| held(rank).collect()).collect();
+        Self { sets: vec![set; sets] }
+    }
+
     /// Whether every expert below `experts` is held by a rank in every set.
     pub fn is_complete(&self, experts: usize) -> bool {
         self.sets.iter().all(|ranks| {
--- a/src/remap/leadership.rs
+++ b/src/remap/leadership.rs
@@ -9,7 +9,7 @@
 use super::map_plan::{MapPlan, plan_map};
 use super::switch::{SwitchError, armed_last, settle_switch, switch};
 use super::term_store::TermStore;
-use super::{PeerRank, PlacementLimits, RankConnector, RankSet, first_fence};
+use super::{MapUpdate, PeerRank, PlacementLimits, RankConnector, RankSet, SharedMap, first_fence};
 use crate::direct::{Directory, Experts, RoutingChange};
 use crate::event_log::{EventLog, Level};
 use crate::platform::Table;
@@ -23,6 +23,9 @@
 /// Interval between two readings of all ranks' states. These calls also serve as the leader's
 /// heartbeat to the sidecars.
 const STATES_INTERVAL: Duration = Duration::from_millis(500);
+/// Part of the ranks beside which a map may be missing after an update, as a divisor. The order to
+/// prepare brings the whole map to these.
+const MAX_MISSING_PART: usize = 16;
 /// Backoff after a failed switch, since the fault that lost its orders may persist.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(1_500);
 
@@ -168,10 +171,12 @@
         let version = group.version + 1;
         group.version = version;
         self.log_plan(version, &plan);
-        match switch(&mut group.ranks, group.local, version, &plan.map).await {
+        let map = SharedMap::from(plan.map);
+        self.share_map(group, version, &map).await;
+        match switch(&mut group.ranks, group.local, version, &map).await {
             Ok(pass) => {
                 let epoch = group.ranks.epoch();
-                group.map = plan.map;
+                group.map = map;
                 let event =
                     Event::Switched { version, pass, epoch, took_ms: millis(started.elapsed()) };
                 self.log.write(Level::Info, &event);
@@ -191,6 +196,22 @@
         }
     }
 
+    /// Makes a map known beside all ranks: by its difference to the map in force or, where that is
+    /// not known beside most of them, as a whole. The order to prepare brings it to the rest.
+    async fn share_map(&self, group: &Group<R::Client>, version: u64, map: &SharedMap) {
+        let updates = [MapUpdate::between(Some(&group.map), map), MapUpdate::between(None, map)];
+        for update in updates {
+            let started = Instant::now();
+            let missing = group.ranks.share_map(group.local, &update).await;
+            let (bytes, took_ms) = (update.size(), millis(started.elapsed()));
+            let event = Event::MapShared { version, bytes, missing, took_ms };
+            self.log.write(Level::Info, &event);
+            if missing <= group.ranks.len() / MAX_MISSING_PART {
+                return;
+            }
+        }
+    }
+
     fn log_plan(&self, version: u64, plan: &MapPlan) {
         let event = Event::Planned {
             version,
--- a/src/remap/rank_client.rs
+++ b/src/remap/rank_client.rs
@@ -1,11 +1,16 @@
 use std::future::Future;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use tokio::time::{Instant, sleep};
 
-use super::{HeldExperts, RankCommand, RankState};
+use super::{HeldExperts, MapUpdate, RankCommand, RankState};
+
+/// Interval between two readings of a rank's state while it copies experts.
+const COPY_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Why a call to a rank failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,6 +22,8 @@
     Fenced,
     /// the rank gives no answer; an order may be carried out later
     Unknown,
+    /// the map is not known beside the rank; the order was not given
+    MapMissing,
 }
 
 /// Token counts of a rank.
@@ -37,6 +44,42 @@
     /// [`RankError::Unknown`] without an answer.
     fn state(&self) -> impl Future<Output = Result<RankState, RankError>> + Send;
 
+    /// Reads the rank's state once it has copied the experts of a map, or after `max_wait`.
+    ///
+    /// # Errors
+    /// [`RankError::Unknown`] without an answer.
+    fn prepared_state(
+        &self,
+        version: u64,
+        max_wait: Duration,
+    ) -> impl Future<Output = Result<RankState, RankError>> + Send {
+        async move {
+            let until = Instant::now() + max_wait;
+            loop {
+                let state = self.state().await?;
+                if state.prepared == Some(version) || Instant::now() >= until {
+                    return Ok(state);
+                }
+                sleep(COPY_POLL_INTERVAL).await;
+            }
+        }
+    }
+
+    /// Makes a map known beside this rank and beside others, to which it is passed on from here, so
+    /// that an order to prepare it can be given without it. Returns the number of these ranks beside
+    /// which the map is not known afterwards. The default implementation does nothing, for clients
+    /// that send the map with the order.
+    ///
+    /// # Errors
+    /// [`RankError`] if the map could not be sent to this rank's machine.
+    fn share_map(
+        &self,
+        _update: &MapUpdate,
+        _others: &[&Self],
+    ) -> impl Future<Output = Result<usize, RankError>> + Send {
+        async { Ok(0) }
+    }
+
     /// Reads the rank's token counts.
     ///
     /// # Errors
--- a/src/remap/rank_node.rs
+++ b/src/remap/rank_node.rs
@@ -1,6 +1,6 @@
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
@@ -10,7 +10,8 @@
 use super::agent::{Agent, LeaderWatch};
 use super::event::Event;
 use super::leadership::Leadership;
-use super::term_store::{ClaimedTerm, TermStore};
+use super::map_cache::MapCache;
+use super::term_store::{Claim, ClaimedTerm, TermStore};
 use super::{RankClient, RankConnector, RankRpcServer, RankState};
 use crate::cli::Node;
 use crate::direct::Directory;
@@ -70,6 +71,9 @@
             connector: Arc::clone(&connector),
             rank: Arc::clone(&rank),
             watch: watch.clone(),
+            maps: MapCache::default(),
+            passed_to: Mutex::default(),
+            log: log.clone(),
         };
         let rpc = RpcListener::open(file.peer, agent.into_rpc()).await?;
         let own = Incarnation::random();
@@ -143,6 +147,9 @@
 
 impl<S: Table + Directory, R: RankConnector> LeaderMonitor<S, R> {
     async fn run(self) {
+        if let Ok(term) = self.terms.stored().await {
+            self.watch.record_call(term);
+        }
         let mut stalled: Option<StalledSwitch> = None;
         let mut open_since: Option<Instant> = None;
         loop {
@@ -173,7 +180,13 @@
     async fn take_over(&self, reason: &str) {
         let silence = self.watch.silence();
         let ClaimedTerm { term, switcher } = match self.terms.claim(self.watch.term()).await {
-            Ok(claimed) => claimed,
+            Ok(Claim::Begun(claimed)) => claimed,
+            Ok(Claim::Newer(term)) => {
+                // Its leader needs time to call all sidecars.
+                self.watch.record_call(term);
+                self.log.write(Level::Info, &Event::OtherLeads { term });
+                return;
+            }
             Err(TableError::Conflict) => {
                 self.log.write(Level::Info, &Event::NotClaimed);
                 return;
--- a/src/remap/rank_order.rs
+++ b/src/remap/rank_order.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use super::GroupMap;
+use super::SharedMap;
 
 /// An order from a leader to a rank.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,7 +11,7 @@
     Prepare {
         version: u64,
         #[serde(with = "super::packed_map")]
-        map: GroupMap,
+        map: SharedMap,
     },
     /// Switch to a prepared map at the start of a pass.
     Arm { version: u64, pass: u64 },
--- a/src/remap/rank_rpc.rs
+++ b/src/remap/rank_rpc.rs
@@ -2,8 +2,23 @@
 
 use jsonrpsee::proc_macros::rpc;
 use jsonrpsee::types::ErrorObjectOwned;
+use serde::{Deserialize, Serialize};
 
-use super::{HeldExperts, RankCommand, RankCounts, RankError, RankState};
+use super::{HeldExperts, MapUpdate, RankCommand, RankCounts, RankError, RankState};
+
+/// An order to copy the experts of a map that the sidecar knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PrepareOrder {
+    /// Version that the map gets.
+    pub version: u64,
+    /// Digest of the map.
+    pub digest: u64,
+    /// Epoch of the group that the order is meant for.
+    pub epoch: u64,
+    /// Fencing token of the order.
+    pub fence: u64,
+}
 
 /// RPC interface of the sidecar beside a rank for the group's leader. Each call carries the
 /// leader's term.
@@ -13,6 +28,34 @@
     #[method(name = "state")]
     async fn state(&self, term: u64) -> Result<Result<RankState, RankError>, ErrorObjectOwned>;
 
+    /// Reads the rank's state once it has copied the experts of a map, or after `max_wait_ms`.
+    #[method(name = "prepared-state")]
+    async fn prepared_state(
+        &self,
+        term: u64,
+        version: u64,
+        max_wait_ms: u64,
+    ) -> Result<Result<RankState, RankError>, ErrorObjectOwned>;
+
+    /// Makes a map known to this sidecar and to others, which get it from this one. Returns the
+    /// number of these sidecars that do not know the map afterwards.
+    #[method(name = "share-map")]
+    async fn share_map(
+        &self,
+        term: u64,
+        update: MapUpdate,
+        others: Vec<SocketAddr>,
+    ) -> Result<Result<usize, RankError>, ErrorObjectOwned>;
+
+    /// Gives the rank the order to copy the experts of a map that the sidecar knows, named by its
+    /// digest.
+    #[method(name = "prepare")]
+    async fn prepare(
+        &self,
+        term: u64,
+        order: PrepareOrder,
+    ) -> Result<Result<(), RankError>, ErrorObjectOwned>;
+
     /// Reads the rank's token counts.
     #[method(name = "counts")]
     async fn counts(&self, term: u64) -> Result<Result<RankCounts, RankError>, ErrorObjectOwned>;
--- a/src/remap/rank_set.rs
+++ b/src/remap/rank_set.rs
@@ -3,8 +3,12 @@
 use futures_util::future::join_all;
 use tokio::time::Instant;
 
-use super::{HeldExperts, RankClient, RankCommand, RankCounts, RankError, RankOrder, RankState};
+use super::{
+    HeldExperts, MapUpdate, RankClient, RankCommand, RankCounts, RankError, RankOrder, RankState,
+};
 
+/// Number of ranks of a branch through which it is tried to reach the others.
+const MAX_HEADS: usize = 3;
 /// Number of orders that a leader can give before its fencing tokens reach those of the next term.
 const ORDERS_PER_TERM: u64 = 1 << 24;
 
@@ -95,6 +99,42 @@
             async move { client?.state().await.ok() }
         };
         let read = join_all(ranks.iter().map(read)).await;
+        self.drop_outdated(ranks, read, sent)
+    }
+
+    /// Like [`RankSet::states`], once each rank has copied the experts of a map, or after
+    /// `max_wait`.
+    pub async fn prepared_states(
+        &self,
+        version: u64,
+        max_wait: Duration,
+    ) -> Vec<Option<RankState>> {
+        let sent = Instant::now();
+        let read = self.clients.iter().map(|client| client.prepared_state(version, max_wait));
+        let read = join_all(read).await.into_iter().map(Result::ok).collect();
+        let all: Vec<usize> = (0..self.clients.len()).collect();
+        self.drop_outdated(&all, read, sent)
+    }
+
+    /// Makes a map known beside all ranks but `local`. It is sent to some and passed on from there,
+    /// so that what this machine sends grows with the square root of the number of ranks. Returns
+    /// the number of ranks beside which the map is not known afterwards.
+    pub async fn share_map(&self, local: usize, update: &MapUpdate) -> usize {
+        let others = self.clients.iter().enumerate().filter(|(rank, _)| *rank != local);
+        let others: Vec<&P> = others.map(|(_, client)| client).collect();
+        let branch = (others.len() as f64).sqrt().ceil().max(1.0) as usize;
+        let shared = others.chunks(branch).map(|branch| share_branch(branch, update));
+        join_all(shared).await.into_iter().sum()
+    }
+
+    /// Drops the states that may be older than the last order to the rank. They were asked for at
+    /// `sent`.
+    fn drop_outdated(
+        &self,
+        ranks: &[usize],
+        read: Vec<Option<RankState>>,
+        sent: Instant,
+    ) -> Vec<Option<RankState>> {
         let after = |(state, rank): (Option<RankState>, &usize)| {
             let state = state?;
             let seen = sent.checked_sub(Duration::from_millis(state.lag_ms));
@@ -193,7 +233,18 @@
                 }
             }
             Err(RankError::Unknown) => status.in_doubt = true,
-            Err(RankError::Refused | RankError::Fenced) => {}
+            Err(RankError::Refused | RankError::Fenced | RankError::MapMissing) => {}
+        }
+    }
+}
+
+/// Makes a map known beside the ranks of a branch, through the first one that can be reached.
+/// Returns the number of ranks beside which it is not known afterwards.
+async fn share_branch<P: RankClient>(branch: &[&P], update: &MapUpdate) -> usize {
+    for (at, head) in branch.iter().enumerate().take(MAX_HEADS) {
+        if let Ok(missing) = head.share_map(update, &branch[at + 1..]).await {
+            return at + missing;
         }
     }
+    branch.len()
 }
--- a/src/remap/switch.rs
+++ b/src/remap/switch.rs
@@ -4,14 +4,18 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
-    Deposed, GroupMap, RankClient, RankError, RankOrder, RankSet, RankState, SettleAction,
+    Deposed, RankClient, RankError, RankOrder, RankSet, RankState, SettleAction, SharedMap,
     next_settle_action,
 };
 
-/// Number of passes from the running one to the switch, so that every rank gets its order in time.
-const PASSES_AHEAD: u64 = 2;
-/// Interval between two readings of the states while experts are copied.
-const COPY_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Min number of passes from the running one to the switch, so that every rank gets its order in
+/// time.
+const MIN_PASSES_AHEAD: usize = 2;
+/// Number of ranks for which that is raised by one pass, since orders to more ranks take longer.
+const RANKS_PER_PASS: usize = 96;
+/// Max time for which the states are awaited at once while experts are copied. Each reading also
+/// shows the sidecars that the leader lives.
+const COPY_WAIT: Duration = Duration::from_millis(300);
 /// Max time for ranks to copy experts.
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Max attempts to give an order while the group is held. If half of them are lost, 1 of 250 orders
@@ -51,7 +55,7 @@
     ranks: &mut RankSet<P>,
     local: usize,
     version: u64,
-    map: &GroupMap,
+    map: &SharedMap,
 ) -> Result<u64, SwitchError> {
     let all: Vec<usize> = (0..ranks.len()).collect();
     let prepare = RankOrder::Prepare { version, map: map.clone() };
@@ -99,7 +103,7 @@
     let failed = |detail: String| SwitchError::Failed("hold", detail);
     let own = ranks.state_of(local).await;
     let own = own.ok_or_else(|| failed("the local rank gave no answer".to_owned()))?;
-    let pass = own.pass + PASSES_AHEAD;
+    let pass = own.pass + (MIN_PASSES_AHEAD + ranks.len() / RANKS_PER_PASS) as u64;
     let held = ranks.command_via(via, holder, RankOrder::Hold { pass }).await?;
     held.map(|()| pass).map_err(|err| failed(format!("rank {holder}: {err}")))
 }
@@ -132,9 +136,9 @@
 async fn wait_prepared<P: RankClient>(ranks: &RankSet<P>, version: u64) -> Result<(), SwitchError> {
     let failed = |detail: &str| SwitchError::Failed("copy", detail.to_owned());
     let deadline = Instant::now() + COPY_TIMEOUT;
-    let mut left: Vec<usize> = (0..ranks.len()).collect();
     loop {
-        let states = ranks.states_of(&left).await.into_iter().collect::<Option<Vec<RankState>>>();
+        let states = ranks.prepared_states(version, COPY_WAIT).await;
+        let states = states.into_iter().collect::<Option<Vec<RankState>>>();
         let states = states.ok_or_else(|| failed("a rank gave no answer"))?;
         if states.iter().any(|state| !state.open || state.epoch != ranks.epoch()) {
             return Err(failed("the group is in a new epoch or not running"));
@@ -142,16 +146,12 @@
         if states.iter().any(|state| !state.is_quiet()) {
             return Err(failed("another switch is under way"));
         }
-        let unprepared =
-            left.iter().zip(&states).filter(|(_, state)| state.prepared != Some(version));
-        left = unprepared.map(|(rank, _)| *rank).collect();
-        if left.is_empty() {
+        if states.iter().all(|state| state.prepared == Some(version)) {
             return Ok(());
         }
         if Instant::now() >= deadline {
             return Err(failed("the experts were not copied in time"));
         }
-        sleep(COPY_POLL_INTERVAL).await;
     }
 }
 
--- a/src/remap/term_store.rs
+++ b/src/remap/term_store.rs
@@ -26,6 +26,15 @@
     pub switcher: Option<usize>,
 }
 
+/// Outcome of an attempt to begin a term.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// This process leads.
+    Begun(ClaimedTerm),
+    /// Another process has begun this term.
+    Newer(u64),
+}
+
 /// One process's access to the stored term of a group.
 #[derive(Debug)]
 pub struct TermStore<T> {
@@ -40,31 +49,49 @@
         Self { table, key: format!("term/{group}"), own }
     }
 
+    /// Returns the stored term, 0 if there is none.
+    ///
+    /// # Errors
+    /// As [`Table`] says.
+    pub async fn stored(&self) -> Result<u64, TableError> {
+        let row = self.table.get(&self.key).await?;
+        Ok(row.map(|row| row.read::<TermRow>()).transpose()?.map_or(0, |row| row.term))
+    }
+
     /// Begins a new term led by this process, greater than the stored one and than the latest one
     /// that this process knows of: the store may have come back from an older copy.
     ///
+    /// If another process has begun a term that this one does not know of, its leader is given time
+    /// to show itself: nothing is written.
+    ///
     /// # Errors
     /// As [`Table`] says; [`TableError::Conflict`] if another process claims a term at the same time.
     ///
     /// ```
     /// # use std::sync::Arc;
-    /// # use ebonyusher::{id::Incarnation, remap::TermStore};
+    /// # use ebonyusher::{id::Incarnation, remap::{Claim, ClaimedTerm, TermStore}};
     /// # use ebonyusher_standin::MemPlatform;
     /// # tokio::runtime::Runtime::new().unwrap().block_on(async {
     /// let table = Arc::new(MemPlatform::new());
     /// let terms = TermStore::new(table, "group-1", Incarnation::random());
-    /// assert_eq!(terms.claim(0).await.unwrap().term, 1);
-    /// assert_eq!(terms.claim(7).await.unwrap().term, 8);
+    /// let begun = |claim| matches!(claim, Ok(Claim::Begun(ClaimedTerm { term, .. })) if term > 0);
+    /// assert!(begun(terms.claim(0).await));
+    /// assert_eq!(terms.claim(0).await, Ok(Claim::Newer(1)));
+    /// assert!(begun(terms.claim(7).await));
     /// # });
     /// ```
-    pub async fn claim(&self, known: u64) -> Result<ClaimedTerm, TableError> {
+    pub async fn claim(&self, known: u64) -> Result<Claim, TableError> {
         let row = self.table.get(&self.key).await?;
         let version = row.as_ref().map(|row| row.version);
         let before = row.map(|row| row.read::<TermRow>()).transpose()?;
-        let term = before.map_or(0, |before| before.term).max(known) + 1;
+        let stored = before.map_or(0, |before| before.term);
+        if stored > known {
+            return Ok(Claim::Newer(stored));
+        }
+        let term = known + 1;
         let switcher = before.and_then(|before| before.switcher);
         self.write(TermRow { holder: self.own, switcher, term }, version).await?;
-        Ok(ClaimedTerm { term, switcher })
+        Ok(Claim::Begun(ClaimedTerm { term, switcher }))
     }
 
     /// Records, before the first switch of a term, which rank the leader is beside.
--- a/tests/it/remap_faults.rs
+++ b/tests/it/remap_faults.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use ebonyusher::remap::{
-    GroupMap, RankClient, RankSet, SwitchError, armed_last, first_fence, settle_switch, switch,
+    GroupMap, RankClient, RankSet, SharedMap, SwitchError, armed_last, first_fence, settle_switch,
+    switch,
 };
 use ebonyusher_standin::{FaultyRankClient, OrderFaults, RankGroupStandin};
 use proptest::prelude::*;
@@ -85,7 +86,7 @@
 ) {
     let last_armed = term_row.lock().unwrap().claim(term);
     let mut ranks = RankSet::new(clients, 1, first_fence(term));
-    let map = GroupMap { sets: Vec::new() };
+    let map = SharedMap::from(GroupMap { sets: Vec::new() });
     let mut version = term * 1_000;
     if settle_switch(&mut ranks, local, &last_armed).await.is_err() {
         return;
@@ -111,7 +112,7 @@
 
 /// Settles and switches until a switch succeeds, and returns whether one did.
 async fn switch_once<P: RankClient>(ranks: &mut RankSet<P>, last_armed: Vec<usize>) -> bool {
-    let map = GroupMap { sets: Vec::new() };
+    let map = SharedMap::from(GroupMap { sets: Vec::new() });
     let mut last_armed = last_armed;
     for version in 1_000_000.. {
         if settle_switch(ranks, 0, &last_armed).await.is_err() {
--- a/tests/it/remap_parts.rs
+++ b/tests/it/remap_parts.rs
@@ -34,7 +34,7 @@
 
     #[test]
     fn a_command_reads_back_as_it_was_written(map in maps(), version in any::<u64>()) {
-        let order = RankOrder::Prepare { version, map };
+        let order = RankOrder::Prepare { version, map: map.into() };
         let command = RankCommand { order, epoch: 1, fence: 2 };
 
         let text = serde_json::to_string(&command).unwrap();
--- a/tests/it/term_store.rs
+++ b/tests/it/term_store.rs
@@ -4,7 +4,7 @@
 
 use ebonyusher::id::Incarnation;
 use ebonyusher::platform::{Row, Table, TableError, Txn};
-use ebonyusher::remap::TermStore;
+use ebonyusher::remap::{Claim, ClaimedTerm, TermStore};
 use ebonyusher_standin::MemPlatform;
 
 const GROUP: &str = "group-1";
@@ -14,6 +14,14 @@
     TermStore::new(Arc::clone(table), GROUP, Incarnation::random())
 }
 
+/// Begins a term, given the latest one that the process knows.
+async fn begin(terms: &TermStore<MemPlatform>, known: u64) -> ClaimedTerm {
+    match terms.claim(known).await.unwrap() {
+        Claim::Begun(claimed) => claimed,
+        Claim::Newer(term) => panic!("another process has begun term {term}"),
+    }
+}
+
 /// Writes an earlier value of the row, as a store that came back from an older copy has it.
 async fn restore(table: &MemPlatform, older: Option<Row>) {
     let txn = match older {
@@ -28,10 +36,10 @@
     let table = Arc::new(MemPlatform::new());
     let (first, next) = (terms(&table), terms(&table));
     let older = table.get(KEY).await.unwrap();
-    let lost = first.claim(0).await.unwrap();
+    let lost = begin(&first, 0).await;
 
     restore(&table, older).await;
-    let claimed = next.claim(lost.term).await.unwrap();
+    let claimed = begin(&next, lost.term).await;
 
     assert!(claimed.term > lost.term);
 }
@@ -40,9 +48,9 @@
 async fn a_leader_goes_on_though_its_row_went_back() {
     let table = Arc::new(MemPlatform::new());
     let (first, second) = (terms(&table), terms(&table));
-    first.claim(0).await.unwrap();
+    begin(&first, 0).await;
     let older = table.get(KEY).await.unwrap();
-    let present = second.claim(1).await.unwrap();
+    let present = begin(&second, 1).await;
 
     restore(&table, older).await;
     let recorded = second.record_switcher(present.term, 3).await;
@@ -56,12 +64,26 @@
 async fn a_leader_does_not_go_on_once_another_has_claimed_its_term() {
     let table = Arc::new(MemPlatform::new());
     let (first, second) = (terms(&table), terms(&table));
-    let lost = first.claim(0).await.unwrap();
+    let lost = begin(&first, 0).await;
 
     restore(&table, None).await;
-    let claimed = second.claim(0).await.unwrap();
+    let claimed = begin(&second, 0).await;
     let recorded = first.record_switcher(lost.term, 3).await;
 
     assert_eq!(claimed.term, lost.term);
     assert_eq!(recorded, Err(TableError::Conflict));
 }
+
+/// Guards against claims that depose a leader which had no time yet to call the other processes.
+#[tokio::test]
+async fn a_process_that_does_not_know_the_present_term_does_not_claim_the_next() {
+    let table = Arc::new(MemPlatform::new());
+    let (first, second) = (terms(&table), terms(&table));
+    let present = begin(&first, 0).await;
+
+    let ignorant = second.claim(0).await.unwrap();
+    let informed = begin(&second, present.term).await;
+
+    assert_eq!(ignorant, Claim::Newer(present.term));
+    assert_eq!(informed.term, present.term + 1);
+}
