Groups that don't run are left alone; the price of a copy follows the group's size; longer waits for the list

Their reports of no load also made each entry believe that it had all of the load. A copy cost as much skew in a group of 72 ranks as in one of 12, so that plans stopped at 1.6 to 1.8 times the mean. Change: two refusals of different ranks on which nothing runs or waits end the attempts of a request; its caller is told when the group usually runs again, those who came first return first. An entry takes its share of the load only from requests that have run. The price of a copy is divided by the number of ranks (1.0 in all, 0.083 at 12 ranks as before). Calls for the list wait for three quarters of the drain time. Tests: a request of such a group reaches two of three workers and gets a time to return, with full ones it reaches three.

--- a/src/direct/admission.rs
+++ b/src/direct/admission.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use super::Engine;
+use super::group_outage::retry_after_stall;
 
 /// Share of the target gap between events that the mean gap may reach. The rest absorbs the
 /// variance of the gaps.
@@ -22,9 +23,6 @@
 const STALL_THRESHOLD: Duration = Duration::from_millis(600);
 /// Minimum number of requests in flight for the engines to count as stalled.
 const STALL_MIN_REQUESTS: u32 = 4;
-/// Retry-after time while the engines are stalled. A group that has lost a rank takes about two
-/// seconds to restart and form again.
-const STALL_RETRY_AFTER: Duration = Duration::from_millis(1_700);
 
 /// State of an engine service as an entry knows it when a request arrives.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -120,7 +118,7 @@
     /// ```
     pub fn decide(&self, targets: &LatencyTargets) -> Admission {
         if self.is_stalled() {
-            return Admission::Refuse(STALL_RETRY_AFTER);
+            return Admission::Refuse(retry_after_stall(self.inactive_for.unwrap_or_default()));
         }
         let capacity = self.capacity(targets);
         let stream_duration = self.stream_duration.unwrap_or(DEFAULT_STREAM_DURATION).as_secs_f64();
--- a/src/direct/attempt.rs
+++ b/src/direct/attempt.rs
@@ -7,13 +7,14 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
 use super::checked_request::CheckedRequest;
 use super::connection::{Connection, SendError};
 use super::dispatcher::{BegunStream, Dispatcher, Exchanged};
 use super::failed_attempt::FailedAttempt;
-use super::{Load, Upstream};
+use super::{Candidate, Load, Upstream, load_share};
 use crate::entry::Failure;
 use crate::net::header_str;
 use crate::outcome::Reason;
@@ -63,6 +64,8 @@
         if request.route.delivery.is_stream() && head.status.is_success() {
             self.check_success(upstream, &head)?;
             upstream.record_success();
+            request.state.outage.record_response();
+            self.record_load_share(request);
             return Ok(Exchanged::Begun(BegunStream { head, body, conn, in_flight }));
         }
         let body = match timeout_at(request.deadline, self.read_body(body)).await {
@@ -122,8 +125,15 @@
         }
         if head.headers.contains_key(&self.header_names.not_run) {
             upstream.record_refusal();
-            let detail = format!("refused with status {}", head.status);
-            return Err(FailedAttempt::new(Failure::not_run(Reason::Overload), detail));
+            let text = header_str(&head.headers, &self.header_names.load);
+            let detail =
+                format!("refused with status {}, load {}", head.status, text.unwrap_or("not told"));
+            let refused = FailedAttempt::new(Failure::not_run(Reason::Overload), detail);
+            let is_idle = text.and_then(Load::parse).is_some_and(|load| load.is_idle());
+            let is_rank = request.service.engine.is_some_and(|engine| engine.experts.is_some());
+            let retry_after = (is_idle && is_rank)
+                .then(|| request.state.outage.record_refusal(&upstream.listed.id, Instant::now()));
+            return Err(FailedAttempt { retry_after: retry_after.flatten(), ..refused });
         }
         if implies_not_run(head.status) {
             // The upstream does not confirm that the request did not run, so this status must not
@@ -136,11 +146,24 @@
         }
         if head.status.is_success() {
             self.clear_crashes(request);
+            self.record_load_share(request);
         }
         upstream.record_success();
         Ok(Exchanged::Complete(Response::from_parts(head, body)))
     }
 
+    /// Records this entry's share of the service's load, once a request has run: reports of upstreams
+    /// that only refuse tell nothing of what other entries send.
+    fn record_load_share(&self, request: &CheckedRequest) {
+        let (now, liveness) = (Instant::now(), &request.state.liveness);
+        let upstreams = self.roster.service_upstreams(&request.service.name);
+        let candidates: SmallVec<[Candidate; 16]> =
+            upstreams.iter().map(|upstream| upstream.candidate(liveness, now)).collect();
+        if let Some(share) = load_share(&candidates) {
+            request.state.retry_budget.record_load_share(share);
+        }
+    }
+
     /// Checks that a success response comes from the upstream itself: it has the seal, and it has
     /// no content encoding.
     fn check_success(&self, upstream: &Upstream, head: &Parts) -> Result<(), FailedAttempt> {
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -25,7 +25,7 @@
 };
 use crate::entry::Failure;
 use crate::event_log::EventLog;
-use crate::outcome::{Reason, Refusal};
+use crate::outcome::{Outcome, Reason, Refusal};
 use crate::units::millis;
 
 /// Minimum time before the deadline for another attempt to be made.
@@ -151,6 +151,11 @@
                 self.suspect(request, &upstream, started, sign);
                 self.await_verdict(request, history, &upstream, sign).await;
             }
+            if let Some(wait) = failed.retry_after {
+                let refusal = history.refusal(failed.failure.reason);
+                let has_not_run = refusal.outcome == Outcome::NotRun;
+                return Err(if has_not_run { refusal.retry_after(wait) } else { refusal });
+            }
             if !is_charged && !self.may_retry(request, history, failed.failure) {
                 return Err(history.refusal(failed.failure.reason));
             }
--- a/src/direct/failed_attempt.rs
+++ b/src/direct/failed_attempt.rs
@@ -1,4 +1,5 @@
 use std::fmt::Display;
+use std::time::Duration;
 
 use super::quarantine::CrashSign;
 use crate::entry::Failure;
@@ -12,17 +13,20 @@
     pub(super) detail: String,
     /// What the end of the attempt is a sign of, if the upstream may have crashed.
     pub(super) sign: Option<CrashSign>,
+    /// Time after which the caller is to return, if no other upstream would run the request either.
+    pub(super) retry_after: Option<Duration>,
 }
 
 impl FailedAttempt {
     pub(super) fn new(failure: Failure, detail: impl Into<String>) -> Self {
-        Self { failure, detail: detail.into(), sign: None }
+        Self { failure, detail: detail.into(), sign: None, retry_after: None }
     }
 
     /// Returns the failure of an attempt whose connection broke while the request ran.
     pub(super) fn broken(err: &impl Display) -> Self {
         let failure = Failure::unknown(Reason::UpstreamLost);
-        Self { failure, detail: err.to_string(), sign: Some(CrashSign::ConnectionBroken) }
+        let sign = Some(CrashSign::ConnectionBroken);
+        Self { sign, ..Self::new(failure, err.to_string()) }
     }
 
     /// Returns the failure of a stream that broke off. An event without end is no sign of a crash.
@@ -38,6 +42,6 @@
     /// Returns the failure of an attempt whose upstream sent nothing until the entry gave up.
     pub(super) fn silent(detail: impl Into<String>) -> Self {
         let failure = Failure::unknown(Reason::UpstreamTimeout);
-        Self { failure, detail: detail.into(), sign: Some(CrashSign::Silence) }
+        Self { sign: Some(CrashSign::Silence), ..Self::new(failure, detail) }
     }
 }
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -40,6 +40,13 @@
     }
 }
 
+impl Load {
+    /// Returns whether nothing runs or waits.
+    pub const fn is_idle(self) -> bool {
+        self.running == 0 && self.waiting == 0
+    }
+}
+
 impl LoadReport {
     /// Returns the part of the reported load that other entries cause.
     pub(super) fn others(&self, now: Instant) -> OtherEntriesLoad {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -21,6 +21,7 @@
 mod event;
 mod failed_attempt;
 mod freshness;
+mod group_outage;
 mod handler;
 mod header_names;
 mod header_watch;
@@ -64,6 +65,7 @@
     RowChange,
 };
 pub use freshness::Freshness;
+pub use group_outage::GroupOutage;
 pub use header_names::HeaderNames;
 pub use inactivity::Inactivity;
 pub use limits::{LimitChange, LimitRow, NamedLimit, RowLimit, UpstreamLimits};
--- a/src/direct/pick.rs
+++ b/src/direct/pick.rs
@@ -6,9 +6,7 @@
 use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
 use super::dispatcher::Dispatcher;
-use super::{
-    Admission, Candidate, EngineLoad, LatencyTargets, Upstream, choose, estimate_loads, load_share,
-};
+use super::{Admission, Candidate, EngineLoad, LatencyTargets, Upstream, choose, estimate_loads};
 use crate::outcome::{Reason, Refusal};
 
 /// Upper bound of the random amount, in requests, that breaks ties between equally loaded
@@ -44,9 +42,6 @@
         let loads = estimate_loads(&candidates);
         if history.attempts == 0 {
             let own_requests = candidates.iter().map(|candidate| candidate.own).sum();
-            if let Some(share) = load_share(&candidates) {
-                request.state.retry_budget.record_load_share(share);
-            }
             self.admit(request, &loads, own_requests, now)?;
         }
         let is_local = |at: usize| eligible[at].listed.domain == self.domain;
--- a/src/direct/service_state.rs
+++ b/src/direct/service_state.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use super::{Liveness, RetryBudget, RetryLimits, ReturnQueue, StreamStats};
+use super::{GroupOutage, Liveness, RetryBudget, RetryLimits, ReturnQueue, StreamStats};
 
 /// State that an entry keeps for a service across requests.
 #[derive(Debug)]
@@ -9,6 +9,7 @@
     pub(super) stream_stats: StreamStats,
     pub(super) liveness: Arc<Liveness>,
     pub(super) return_queue: ReturnQueue,
+    pub(super) outage: GroupOutage,
 }
 
 impl ServiceState {
@@ -20,6 +21,7 @@
             stream_stats: StreamStats::default(),
             liveness: Arc::default(),
             return_queue: ReturnQueue::default(),
+            outage: GroupOutage::default(),
         }
     }
 }
--- a/src/direct/upstream_follower.rs
+++ b/src/direct/upstream_follower.rs
@@ -9,8 +9,11 @@
 use super::{Changes, Cursor, Directory, DirectoryError, ListChange, Roster, RosterChange};
 use crate::event_log::{EventLog, Level};
 
-/// Maximum time that one call waits for changes of the list.
-const MAX_WAIT: Duration = Duration::from_millis(1_500);
+/// Share of the time in which entries must learn of a draining upstream for which one call waits for
+/// changes of the list. A connection that has gone silent is noticed only after that.
+const WAIT_SHARE: f64 = 0.75;
+/// Maximum time for which a call waits.
+const MAX_WAIT: Duration = Duration::from_millis(3_000);
 /// Share of the time in which entries must learn of a draining upstream for which changes are
 /// gathered. The rest allows for a call that is lost and one that is slow.
 const GATHER_SHARE: f64 = 0.25;
@@ -33,6 +36,8 @@
     cursor: Option<Cursor>,
     /// Minimum time between two calls that return changes.
     interval: Duration,
+    /// Maximum time for which a call waits for changes.
+    max_wait: Duration,
 }
 
 impl<D: Directory> UpstreamFollower<D> {
@@ -46,7 +51,9 @@
     ) -> Self {
         let health = PlatformHealth::new("upstreams", log.clone());
         let interval = drain_time.mul_f64(GATHER_SHARE).min(MAX_GATHER_TIME);
-        Self { directory, roster, log, health, missing: HashMap::new(), cursor: None, interval }
+        let max_wait = drain_time.mul_f64(WAIT_SHARE).min(MAX_WAIT);
+        let missing = HashMap::new();
+        Self { directory, roster, log, health, missing, cursor: None, interval, max_wait }
     }
 
     /// Follows the list until the process ends.
@@ -79,7 +86,7 @@
     fn next_wait(&self) -> Duration {
         let now = Instant::now();
         let next = self.missing.values().map(|at| at.saturating_duration_since(now)).min();
-        next.map_or(MAX_WAIT, |next| next.min(MAX_WAIT))
+        next.map_or(self.max_wait, |next| next.min(self.max_wait))
     }
 
     fn apply(&mut self, changes: Changes<ListChange>) {
--- a/src/remap/leadership.rs
+++ b/src/remap/leadership.rs
@@ -161,7 +161,7 @@
         let limits = PlacementLimits {
             places: experts.places,
             spare: experts.spare,
-            copy_cost: self.rebalance.copy_cost,
+            copy_cost: self.rebalance.copy_cost / group.ranks.len().max(1) as f64,
         };
         let plan = plan_map(&group.map, &group.demand, &limits).await;
         if plan.before - plan.after < self.rebalance.min_gain {
--- a/src/settings/rank_file.rs
+++ b/src/settings/rank_file.rs
@@ -28,7 +28,8 @@
 #[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case", default)]
 pub struct RebalanceSettings {
-    /// Minimum decrease of the skew of a set of layers for each expert that has to be copied.
+    /// Minimum decrease of the skew of a set of layers, times the number of ranks, for each expert
+    /// that has to be copied: a copy takes up the link of one rank, and a lower skew frees all.
     pub copy_cost: f64,
     /// Minimum decrease of the mean skew for a switch to a new map.
     #[serde(rename = "least-gain")]
@@ -39,7 +40,7 @@
 
 impl Default for RebalanceSettings {
     fn default() -> Self {
-        Self { copy_cost: 0.08, min_gain: 0.1, interval_ms: 500 }
+        Self { copy_cost: 1.0, min_gain: 0.1, interval_ms: 500 }
     }
 }
 
