--- a/src/direct/admission.rs
+++ b/src/direct/admission/engine_load.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use super::Engine;
-use super::group_outage::retry_after_stall;
+use crate::direct::Engine;
+use crate::direct::upstreams::retry_after_stall;
 
 /// Share of the target gap between events that the mean gap may reach. The rest absorbs the
 /// variance of the gaps.
--- /dev/null
+++ b/src/direct/admission/mod.rs
@@ -0,0 +1,15 @@
+//! Which requests are sent, where to, and how often again.
+
+mod choice;
+mod engine_load;
+mod pick;
+mod retry_budget;
+mod return_queue;
+mod stream_stats;
+
+pub use choice::{Candidate, OtherEntriesLoad, choose, estimate_loads, load_share};
+pub use engine_load::{Admission, EngineLoad, LatencyTargets};
+pub(super) use pick::Chosen;
+pub use retry_budget::{RetryBudget, RetryLimits};
+pub use return_queue::ReturnQueue;
+pub use stream_stats::StreamStats;
--- a/src/direct/pick.rs
+++ b/src/direct/admission/pick.rs
@@ -3,10 +3,12 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::attempt_history::AttemptHistory;
-use super::checked_request::CheckedRequest;
-use super::dispatcher::Dispatcher;
-use super::{Admission, Candidate, EngineLoad, LatencyTargets, Upstream, choose, estimate_loads};
+use crate::direct::attempts::AttemptHistory;
+use crate::direct::checked_request::CheckedRequest;
+use crate::direct::dispatcher::Dispatcher;
+use crate::direct::{
+    Admission, Candidate, EngineLoad, LatencyTargets, Upstream, choose, estimate_loads,
+};
 use crate::outcome::{Reason, Refusal};
 
 /// Upper bound of the random amount, in requests, that breaks ties between equally loaded
@@ -15,15 +17,15 @@
 
 /// A chosen upstream, with the state that the choice was based on.
 #[derive(Debug)]
-pub(super) struct Chosen {
-    pub(super) upstream: Arc<Upstream>,
-    pub(super) candidate: Candidate,
+pub(in crate::direct) struct Chosen {
+    pub(in crate::direct) upstream: Arc<Upstream>,
+    pub(in crate::direct) candidate: Candidate,
 }
 
 impl Dispatcher {
     /// Chooses among the upstreams that are not draining and were not tried yet. Admission is
     /// checked before the first attempt only.
-    pub(super) fn pick(
+    pub(in crate::direct) fn pick(
         &self,
         request: &CheckedRequest,
         history: &AttemptHistory,
--- a/src/direct/announcements.rs
+++ b/src/direct/attempts/announcements.rs
@@ -2,11 +2,11 @@
 use http::response::Parts;
 use tokio::time::Instant;
 
-use super::checked_request::CheckedRequest;
-use super::dispatcher::Dispatcher;
-use super::event::Event;
-use super::pause::requested_pause;
-use super::{NamedLimit, Upstream};
+use crate::direct::attempts::requested_pause;
+use crate::direct::checked_request::CheckedRequest;
+use crate::direct::dispatcher::Dispatcher;
+use crate::direct::event::Event;
+use crate::direct::{NamedLimit, Upstream};
 use crate::event_log::Level;
 
 /// Value of the header by which an upstream says that it drains.
@@ -15,7 +15,12 @@
 impl Dispatcher {
     /// Records what an upstream says of itself in the head of a response: its limit, that it
     /// drains, and that it wants a pause.
-    pub(super) fn hear(&self, request: &CheckedRequest, upstream: &Upstream, head: &Parts) {
+    pub(in crate::direct) fn hear(
+        &self,
+        request: &CheckedRequest,
+        upstream: &Upstream,
+        head: &Parts,
+    ) {
         self.hear_limit(upstream, head);
         self.hear_draining(request, upstream, head);
         self.hear_pause(request, upstream, head);
--- a/src/direct/attempt_history.rs
+++ b/src/direct/attempts/attempt_history.rs
@@ -8,15 +8,15 @@
 
 /// Attempts made for one request.
 #[derive(Clone, Debug, Default)]
-pub(super) struct AttemptHistory {
+pub(in crate::direct) struct AttemptHistory {
     /// Number of attempts started.
-    pub(super) attempts: u32,
+    pub(in crate::direct) attempts: u32,
     /// Number of attempts that reached the intended upstream, as far as is known.
     reached: u32,
     /// Number of attempts whose connections broke while the request ran.
-    pub(super) broken: u32,
+    pub(in crate::direct) broken: u32,
     /// Whether this is the trial of a quarantined request.
-    pub(super) has_trial: bool,
+    pub(in crate::direct) has_trial: bool,
     /// Whether an attempt without a usable response may have run.
     may_have_run: bool,
     /// Ids of the upstreams that were tried.
@@ -25,29 +25,29 @@
 
 impl AttemptHistory {
     /// Records the start of an attempt at an upstream.
-    pub(super) fn record_start(&mut self, upstream: &str) {
+    pub(in crate::direct) fn record_start(&mut self, upstream: &str) {
         self.attempts += 1;
         self.reached += 1;
         self.tried.push(upstream.to_owned());
     }
 
     /// Returns whether an upstream was tried.
-    pub(super) fn has_tried(&self, upstream: &str) -> bool {
+    pub(in crate::direct) fn has_tried(&self, upstream: &str) -> bool {
         self.tried.iter().any(|tried| tried == upstream)
     }
 
     /// Returns whether any attempt reached the intended upstream.
-    pub(super) const fn reached_upstream(&self) -> bool {
+    pub(in crate::direct) const fn reached_upstream(&self) -> bool {
         self.reached > 0
     }
 
     /// Returns whether the trial of a quarantined request goes on: it has reached no upstream yet.
-    pub(super) const fn may_continue_trial(&self) -> bool {
+    pub(in crate::direct) const fn may_continue_trial(&self) -> bool {
         self.has_trial && !self.may_have_run
     }
 
     /// Records how an attempt ended.
-    pub(super) fn record_failure(&mut self, failure: Failure) {
+    pub(in crate::direct) fn record_failure(&mut self, failure: Failure) {
         self.may_have_run |= failure.outcome == Outcome::Unknown;
         if matches!(failure.reason, Reason::UpstreamDown | Reason::WrongService) {
             self.reached -= 1;
@@ -55,7 +55,7 @@
     }
 
     /// Returns whether another attempt is allowed, the retry budget aside.
-    pub(super) fn allows_retry(
+    pub(in crate::direct) fn allows_retry(
         &self,
         failure: Failure,
         may_rerun: bool,
@@ -68,7 +68,7 @@
 
     /// Returns the refusal for the caller. Once an attempt may have run, later attempts can't undo
     /// that, so the outcome stays unknown.
-    pub(super) const fn refusal(&self, reason: Reason) -> Refusal {
+    pub(in crate::direct) const fn refusal(&self, reason: Reason) -> Refusal {
         if self.may_have_run { Refusal::unknown(reason) } else { Refusal::not_run(reason) }
     }
 }
--- a/src/direct/connection.rs
+++ b/src/direct/attempts/connection.rs
@@ -29,7 +29,7 @@
 /// Why a request got no response on a connection.
 #[derive(Debug)]
 #[derive(Display, Error)]
-pub(super) enum SendError {
+pub(in crate::direct) enum SendError {
     /// the request was not written
     NotSent(Box<Request<Full<Bytes>>>),
     /// the connection broke after the request was written: {0}
@@ -40,7 +40,7 @@
 
 impl SendError {
     /// Returns whether the head of the response was larger than allowed.
-    pub(super) fn is_endless_head(&self) -> bool {
+    pub(in crate::direct) fn is_endless_head(&self) -> bool {
         match self {
             Self::NotSent(_) => false,
             Self::Lost(err) => err.is_parse_too_large(),
@@ -52,7 +52,7 @@
 /// A connection to an upstream that carries one request at a time. Dropping it closes it, or resets
 /// it if a response is outstanding.
 #[derive(Debug)]
-pub(super) struct Connection {
+pub(in crate::direct) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     exchange: ExchangeState,
@@ -69,7 +69,7 @@
 
 impl Connection {
     /// Opens a connection.
-    pub(super) async fn open(addr: SocketAddr) -> io::Result<Self> {
+    pub(in crate::direct) async fn open(addr: SocketAddr) -> io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
@@ -87,7 +87,7 @@
     }
 
     /// Returns whether the connection is open and has not been idle for too long.
-    pub(super) fn is_usable(&self, max_idle: Duration) -> bool {
+    pub(in crate::direct) fn is_usable(&self, max_idle: Duration) -> bool {
         let idle = self.idle_since.elapsed();
         // Leaves a margin, since the upstream's timeout may end slightly earlier on its clock.
         let kept_open = self.keep_alive.is_none_or(|timeout| idle < timeout.mul_f64(0.8));
@@ -95,25 +95,25 @@
     }
 
     /// Marks the connection as idle from now on, and updates the upstream's keep-alive timeout.
-    pub(super) fn into_idle(mut self, keep_alive: Option<Duration>) -> Self {
+    pub(in crate::direct) fn into_idle(mut self, keep_alive: Option<Duration>) -> Self {
         self.idle_since = Instant::now();
         self.keep_alive = keep_alive.or(self.keep_alive);
         self
     }
 
     /// Records that the response to the last request is complete.
-    pub(super) fn complete_exchange(&self) {
+    pub(in crate::direct) fn complete_exchange(&self) {
         self.exchange.complete();
     }
 
     /// Waits until the previous exchange has ended on both sides. Returns whether the connection
     /// can carry another request.
-    pub(super) async fn wait_until_ready(&mut self) -> bool {
+    pub(in crate::direct) async fn wait_until_ready(&mut self) -> bool {
         self.sender.ready().await.is_ok()
     }
 
     /// Sends a request and waits for the response head.
-    pub(super) async fn send(
+    pub(in crate::direct) async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
--- a/src/direct/failed_attempt.rs
+++ b/src/direct/attempts/failed_attempt.rs
@@ -1,36 +1,36 @@
 use std::fmt::Display;
 use std::time::Duration;
 
-use super::quarantine::CrashSign;
+use crate::direct::quarantine::CrashSign;
 use crate::entry::Failure;
 use crate::net::BodyError;
 use crate::outcome::Reason;
 
 /// An attempt that brought no usable response, with a detail for the log.
 #[derive(Clone, Debug)]
-pub(super) struct FailedAttempt {
-    pub(super) failure: Failure,
-    pub(super) detail: String,
+pub(in crate::direct) struct FailedAttempt {
+    pub(in crate::direct) failure: Failure,
+    pub(in crate::direct) detail: String,
     /// What the end of the attempt is a sign of, if the upstream may have crashed.
-    pub(super) sign: Option<CrashSign>,
+    pub(in crate::direct) sign: Option<CrashSign>,
     /// Time after which the caller is to return, if no other upstream would run the request either.
-    pub(super) retry_after: Option<Duration>,
+    pub(in crate::direct) retry_after: Option<Duration>,
 }
 
 impl FailedAttempt {
-    pub(super) fn new(failure: Failure, detail: impl Into<String>) -> Self {
+    pub(in crate::direct) fn new(failure: Failure, detail: impl Into<String>) -> Self {
         Self { failure, detail: detail.into(), sign: None, retry_after: None }
     }
 
     /// Returns the failure of an attempt whose connection broke while the request ran.
-    pub(super) fn broken(err: &impl Display) -> Self {
+    pub(in crate::direct) fn broken(err: &impl Display) -> Self {
         let failure = Failure::unknown(Reason::UpstreamLost);
         let sign = Some(CrashSign::ConnectionBroken);
         Self { sign, ..Self::new(failure, err.to_string()) }
     }
 
     /// Returns the failure of a stream that broke off. An event without end is no sign of a crash.
-    pub(super) fn broken_stream(err: &BodyError) -> Self {
+    pub(in crate::direct) fn broken_stream(err: &BodyError) -> Self {
         match err {
             BodyError::EventTooLarge => {
                 Self::new(Failure::unknown(Reason::WrongAnswer), err.to_string())
@@ -40,7 +40,7 @@
     }
 
     /// Returns the failure of an attempt whose upstream sent nothing until the entry gave up.
-    pub(super) fn silent(detail: impl Into<String>) -> Self {
+    pub(in crate::direct) fn silent(detail: impl Into<String>) -> Self {
         let failure = Failure::unknown(Reason::UpstreamTimeout);
         Self { sign: Some(CrashSign::Silence), ..Self::new(failure, detail) }
     }
--- a/src/direct/header_watch.rs
+++ b/src/direct/attempts/header_watch.rs
@@ -8,18 +8,18 @@
 use http::{HeaderMap, HeaderName};
 use smallvec::SmallVec;
 
-use super::HeaderNames;
+use crate::direct::HeaderNames;
 
 /// Maximum number of names on record; beyond it none is reported.
 const MAX_NAMES: usize = 64;
 
 /// Reports each header of responses that this version does not know, once.
 #[derive(Debug)]
-pub(super) struct HeaderWatch(Mutex<HashSet<HeaderName>>);
+pub(in crate::direct) struct HeaderWatch(Mutex<HashSet<HeaderName>>);
 
 impl HeaderWatch {
     /// Creates a watch for headers other than those of HTTP and these.
-    pub(super) fn new(names: &HeaderNames) -> Self {
+    pub(in crate::direct) fn new(names: &HeaderNames) -> Self {
         let http = [
             CACHE_CONTROL,
             CONNECTION,
@@ -36,7 +36,7 @@
     }
 
     /// Returns the names that have not been seen before.
-    pub(super) fn new_names(&self, headers: &HeaderMap) -> SmallVec<[HeaderName; 2]> {
+    pub(in crate::direct) fn new_names(&self, headers: &HeaderMap) -> SmallVec<[HeaderName; 2]> {
         let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let mut new = SmallVec::new();
         for name in headers.keys() {
--- a/src/direct/open_attempt.rs
+++ b/src/direct/attempts/open_attempt.rs
@@ -3,15 +3,15 @@
 use http::HeaderValue;
 use tokio::time::Instant;
 
-use super::Upstream;
-use super::event::Event;
+use crate::direct::Upstream;
+use crate::direct::event::Event;
 use crate::event_log::{EventLog, Level};
 use crate::units::millis;
 
 /// An attempt whose exchange with the upstream is open. Dropping it logs that the entry abandoned
 /// the exchange, because the caller left or the deadline passed.
 #[derive(Debug)]
-pub(super) struct OpenAttempt {
+pub(in crate::direct) struct OpenAttempt {
     log: EventLog,
     id: HeaderValue,
     attempt: u32,
@@ -22,7 +22,7 @@
 
 impl OpenAttempt {
     /// Starts an attempt of the request with this id.
-    pub(super) fn start(
+    pub(in crate::direct) fn start(
         log: &EventLog,
         id: &HeaderValue,
         attempt: u32,
@@ -39,12 +39,12 @@
     }
 
     /// Returns when the attempt started.
-    pub(super) const fn started(&self) -> Instant {
+    pub(in crate::direct) const fn started(&self) -> Instant {
         self.started
     }
 
     /// Ends the attempt: the response is complete, or its failure is logged elsewhere.
-    pub(super) fn close(mut self) {
+    pub(in crate::direct) fn close(mut self) {
         self.is_open = false;
     }
 }
--- a/src/direct/pause.rs
+++ b/src/direct/attempts/pause.rs
@@ -7,7 +7,7 @@
 /// Returns for how long the upstream that refused a request wants no more from this entry, if it
 /// says so. Of several readable times the longest holds. Dates are not read: the clocks of
 /// instances differ.
-pub(super) fn requested_pause(head: &Parts) -> Option<Duration> {
+pub(in crate::direct) fn requested_pause(head: &Parts) -> Option<Duration> {
     if head.status != StatusCode::SERVICE_UNAVAILABLE {
         return None;
     }
--- a/src/direct/attempt.rs
+++ b/src/direct/attempts/send.rs
@@ -10,11 +10,11 @@
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
-use super::checked_request::CheckedRequest;
-use super::connection::{Connection, SendError};
-use super::dispatcher::{BegunStream, Dispatcher, Exchanged};
-use super::failed_attempt::FailedAttempt;
-use super::{Candidate, Load, Upstream, load_share};
+use crate::direct::attempts::FailedAttempt;
+use crate::direct::attempts::{Connection, SendError};
+use crate::direct::checked_request::CheckedRequest;
+use crate::direct::dispatcher::{BegunStream, Dispatcher, Exchanged};
+use crate::direct::{Candidate, Load, Upstream, load_share};
 use crate::entry::Failure;
 use crate::net::header_str;
 use crate::outcome::Reason;
@@ -31,7 +31,7 @@
 
 impl Dispatcher {
     /// Makes one attempt at one upstream.
-    pub(super) async fn send(
+    pub(in crate::direct) async fn send(
         &self,
         request: &CheckedRequest,
         upstream: &Arc<Upstream>,
@@ -212,7 +212,7 @@
     }
 
     /// Returns a connection to the pool after its stream has completed, if it can be reused.
-    pub(super) async fn release(
+    pub(in crate::direct) async fn release(
         &self,
         mut conn: Connection,
         upstream: &Upstream,
--- a/src/direct/crash_gate.rs
+++ b/src/direct/crash_gate.rs
@@ -3,11 +3,11 @@
 
 use tokio::time::Instant;
 
-use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
 use super::dispatcher::Dispatcher;
 use super::quarantine::{CrashSign, MAX_CRASHES};
 use super::{CrashStatus, Quarantine, Service, Upstream};
+use crate::direct::attempts::AttemptHistory;
 use crate::outcome::{Reason, Refusal};
 
 /// Retry-after time of a quarantined request that could not be tried though a trial is due.
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -3,14 +3,14 @@
 use http::HeaderMap;
 use tokio::time::Instant;
 
-use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
 use super::dispatcher::Dispatcher;
 use super::event::Event;
-use super::failed_attempt::FailedAttempt;
 use super::quarantine::CrashSign;
 use super::quarantine::hex;
 use super::{Candidate, EngineLoad, Quarantine, Upstream};
+use crate::direct::attempts::AttemptHistory;
+use crate::direct::attempts::FailedAttempt;
 use crate::event_log::Level;
 use crate::units::BootTime;
 use crate::units::millis;
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -9,20 +9,20 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep};
 
-use super::attempt_history::AttemptHistory;
 use super::checked_request::CheckedRequest;
-use super::connection::Connection;
-use super::failed_attempt::FailedAttempt;
-use super::header_watch::HeaderWatch;
 use super::limits::UpstreamLimits;
-use super::open_attempt::OpenAttempt;
-use super::pick::Chosen;
 use super::quarantine::CrashRecorder;
 use super::service_state::ServiceState;
-use super::upstream::InFlight;
 use super::{
     BodyMemory, Delivery, DirectMeter, Freshness, HeaderNames, RetryLimits, Roster, Upstream,
 };
+use crate::direct::admission::Chosen;
+use crate::direct::attempts::AttemptHistory;
+use crate::direct::attempts::Connection;
+use crate::direct::attempts::FailedAttempt;
+use crate::direct::attempts::HeaderWatch;
+use crate::direct::attempts::OpenAttempt;
+use crate::direct::upstreams::InFlight;
 use crate::entry::Failure;
 use crate::event_log::EventLog;
 use crate::outcome::{Outcome, Reason, Refusal};
--- a/src/direct/directory.rs
+++ b/src/direct/feeds/directory.rs
@@ -5,7 +5,7 @@
 use displaydoc::Display;
 use thiserror::Error;
 
-use super::Routing;
+use crate::direct::Routing;
 use crate::platform::{Row, TableError};
 
 /// An upstream as the platform lists it.
--- /dev/null
+++ b/src/direct/feeds/mod.rs
@@ -0,0 +1,20 @@
+//! Settings, upstreams and shared rows, as the platform tells of them.
+
+mod directory;
+mod freshness;
+mod platform_health;
+mod routing_follower;
+mod row_follower;
+mod upstream_follower;
+mod watch;
+
+pub use directory::{
+    Changes, Cursor, Directory, DirectoryError, ListChange, ListedUpstream, RoutingChange,
+    RowChange,
+};
+pub use freshness::Freshness;
+pub(super) use platform_health::PlatformHealth;
+pub(super) use routing_follower::RoutingFollower;
+pub(super) use row_follower::RowFollower;
+pub(super) use upstream_follower::UpstreamFollower;
+pub(super) use watch::{CurrentRouting, RoutingPublisher};
--- a/src/direct/platform_health.rs
+++ b/src/direct/feeds/platform_health.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use super::event::Event;
+use crate::direct::event::Event;
 use crate::event_log::{EventLog, Level};
 use crate::units::millis;
 
@@ -11,7 +11,7 @@
 
 /// Tracks whether the platform responds to the calls on one topic.
 #[derive(Debug)]
-pub(super) struct PlatformHealth {
+pub(in crate::direct) struct PlatformHealth {
     topic: &'static str,
     log: EventLog,
     down_since: Option<Instant>,
@@ -20,12 +20,12 @@
 }
 
 impl PlatformHealth {
-    pub(super) const fn new(topic: &'static str, log: EventLog) -> Self {
+    pub(in crate::direct) const fn new(topic: &'static str, log: EventLog) -> Self {
         Self { topic, log, down_since: None, recovered_at: None, backoff: INITIAL_BACKOFF }
     }
 
     /// Records that a call got a response.
-    pub(super) fn record_success(&mut self) {
+    pub(in crate::direct) fn record_success(&mut self) {
         self.backoff = INITIAL_BACKOFF;
         if let Some(since) = self.down_since.take() {
             self.recovered_at = Some(Instant::now());
@@ -34,7 +34,7 @@
     }
 
     /// Records a failed call. Returns the backoff until the next one.
-    pub(super) fn record_failure(&mut self, detail: &str) -> Duration {
+    pub(in crate::direct) fn record_failure(&mut self, detail: &str) -> Duration {
         if self.down_since.is_none() {
             self.down_since = Some(Instant::now());
             self.log_change(Level::Warn, false, detail, Duration::ZERO);
@@ -46,19 +46,19 @@
 
     /// Returns how long the next call may wait for changes. The first one after an outage does not
     /// wait, since its response tells whether the store came back from an older copy.
-    pub(super) fn next_wait(&self, max: Duration) -> Duration {
+    pub(in crate::direct) fn next_wait(&self, max: Duration) -> Duration {
         if self.down_since.is_some() { Duration::ZERO } else { max }
     }
 
     /// Records that the platform's store came back from an older copy, which counts as the end of an
     /// outage.
-    pub(super) fn record_rewind(&mut self, era: u64) {
+    pub(in crate::direct) fn record_rewind(&mut self, era: u64) {
         self.recovered_at = Some(Instant::now());
         self.log.write(Level::Warn, &Event::StoreRewound { topic: self.topic, era });
     }
 
     /// Returns the time since the end of the last outage of the platform, if there was one.
-    pub(super) fn since_recovery(&self) -> Option<Duration> {
+    pub(in crate::direct) fn since_recovery(&self) -> Option<Duration> {
         self.recovered_at.map(|at| at.elapsed())
     }
 
--- a/src/direct/routing_follower.rs
+++ b/src/direct/feeds/routing_follower.rs
@@ -3,10 +3,10 @@
 
 use tokio::time::sleep;
 
-use super::event::Event;
-use super::platform_health::PlatformHealth;
-use super::watch::RoutingPublisher;
-use super::{Changes, DirectMeter, Directory, DirectoryError, Freshness, RoutingChange};
+use crate::direct::event::Event;
+use crate::direct::feeds::PlatformHealth;
+use crate::direct::feeds::RoutingPublisher;
+use crate::direct::{Changes, DirectMeter, Directory, DirectoryError, Freshness, RoutingChange};
 use crate::event_log::{EventLog, Level};
 use crate::units::BootTime;
 
@@ -18,17 +18,17 @@
 
 /// Keeps the settings in force up to date with the platform.
 #[derive(Debug)]
-pub(super) struct RoutingFollower<D> {
-    pub(super) directory: Arc<D>,
-    pub(super) publisher: RoutingPublisher,
-    pub(super) freshness: Arc<Freshness>,
-    pub(super) meter: Arc<DirectMeter>,
-    pub(super) log: EventLog,
+pub(in crate::direct) struct RoutingFollower<D> {
+    pub(in crate::direct) directory: Arc<D>,
+    pub(in crate::direct) publisher: RoutingPublisher,
+    pub(in crate::direct) freshness: Arc<Freshness>,
+    pub(in crate::direct) meter: Arc<DirectMeter>,
+    pub(in crate::direct) log: EventLog,
 }
 
 impl<D: Directory> RoutingFollower<D> {
     /// Follows the settings until the process ends.
-    pub(super) async fn run(self) {
+    pub(in crate::direct) async fn run(self) {
         let mut health = PlatformHealth::new("settings", self.log.clone());
         let mut cursor = None;
         let wait = self
--- a/src/direct/row_follower.rs
+++ b/src/direct/feeds/row_follower.rs
@@ -3,10 +3,10 @@
 
 use tokio::time::{Instant, sleep};
 
-use super::limits::LimitSharing;
-use super::platform_health::PlatformHealth;
-use super::quarantine::CrashSharing;
-use super::{Directory, DirectoryError, RowChange};
+use crate::direct::feeds::PlatformHealth;
+use crate::direct::limits::LimitSharing;
+use crate::direct::quarantine::CrashSharing;
+use crate::direct::{Directory, DirectoryError, RowChange};
 use crate::event_log::EventLog;
 
 /// Maximum time that one call waits for rows written by other entries.
@@ -14,16 +14,16 @@
 
 /// Follows the rows of the platform's table by which entries share what they know.
 #[derive(Debug)]
-pub(super) struct RowFollower<D> {
-    pub(super) directory: Arc<D>,
-    pub(super) crash_sharing: CrashSharing,
-    pub(super) limit_sharing: Arc<LimitSharing>,
-    pub(super) log: EventLog,
+pub(in crate::direct) struct RowFollower<D> {
+    pub(in crate::direct) directory: Arc<D>,
+    pub(in crate::direct) crash_sharing: CrashSharing,
+    pub(in crate::direct) limit_sharing: Arc<LimitSharing>,
+    pub(in crate::direct) log: EventLog,
 }
 
 impl<D: Directory> RowFollower<D> {
     /// Applies what other entries write until the process ends.
-    pub(super) async fn run(self) {
+    pub(in crate::direct) async fn run(self) {
         let mut health = PlatformHealth::new("shared rows", self.log.clone());
         let mut cursor = None;
         loop {
--- a/src/direct/upstream_follower.rs
+++ b/src/direct/feeds/upstream_follower.rs
@@ -4,9 +4,9 @@
 
 use tokio::time::{Instant, sleep};
 
-use super::event::Event;
-use super::platform_health::PlatformHealth;
-use super::{Changes, Cursor, Directory, DirectoryError, ListChange, Roster, RosterChange};
+use crate::direct::event::Event;
+use crate::direct::feeds::PlatformHealth;
+use crate::direct::{Changes, Cursor, Directory, DirectoryError, ListChange, Roster, RosterChange};
 use crate::event_log::{EventLog, Level};
 
 /// Share of the time in which entries must learn of a draining upstream for which one call waits for
@@ -25,7 +25,7 @@
 
 /// Keeps the upstreams up to date with the platform's list.
 #[derive(Debug)]
-pub(super) struct UpstreamFollower<D> {
+pub(in crate::direct) struct UpstreamFollower<D> {
     directory: Arc<D>,
     roster: Arc<Roster>,
     log: EventLog,
@@ -43,7 +43,7 @@
 impl<D: Directory> UpstreamFollower<D> {
     /// Creates a follower. `drain_time` is the time in which entries must learn that an upstream is
     /// draining.
-    pub(super) fn new(
+    pub(in crate::direct) fn new(
         directory: Arc<D>,
         roster: Arc<Roster>,
         drain_time: Duration,
@@ -57,7 +57,7 @@
     }
 
     /// Follows the list until the process ends.
-    pub(super) async fn run(mut self) {
+    pub(in crate::direct) async fn run(mut self) {
         loop {
             let wait = self.health.next_wait(self.next_wait());
             match self.directory.upstreams(self.cursor, wait).await {
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -11,14 +11,14 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_util::task::TaskTracker;
 
-use super::attempt_history::AttemptHistory;
 use super::checked_request::{CheckedRequest, answer_time, strip_headers};
 use super::dispatcher::{Dispatcher, UpstreamResponse};
-use super::refusal_response::refusal_response;
-use super::relay::{EventTiming, Relay};
-use super::request_tracker::RequestTracker;
-use super::watch::CurrentRouting;
 use super::{Account, DirectBody, DirectMeter, Route, Routing};
+use crate::direct::attempts::AttemptHistory;
+use crate::direct::feeds::CurrentRouting;
+use crate::direct::responses::RequestTracker;
+use crate::direct::responses::refusal_response;
+use crate::direct::responses::{EventTiming, Relay};
 use crate::entry::fingerprint;
 use crate::id::AttemptId;
 use crate::net::{
--- a/src/direct/limits/limit_sharing.rs
+++ b/src/direct/limits/limit_sharing.rs
@@ -5,7 +5,7 @@
 
 use super::{LimitChange, LimitRow, UpstreamLimits};
 use crate::direct::event::Event;
-use crate::direct::platform_health::PlatformHealth;
+use crate::direct::feeds::PlatformHealth;
 use crate::direct::{DirectMeter, Roster, RowChange};
 use crate::event_log::{EventLog, Level};
 use crate::platform::{Table, Txn};
--- a/src/direct/monitoring.rs
+++ b/src/direct/monitoring.rs
@@ -7,8 +7,8 @@
 use hyper::body::Incoming;
 
 use super::event::Event;
-use super::watch::CurrentRouting;
 use super::{DirectMeter, Freshness, Roster};
+use crate::direct::feeds::CurrentRouting;
 use crate::event_log::{EventLog, Level};
 use crate::net::{Handler, WholeBody, text_answer};
 use crate::units::BootTime;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -13,20 +13,20 @@
 use super::dispatcher::Dispatcher;
 use super::event::Event;
 use super::handler::DirectHandler;
-use super::header_watch::HeaderWatch;
 use super::limits::{LimitSharing, UpstreamLimits};
 use super::monitoring::{MetricsHandler, ReadinessHandler};
 use super::quarantine::CrashRecorder;
 use super::quarantine::CrashSharing;
 use super::quarantine::Trials;
-use super::routing_follower::RoutingFollower;
-use super::row_follower::RowFollower;
-use super::upstream_follower::UpstreamFollower;
-use super::watch::RoutingPublisher;
 use super::{
     BodyMemory, Crashes, DirectMeter, Directory, Freshness, HeaderNames, RetryLimits, Roster,
 };
 use crate::cli::Node;
+use crate::direct::attempts::HeaderWatch;
+use crate::direct::feeds::RoutingFollower;
+use crate::direct::feeds::RoutingPublisher;
+use crate::direct::feeds::RowFollower;
+use crate::direct::feeds::UpstreamFollower;
 use crate::event_log::{EventLog, Level};
 use crate::net::{H1Limits, Shutdown, serve_h1};
 use crate::platform::Table;
--- a/src/direct/quarantine/crash_recorder.rs
+++ b/src/direct/quarantine/crash_recorder.rs
@@ -10,7 +10,7 @@
 use super::crash::SuspectedAttempt;
 use super::hex::hex;
 use super::trial::Trials;
-use crate::direct::connection::Connection;
+use crate::direct::attempts::Connection;
 use crate::direct::event::Event;
 use crate::direct::{Roster, Upstream};
 use crate::event_log::{EventLog, Level};
--- a/src/direct/quarantine/crash_sharing.rs
+++ b/src/direct/quarantine/crash_sharing.rs
@@ -8,7 +8,7 @@
 use super::{Crashes, SharedCrashes};
 use crate::direct::RowChange;
 use crate::direct::event::Event;
-use crate::direct::platform_health::PlatformHealth;
+use crate::direct::feeds::PlatformHealth;
 use crate::event_log::{EventLog, Level};
 use crate::platform::{Table, TableError, Txn};
 use crate::units::unix_seconds;
--- a/src/direct/refusal_response.rs
+++ b/src/direct/responses/refusal_response.rs
@@ -3,13 +3,13 @@
 use http::header::RETRY_AFTER;
 use http::{HeaderValue, Response, StatusCode};
 
-use super::DirectBody;
+use crate::direct::DirectBody;
 use crate::net::refusal_answer;
 use crate::outcome::{Outcome, Reason, Refusal};
 
 /// Builds the response to a request that is refused or has failed. Statuses that promise that the
 /// request has not run are used only where that is certain.
-pub(super) fn refusal_response(refusal: &Refusal) -> Response<DirectBody> {
+pub(in crate::direct) fn refusal_response(refusal: &Refusal) -> Response<DirectBody> {
     let mut response = refusal_answer(refusal);
     *response.status_mut() = status(refusal);
     if let Some(wait) = refusal.retry_after {
--- a/src/direct/relay.rs
+++ b/src/direct/responses/relay.rs
@@ -5,32 +5,32 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use super::attempt_history::AttemptHistory;
-use super::checked_request::CheckedRequest;
-use super::dispatcher::{BegunStream, Dispatcher, Stream, UpstreamResponse};
-use super::failed_attempt::FailedAttempt;
-use super::quarantine::CrashSign;
-use super::request_tracker::RequestTracker;
-use super::upstream::InFlight;
-use super::{StreamStats, Upstream};
+use crate::direct::attempts::AttemptHistory;
+use crate::direct::attempts::FailedAttempt;
+use crate::direct::checked_request::CheckedRequest;
+use crate::direct::dispatcher::{BegunStream, Dispatcher, Stream, UpstreamResponse};
+use crate::direct::quarantine::CrashSign;
+use crate::direct::responses::RequestTracker;
+use crate::direct::upstreams::InFlight;
+use crate::direct::{StreamStats, Upstream};
 use crate::net::{BodyError, BodySender, EventSplitter};
 use crate::outcome::Reason;
 
 /// Forwards a stream of events to the caller, complete events only, and resumes it at another
 /// upstream when it breaks.
 #[derive(Debug)]
-pub(super) struct Relay {
-    pub(super) dispatcher: Arc<Dispatcher>,
-    pub(super) request: CheckedRequest,
-    pub(super) history: AttemptHistory,
-    pub(super) tracker: RequestTracker,
-    pub(super) splitter: EventSplitter,
-    pub(super) event_timing: EventTiming,
+pub(in crate::direct) struct Relay {
+    pub(in crate::direct) dispatcher: Arc<Dispatcher>,
+    pub(in crate::direct) request: CheckedRequest,
+    pub(in crate::direct) history: AttemptHistory,
+    pub(in crate::direct) tracker: RequestTracker,
+    pub(in crate::direct) splitter: EventSplitter,
+    pub(in crate::direct) event_timing: EventTiming,
 }
 
 /// When the first and the last event of a stream were forwarded.
 #[derive(Debug, Default)]
-pub(super) struct EventTiming {
+pub(in crate::direct) struct EventTiming {
     first: Option<Instant>,
     last: Option<Instant>,
 }
@@ -59,7 +59,7 @@
 impl Relay {
     /// Forwards the stream until it is complete, can't be resumed, the deadline passes, or the
     /// caller disconnects.
-    pub(super) async fn run(mut self, mut stream: Box<Stream>, sender: BodySender) {
+    pub(in crate::direct) async fn run(mut self, mut stream: Box<Stream>, sender: BodySender) {
         loop {
             let Stream { begun, upstream, attempt } = *stream;
             let BegunStream { head, mut body, conn, in_flight } = begun;
--- a/src/direct/request_tracker.rs
+++ b/src/direct/responses/request_tracker.rs
@@ -4,15 +4,15 @@
 use http::HeaderValue;
 use tokio::time::Instant;
 
-use super::DirectMeter;
-use super::event::Event;
+use crate::direct::DirectMeter;
+use crate::direct::event::Event;
 use crate::event_log::{EventLog, Level};
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::units::millis;
 
 /// Tracks one request, and logs and counts its end, also if the caller disconnects.
 #[derive(Debug)]
-pub(super) struct RequestTracker {
+pub(in crate::direct) struct RequestTracker {
     log: EventLog,
     meter: Arc<DirectMeter>,
     id: HeaderValue,
@@ -24,7 +24,11 @@
 
 impl RequestTracker {
     /// Starts tracking a request that has arrived.
-    pub(super) fn start(log: &EventLog, meter: &Arc<DirectMeter>, id: HeaderValue) -> Self {
+    pub(in crate::direct) fn start(
+        log: &EventLog,
+        meter: &Arc<DirectMeter>,
+        id: HeaderValue,
+    ) -> Self {
         meter.in_flight(1);
         Self {
             log: log.clone(),
@@ -38,17 +42,17 @@
     }
 
     /// Returns when the request arrived.
-    pub(super) const fn arrival(&self) -> Instant {
+    pub(in crate::direct) const fn arrival(&self) -> Instant {
         self.arrival
     }
 
     /// Records how many attempts were started.
-    pub(super) const fn set_attempts(&mut self, attempts: u32) {
+    pub(in crate::direct) const fn set_attempts(&mut self, attempts: u32) {
         self.attempts = attempts;
     }
 
     /// Records that the first byte of the response goes to the caller; later calls have no effect.
-    pub(super) fn first_byte(&mut self) {
+    pub(in crate::direct) fn first_byte(&mut self) {
         let time = self.arrival.elapsed();
         if self.first_byte_after.is_none() {
             self.first_byte_after = Some(time);
@@ -57,20 +61,20 @@
     }
 
     /// Ends tracking: the caller got the complete response of the upstream.
-    pub(super) fn finish_answered(mut self, status: u16) {
+    pub(in crate::direct) fn finish_answered(mut self, status: u16) {
         self.first_byte();
         self.meter.last_byte(self.arrival.elapsed());
         self.finish(Level::Info, status, Outcome::Ran, None, None);
     }
 
     /// Ends tracking: the caller got a refusal.
-    pub(super) fn finish_refused(mut self, refusal: &Refusal, status: u16) {
+    pub(in crate::direct) fn finish_refused(mut self, refusal: &Refusal, status: u16) {
         let reason = Some(refusal.reason);
         self.finish(Level::Warn, status, refusal.outcome, reason, refusal.retry_after);
     }
 
     /// Ends tracking: the response broke off.
-    pub(super) fn finish_broken(mut self, reason: Reason) {
+    pub(in crate::direct) fn finish_broken(mut self, reason: Reason) {
         self.finish(Level::Warn, 0, Outcome::Unknown, Some(reason), None);
     }
 
--- /dev/null
+++ b/src/direct/routes/mod.rs
@@ -0,0 +1,11 @@
+//! Routes, services and client accounts of the settings.
+
+mod delivery;
+mod route;
+mod routing;
+mod service;
+
+pub use delivery::Delivery;
+pub use route::{Route, Split};
+pub use routing::{Account, Limits, Routing};
+pub use service::{Engine, Experts, Service};
--- a/src/direct/route.rs
+++ b/src/direct/routes/route.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::Delivery;
+use crate::direct::Delivery;
 
 /// One of the services among which a route splits its requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/direct/routing.rs
+++ b/src/direct/routes/routing.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{Route, Service};
+use crate::direct::{Route, Service};
 use crate::settings::KeyDigest;
 
 /// A client account, identified by any of its API keys.
--- a/src/direct/group_outage.rs
+++ b/src/direct/upstreams/group_outage.rs
@@ -64,6 +64,6 @@
 }
 
 /// Returns after which time a caller is to return to a group that has been stalled so long.
-pub(super) fn retry_after_stall(stalled: Duration) -> Duration {
+pub(in crate::direct) fn retry_after_stall(stalled: Duration) -> Duration {
     (STALL_TIME + OUTAGE_TIME).saturating_sub(stalled).max(MIN_RETRY_AFTER)
 }
--- a/src/direct/inactivity.rs
+++ b/src/direct/upstreams/inactivity.rs
@@ -9,8 +9,8 @@
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Tracks for how long an upstream with requests in flight has shown no activity, measured in the
-/// active time of its service's [`Liveness`](super::Liveness) and judged by its
-/// [`SilenceLimit`](super::SilenceLimit).
+/// active time of its service's [`Liveness`](crate::direct::Liveness) and judged by its
+/// [`SilenceLimit`](crate::direct::SilenceLimit).
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Inactivity {
     /// Active time at the last activity or, if there was none since the upstream was idle, at the
--- a/src/direct/liveness.rs
+++ b/src/direct/upstreams/liveness.rs
@@ -3,7 +3,7 @@
 
 use tokio::time::Instant;
 
-use super::SilenceLimit;
+use crate::direct::SilenceLimit;
 
 /// Maximum gap between two activities that still counts as active time.
 const MAX_ACTIVITY_GAP: Duration = Duration::from_millis(250);
--- a/src/direct/load.rs
+++ b/src/direct/upstreams/load.rs
@@ -1,6 +1,6 @@
 use tokio::time::Instant;
 
-use super::OtherEntriesLoad;
+use crate::direct::OtherEntriesLoad;
 
 /// Load that an upstream reports in a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,12 +15,12 @@
 
 /// A load report with what this entry knew as it arrived.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct LoadReport {
-    pub(super) load: Load,
-    pub(super) at: Instant,
+pub(in crate::direct) struct LoadReport {
+    pub(in crate::direct) load: Load,
+    pub(in crate::direct) at: Instant,
     /// Requests of this entry that were in flight when the report arrived, and which the report
     /// therefore counts.
-    pub(super) own: u32,
+    pub(in crate::direct) own: u32,
 }
 
 impl Load {
@@ -49,7 +49,7 @@
 
 impl LoadReport {
     /// Returns the part of the reported load that other entries cause.
-    pub(super) fn others(&self, now: Instant) -> OtherEntriesLoad {
+    pub(in crate::direct) fn others(&self, now: Instant) -> OtherEntriesLoad {
         let reported = self.load.running + self.load.waiting;
         OtherEntriesLoad {
             requests: f64::from(reported.saturating_sub(self.own)),
--- /dev/null
+++ b/src/direct/upstreams/mod.rs
@@ -0,0 +1,20 @@
+//! What an entry knows of the upstreams of a service, and judges of them.
+
+mod group_outage;
+mod inactivity;
+mod liveness;
+mod load;
+mod roster;
+mod silence_limit;
+mod upstream;
+
+pub use group_outage::GroupOutage;
+pub(super) use group_outage::retry_after_stall;
+pub use inactivity::Inactivity;
+pub use liveness::Liveness;
+pub use load::Load;
+pub(super) use load::LoadReport;
+pub use roster::{Roster, RosterChange, Upstreams};
+pub use silence_limit::SilenceLimit;
+pub(super) use upstream::InFlight;
+pub use upstream::Upstream;
--- a/src/direct/roster.rs
+++ b/src/direct/upstreams/roster.rs
@@ -1,7 +1,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use super::{ListedUpstream, Upstream};
+use crate::direct::{ListedUpstream, Upstream};
 
 /// Maximum number of departed incarnations on record; beyond it the one started first is dropped.
 const MAX_DEPARTED: usize = 1_024;
@@ -108,7 +108,7 @@
 
     /// Returns the other upstreams of this one's failure domain: those of the same service or, if
     /// there are none that fit, those of other services.
-    pub(super) fn domain_peers(
+    pub(in crate::direct) fn domain_peers(
         &self,
         upstream: &Upstream,
         fits: impl Fn(&Upstream) -> bool,
--- a/src/direct/upstream.rs
+++ b/src/direct/upstreams/upstream.rs
@@ -6,10 +6,10 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::connection::Connection;
-use super::load::LoadReport;
-use super::quarantine::UpstreamSuspects;
-use super::{Candidate, Inactivity, ListedUpstream, Liveness, Load};
+use crate::direct::attempts::Connection;
+use crate::direct::quarantine::UpstreamSuspects;
+use crate::direct::upstreams::LoadReport;
+use crate::direct::{Candidate, Inactivity, ListedUpstream, Liveness, Load};
 
 /// First backoff after the upstream could not be reached, refused a request, or gave no valid
 /// response several times in a row; doubled with each further backoff.
@@ -34,7 +34,7 @@
     /// When this entry learned of this incarnation.
     known_since: Instant,
     /// Attempts that may have crashed it.
-    pub(super) suspects: UpstreamSuspects,
+    pub(in crate::direct) suspects: UpstreamSuspects,
     /// Cancelled once this incarnation has ended without draining.
     ended: CancellationToken,
     state: Mutex<State>,
@@ -58,7 +58,7 @@
 
 /// A request counted as in flight at an upstream until dropped.
 #[derive(Debug)]
-pub(super) struct InFlight {
+pub(in crate::direct) struct InFlight {
     upstream: Arc<Upstream>,
     liveness: Arc<Liveness>,
     /// Active time at which the request was sent.
@@ -69,7 +69,7 @@
 
 impl InFlight {
     /// Records activity of the upstream.
-    pub(super) fn record_activity(&self) {
+    pub(in crate::direct) fn record_activity(&self) {
         let now = Instant::now();
         let active_time = self.liveness.record_activity(now);
         if !self.responded.swap(true, Ordering::Relaxed) {
@@ -124,7 +124,7 @@
     }
 
     /// Marks this incarnation as draining, which can't be undone, and drops its idle connections.
-    pub(super) fn drain(&self) {
+    pub(in crate::direct) fn drain(&self) {
         let mut state = self.lock();
         state.draining = true;
         state.idle.clear();
@@ -132,7 +132,7 @@
 
     /// Marks this incarnation as ended, because the platform lists it no longer or another one at
     /// its address. If it was not draining, it has crashed.
-    pub(super) fn end(&self) {
+    pub(in crate::direct) fn end(&self) {
         if !self.is_draining() {
             self.ended.cancel();
         }
@@ -140,7 +140,7 @@
     }
 
     /// Waits until this incarnation has ended without draining.
-    pub(super) async fn ended(&self) {
+    pub(in crate::direct) async fn ended(&self) {
         self.ended.cancelled().await;
     }
 
@@ -150,7 +150,7 @@
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
-    pub(super) fn begin_request(self: &Arc<Self>, liveness: &Arc<Liveness>) -> InFlight {
+    pub(in crate::direct) fn begin_request(self: &Arc<Self>, liveness: &Arc<Liveness>) -> InFlight {
         let sent = liveness.active_time();
         let mut state = self.lock();
         state.in_flight += 1;
@@ -164,29 +164,29 @@
     }
 
     /// Returns whether requests that may run again should be moved to another upstream.
-    pub(super) fn is_stuck(&self, liveness: &Liveness) -> bool {
+    pub(in crate::direct) fn is_stuck(&self, liveness: &Liveness) -> bool {
         self.lock().inactivity.is_stuck(liveness.active_time(), liveness.silence_limit())
     }
 
     /// Returns for how much active time the upstream has been silent although it has requests.
-    pub(super) fn inactive_for(&self, liveness: &Liveness) -> Duration {
+    pub(in crate::direct) fn inactive_for(&self, liveness: &Liveness) -> Duration {
         self.lock().inactivity.duration(liveness.active_time())
     }
 
     /// Returns for how long the upstream has sent nothing, or `None` if it never sent anything.
-    pub(super) fn silent_for(&self) -> Option<Duration> {
+    pub(in crate::direct) fn silent_for(&self) -> Option<Duration> {
         self.lock().last_activity.map(|last_activity| last_activity.elapsed())
     }
 
     /// Records the load that a response reported.
-    pub(super) fn record_load(&self, load: Load) {
+    pub(in crate::direct) fn record_load(&self, load: Load) {
         let mut state = self.lock();
         let own = state.in_flight;
         state.load = Some(LoadReport { load, at: Instant::now(), own });
     }
 
     /// Records a valid response, which ends the backoff.
-    pub(super) fn record_success(&self) {
+    pub(in crate::direct) fn record_success(&self) {
         let mut state = self.lock();
         state.losses = 0;
         state.backoff = Duration::ZERO;
@@ -194,12 +194,12 @@
     }
 
     /// Records that the upstream can't be reached or refused a request.
-    pub(super) fn record_refusal(&self) {
+    pub(in crate::direct) fn record_refusal(&self) {
         self.lock().begin_backoff();
     }
 
     /// Records that the upstream wants no requests from this entry for a time.
-    pub(super) fn pause(&self, time: Duration, now: Instant) {
+    pub(in crate::direct) fn pause(&self, time: Duration, now: Instant) {
         let mut state = self.lock();
         // A time that the clock can't hold lasts as long as the upstream.
         let until = now.checked_add(time).unwrap_or(now + MAX_PAUSE);
@@ -207,12 +207,12 @@
     }
 
     /// Returns until when the upstream wants no requests from this entry, if it is after `now`.
-    pub(super) fn paused_until(&self, now: Instant) -> Option<Instant> {
+    pub(in crate::direct) fn paused_until(&self, now: Instant) -> Option<Instant> {
         self.lock().paused_until.filter(|until| *until > now)
     }
 
     /// Records that a request got no valid response.
-    pub(super) fn record_loss(&self) {
+    pub(in crate::direct) fn record_loss(&self) {
         let mut state = self.lock();
         state.losses += 1;
         if state.losses >= LOSSES_TO_BACK_OFF {
@@ -221,13 +221,13 @@
     }
 
     /// Returns whether this entry knew of this incarnation before a time.
-    pub(super) fn is_known_before(&self, time: Instant) -> bool {
+    pub(in crate::direct) fn is_known_before(&self, time: Instant) -> bool {
         self.known_since < time
     }
 
     /// Returns whether the upstream lives: a connection to it is open, or it accepts one. That one
     /// is kept for later requests.
-    pub(super) async fn accepts_connections(&self) -> bool {
+    pub(in crate::direct) async fn accepts_connections(&self) -> bool {
         if self.lock().idle.iter().any(|conn| conn.is_usable(MAX_IDLE_TIME)) {
             return true;
         }
@@ -251,14 +251,14 @@
     }
 
     /// Takes an idle connection that can be reused.
-    pub(super) fn take_idle(&self) -> Option<Connection> {
+    pub(in crate::direct) fn take_idle(&self) -> Option<Connection> {
         let mut state = self.lock();
         state.idle.retain(|conn| conn.is_usable(MAX_IDLE_TIME));
         state.idle.pop()
     }
 
     /// Keeps an idle connection for later requests.
-    pub(super) fn put_idle(&self, conn: Connection) {
+    pub(in crate::direct) fn put_idle(&self, conn: Connection) {
         let mut state = self.lock();
         state.idle.retain(|conn| conn.is_usable(MAX_IDLE_TIME));
         if !state.draining && state.idle.len() < MAX_IDLE_CONNECTIONS {
