Sidecars keep their connections to each other; slopes of the users' bench on the capacity page

Cause: a leader that finds its group incomplete made new clients, and new connections to all sidecars, four times a second; the agent kept clients of its own. docs/CAPACITY.md did not know differences of maps, nor the sizes 72 and 129.

--- a/bench/src/capacity/page.rs
+++ b/bench/src/capacity/page.rs
@@ -43,20 +43,47 @@
 const MAP_ORDERS: &str = "
 ## Expert maps sent as orders to ranks
 
-Where ranks accept orders (`PLATFORM.md`), measured by `ebonyusher-bench map-orders` in one run on a
-busy machine; the planning time is elapsed time for all sets.
-
-| ranks, sets, experts | map to one sidecar | map to all sidecars | counts of one rank | planning time |
-|---|---|---|---|---|
-| 12, 4, 72 | 0.6 KB | 7 KB | 1.4 KB | 1.6 ms |
-| 63, 8, 252 | 4.4 KB | 272 KB | 8.6 KB | 5.3 ms |
-| 256, 60, 256 | 64.8 KB | 16517 KB | 65.5 KB | 29.5 ms |
-
-Bytes grow as ranks x sets x places. A sidecar reads one map for each switch. Ten times a second the
-leader reads counts: at most 8,000 numbers in all, but those of at least one rank.
-With a switch every 10 s, a sidecar of a group of 256 ranks receives 6.5 KB/s, which is **over** 4 KB/s,
-and its leader sends 1.7 MB/s. Sending only the changes of a map would reduce both; that is neither
-built nor measured.
+Where ranks accept orders (`PLATFORM.md`), calculated by `ebonyusher-bench map-orders` in one run; the
+planning time is elapsed time for all sets.
+
+| ranks, sets, experts | whole map | difference | sent by the leader | counts of one rank | planning time |
+|---|---|---|---|---|---|
+| 12, 4, 72 | 0.7 KB | 0.4 KB | 1 KB | 1.4 KB | 2.2 ms |
+| 63, 8, 252 | 5.8 KB | 3.6 KB | 29 KB | 8.6 KB | 7.1 ms |
+| 72, 12, 144 | 7.6 KB | 4.4 KB | 40 KB | 7.7 KB | 5.1 ms |
+| 129, 16, 258 | 23.8 KB | 8.8 KB | 105 KB | 17.6 KB | 8.9 ms |
+| 256, 60, 256 | 105.8 KB | 19.3 KB | 308 KB | 65.5 KB | 42.5 ms |
+
+A map is sent as its difference to the one in force; the figures are of the first plan of a new group. The
+leader sends it to the square root of the number of ranks, and each passes it on to as many. Ten times
+a second the leader reads counts: at most 8,000 numbers in all, but those of at least one rank. With a
+switch every 10 s, the leader of 256 ranks sends 31 KB/s, which is **over** 4 KB/s, and a rank's sidecar
+receives 1.9 KB/s.
+
+## Slopes on the users' platform
+
+The users' bench plays one day of their largest deployment at 30, 100 and 300 of our machines: middle and
+busiest machine, and the power by which the busiest grows with the machines. The last column carries
+that on to 374 machines; it is not played. (Commit 9bc4b76.)
+
+| role | figure | 30 | 100 | 300 | power | at 374 | budget |
+|---|---|---|---|---|---|---|---|
+| entry | processor, % of a core | 1.0, 1.3 | 0.68, 0.90 | 0.56, 0.78 | -0.22 | 0.78 | 2.6 |
+| entry | memory, MB | 4.6, 5.3 | 2.9, 3.4 | 2.2, 3.3 | -0.21 | 3.3 | 128 |
+| entry | traffic, kB/s (requests too) | 26.0, 27.9 | 13.4, 16.5 | 16.0, 24.0 | -0.07 | 24.0 | - |
+| entry | connections | 147, 171 | 71, 90 | 30, 68 | -0.4 | 68 | - |
+| entry | new connections a second | 5.7, 7.2 | 3.8, 4.4 | 2.5, 3.6 | -0.31 | 3.6 | - |
+| sidecar | processor, % of a core | 0.40, 0.45 | 0.40, 0.56 | 0.60, 14.9 | 1.5 | 20.7 | 2.6, the leader **over** |
+| sidecar | memory, MB | 0.71, 0.71 | 0.71, 0.71 | 0.79, 7.8 | 1.03 | 9.8 | 128 |
+| sidecar | traffic, kB/s | 4.5, 5.0 | 1.6, 1.8 | 1.5, 220 | 1.61 | 314 | 4, the leader **over** |
+| sidecar | connections | 15, 16 | 11, 12 | 10, 219 | 1.11 | 280 | - |
+| sidecar | new connections a second | 0.88, 1.0 | 0.78, 0.97 | 2.1, 202 | 2.25 | 314 | - |
+
+The entry's figures stay flat or fall. The leader's grow with its group, by its calls to every sidecar:
+states twice a second, and two to three rounds of calls for each switch. Calls that are passed on and
+answered together, as maps are, would make that the square root; that is not built. Days with 30 and 100
+machines serve 0.07 and 0.05 of their requests, 0.62 with 300, and did so on e3a961e too: in
+them 298 and 998 upstreams stand beside 30 and 100 machines, and nearly all requests are refused.
 ";
 
 const LIMITATIONS: &str = "
--- a/src/remap/agent.rs
+++ b/src/remap/agent.rs
@@ -1,16 +1,15 @@
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use jsonrpsee::core::async_trait;
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use jsonrpsee::types::ErrorObjectOwned;
 use tokio::time::Instant;
 
 use super::event::Event;
 use super::map_cache::MapCache;
+use super::sidecar_clients::SidecarClients;
 use super::{
     HeldExperts, MapUpdate, PrepareOrder, RankClient, RankCommand, RankConnector, RankCounts,
     RankError, RankOrder, RankRpcClient, RankRpcServer, RankState,
@@ -67,8 +66,7 @@
     pub(super) rank: Arc<R::Client>,
     pub(super) watch: LeaderWatch,
     pub(super) maps: MapCache,
-    /// Clients of the sidecars to which this one has passed maps on.
-    pub(super) passed_to: Mutex<HashMap<SocketAddr, HttpClient>>,
+    pub(super) sidecars: SidecarClients,
     pub(super) log: EventLog,
 }
 
@@ -94,7 +92,7 @@
     /// Passes a map on to other sidecars. Returns how many of them do not know it afterwards.
     async fn pass_on(&self, term: u64, update: &MapUpdate, others: &[SocketAddr]) -> usize {
         let passed = others.iter().map(|addr| async move {
-            let Some(client) = self.client(*addr) else { return 1 };
+            let Some(client) = self.sidecars.get(*addr) else { return 1 };
             let call = client.share_map(term, update.clone(), Vec::new());
             match tokio::time::timeout(PASS_ON_TIMEOUT, call).await {
                 Ok(Ok(Ok(missing))) => missing,
@@ -104,17 +102,6 @@
         join_all(passed).await.into_iter().sum()
     }
 
-    fn client(&self, addr: SocketAddr) -> Option<HttpClient> {
-        let mut clients = self.passed_to.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(client) = clients.get(&addr) {
-            return Some(client.clone());
-        }
-        let builder = HttpClientBuilder::default().request_timeout(PASS_ON_TIMEOUT);
-        let client = builder.build(format!("http://{addr}")).ok()?;
-        clients.insert(addr, client.clone());
-        Some(client)
-    }
-
     /// Refuses an order from the leader of an earlier term.
     fn admit(&self, term: u64) -> Result<(), RankError> {
         if self.watch.record_call(term) { Ok(()) } else { Err(RankError::Fenced) }
--- a/src/remap/leadership.rs
+++ b/src/remap/leadership.rs
@@ -7,6 +7,7 @@
 use super::assembly::{AssembleError, Group};
 use super::event::Event;
 use super::map_plan::{MapPlan, plan_map};
+use super::sidecar_clients::SidecarClients;
 use super::switch::{SwitchError, armed_last, settle_switch, switch};
 use super::term_store::TermStore;
 use super::{MapUpdate, PeerRank, PlacementLimits, RankConnector, RankSet, SharedMap, first_fence};
@@ -35,6 +36,7 @@
     pub(super) terms: &'a TermStore<D>,
     pub(super) directory: Arc<D>,
     pub(super) connector: Arc<R>,
+    pub(super) sidecars: &'a SidecarClients,
     /// Address of the rank beside this process.
     pub(super) local_addr: SocketAddr,
     /// Port on which every sidecar of the group listens.
--- a/src/remap/mod.rs
+++ b/src/remap/mod.rs
@@ -23,6 +23,7 @@
 mod rank_state;
 mod settle_action;
 mod shared_map;
+mod sidecar_clients;
 mod switch;
 mod term_store;
 
--- a/src/remap/peer_rank.rs
+++ b/src/remap/peer_rank.rs
@@ -2,8 +2,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use jsonrpsee::core::ClientError;
-use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee::http_client::HttpClient;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::{
@@ -64,29 +63,23 @@
         }
     }
 
-    /// A client for the rank at `addr`, one of `ranks`, whose sidecar listens at `sidecar`.
-    ///
-    /// # Errors
-    /// If no RPC client can be built for the sidecar's address.
+    /// A client for the rank at `addr`, one of `ranks`, whose sidecar has this address and client.
     pub fn via_sidecar(
         direct: Arc<P>,
         addr: SocketAddr,
-        sidecar: SocketAddr,
+        (sidecar, client): (SocketAddr, HttpClient),
         term: u64,
         ranks: usize,
-    ) -> Result<Self, ClientError> {
-        let client = HttpClientBuilder::default()
-            .request_timeout(MAP_TIMEOUT)
-            .build(format!("http://{sidecar}"))?;
+    ) -> Self {
         let ranks = u32::try_from(ranks).unwrap_or(u32::MAX);
-        Ok(Self {
+        Self {
             connection: Connection::Sidecar { client, addr: sidecar },
             direct,
             addr,
             term,
             call_timeout: CALL_TIMEOUT + CALL_TIME_PER_RANK * ranks,
             bypassed_since: Mutex::default(),
-        })
+        }
     }
 
     /// Whether the rank is the one beside this process.
--- a/src/remap/rank_node.rs
+++ b/src/remap/rank_node.rs
@@ -1,6 +1,6 @@
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
@@ -11,6 +11,7 @@
 use super::event::Event;
 use super::leadership::Leadership;
 use super::map_cache::MapCache;
+use super::sidecar_clients::SidecarClients;
 use super::term_store::{Claim, ClaimedTerm, TermStore};
 use super::{RankClient, RankConnector, RankRpcServer, RankState};
 use crate::cli::Node;
@@ -67,12 +68,13 @@
     {
         let rank = Arc::new(connector.client(file.rank));
         let watch = LeaderWatch::new();
+        let sidecars = SidecarClients::default();
         let agent = Agent {
             connector: Arc::clone(&connector),
             rank: Arc::clone(&rank),
             watch: watch.clone(),
             maps: MapCache::default(),
-            passed_to: Mutex::default(),
+            sidecars: sidecars.clone(),
             log: log.clone(),
         };
         let rpc = RpcListener::open(file.peer, agent.into_rpc()).await?;
@@ -82,6 +84,7 @@
             store,
             connector,
             rank,
+            sidecars,
             watch,
             file: file.clone(),
             log: log.clone(),
@@ -134,6 +137,7 @@
     store: Arc<S>,
     connector: Arc<R>,
     rank: Arc<R::Client>,
+    sidecars: SidecarClients,
     watch: LeaderWatch,
     file: RankFile,
     log: EventLog,
@@ -202,6 +206,7 @@
         let leadership = Leadership {
             directory: Arc::clone(&self.store),
             connector: Arc::clone(&self.connector),
+            sidecars: &self.sidecars,
             local_addr: self.file.rank,
             peer_port: self.file.peer.port(),
             service: self.file.service.clone(),
