--- a/src/remap/agent.rs
+++ b/src/remap/agent.rs
@@ -92,8 +92,8 @@
     /// Passes a map on to other sidecars. Returns how many of them do not know it afterwards.
     async fn pass_on(&self, term: u64, update: &MapUpdate, others: &[SocketAddr]) -> usize {
         let passed = others.iter().map(|addr| async move {
-            let Some(client) = self.sidecars.get(*addr) else { return 1 };
-            let call = client.share_map(term, update.clone(), Vec::new());
+            let Some(other) = self.sidecars.get(*addr) else { return 1 };
+            let call = other.client.share_map(term, update.clone(), Vec::new());
             match tokio::time::timeout(PASS_ON_TIMEOUT, call).await {
                 Ok(Ok(Ok(missing))) => missing,
                 _ => 1,
--- a/src/remap/assembly.rs
+++ b/src/remap/assembly.rs
@@ -124,8 +124,8 @@
             return Some(PeerRank::local(direct, addr, self.term));
         }
         let sidecar = SocketAddr::new(addr.ip(), self.peer_port);
-        let client = self.sidecars.get(sidecar)?;
-        Some(PeerRank::via_sidecar(direct, addr, (sidecar, client), self.term, ranks))
+        let sidecar = self.sidecars.get(sidecar)?;
+        Some(PeerRank::via_sidecar(direct, addr, sidecar, self.term, ranks))
     }
 
     async fn read_map(
--- a/src/remap/map_update.rs
+++ b/src/remap/map_update.rs
@@ -5,8 +5,13 @@
 use super::packed_map::{pack_changes, unpack_changes};
 use super::{GroupMap, HeldExperts, SharedMap};
 
-/// Experts that ranks hold in each set of layers, for the ranks at which they change.
-pub(super) type SetChanges = Vec<Vec<(u16, HeldExperts)>>;
+/// A rank at which the map of one set of layers changes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct RankChange {
+    pub(super) rank: u16,
+    /// Experts that the rank holds then.
+    pub(super) held: HeldExperts,
+}
 
 /// The map that an update starts from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -80,9 +85,12 @@
             let changed = held.iter().enumerate().filter(|(rank, held)| {
                 from.map_or(!held.is_empty(), |from| from.sets[set][*rank] != **held)
             });
-            changed.map(|(rank, held)| (rank as u16, held.clone())).collect()
+            changed
+                .map(|(rank, held)| RankChange { rank: rank as u16, held: held.clone() })
+                .collect()
         });
-        let changes = pack_changes(&changes.collect());
+        let changes: Vec<Vec<RankChange>> = changes.collect();
+        let changes = pack_changes(&changes);
         Self { base, digest: to.digest(), changes }
     }
 
@@ -113,7 +121,7 @@
             return Err(UpdateError::Malformed);
         }
         for (set, changed) in map.sets.iter_mut().zip(changes) {
-            for (rank, held) in changed {
+            for RankChange { rank, held } in changed {
                 *set.get_mut(usize::from(rank)).ok_or(UpdateError::Malformed)? = held;
             }
         }
--- a/src/remap/mod.rs
+++ b/src/remap/mod.rs
@@ -40,5 +40,6 @@
 pub use rank_state::{Armed, RankState};
 pub use settle_action::{SettleAction, next_settle_action};
 pub use shared_map::SharedMap;
+pub use sidecar_clients::Sidecar;
 pub use switch::{SwitchError, armed_last, settle_switch, switch};
 pub use term_store::{Claim, ClaimedTerm, TermStore};
--- a/src/remap/packed_map.rs
+++ b/src/remap/packed_map.rs
@@ -2,7 +2,7 @@
 use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
 
-use super::map_update::SetChanges;
+use super::map_update::RankChange;
 use super::{GroupMap, HeldExperts, SharedMap};
 
 /// Size of an expert's number in bytes if all numbers in the map fit.
@@ -48,15 +48,15 @@
     Some(GroupMap { sets })
 }
 
-/// Encodes changes of a map like a map, but with the number of a rank before its experts, and as
+/// Encodes changes of a map, set by set, like a map, but with the number of a rank before its experts, and as
 /// base64 text.
-pub(super) fn pack_changes(changes: &SetChanges) -> String {
-    let width = width_of(changes.iter().flatten().map(|(_, held)| held));
+pub(super) fn pack_changes(changes: &[Vec<RankChange>]) -> String {
+    let width = width_of(changes.iter().flatten().map(|change| &change.held));
     let mut bytes = vec![width];
     put(&mut bytes, changes.len(), WIDE);
     for ranks in changes {
         put(&mut bytes, ranks.len(), WIDE);
-        for (rank, held) in ranks {
+        for RankChange { rank, held } in ranks {
             put(&mut bytes, usize::from(*rank), WIDE);
             put_held(&mut bytes, held, width);
         }
@@ -65,13 +65,16 @@
 }
 
 /// Reads the text that [`pack_changes`] writes.
-pub(super) fn unpack_changes(text: &str) -> Option<SetChanges> {
+pub(super) fn unpack_changes(text: &str) -> Option<Vec<Vec<RankChange>>> {
     let bytes = STANDARD.decode(text).ok()?;
     let (width, mut rest) = bytes.split_first()?;
     let mut sets = Vec::new();
     for _ in 0..take(&mut rest, WIDE)? {
         let ranks = take(&mut rest, WIDE)?;
-        let mut change = || Some((take(&mut rest, WIDE)?, take_held(&mut rest, *width)?));
+        let mut change = || {
+            let rank = take(&mut rest, WIDE)?;
+            Some(RankChange { rank, held: take_held(&mut rest, *width)? })
+        };
         let ranks: Option<Vec<_>> = (0..ranks).map(|_| change()).collect();
         sets.push(ranks?);
     }
--- a/src/remap/peer_rank.rs
+++ b/src/remap/peer_rank.rs
@@ -7,7 +7,7 @@
 
 use super::{
     HeldExperts, MapUpdate, PrepareOrder, RankClient, RankCommand, RankCounts, RankError,
-    RankOrder, RankRpcClient, RankState,
+    RankOrder, RankRpcClient, RankState, Sidecar,
 };
 use crate::units::millis;
 
@@ -46,8 +46,8 @@
 enum Connection {
     /// Directly, as the rank beside this process.
     Local,
-    /// Through the sidecar beside the rank, which listens at this address.
-    Sidecar { client: HttpClient, addr: SocketAddr },
+    /// Through the sidecar beside the rank.
+    Sidecar(Sidecar),
 }
 
 impl<P: RankClient> PeerRank<P> {
@@ -63,17 +63,17 @@
         }
     }
 
-    /// A client for the rank at `addr`, one of `ranks`, whose sidecar has this address and client.
+    /// A client for the rank at `addr`, one of `ranks`, with the sidecar beside it.
     pub fn via_sidecar(
         direct: Arc<P>,
         addr: SocketAddr,
-        (sidecar, client): (SocketAddr, HttpClient),
+        sidecar: Sidecar,
         term: u64,
         ranks: usize,
     ) -> Self {
         let ranks = u32::try_from(ranks).unwrap_or(u32::MAX);
         Self {
-            connection: Connection::Sidecar { client, addr: sidecar },
+            connection: Connection::Sidecar(sidecar),
             direct,
             addr,
             term,
@@ -98,9 +98,9 @@
     }
 
     fn client(&self, may_call: impl FnOnce(Option<Instant>) -> bool) -> Option<&HttpClient> {
-        let Connection::Sidecar { client, .. } = &self.connection else { return None };
+        let Connection::Sidecar(sidecar) = &self.connection else { return None };
         let since = *self.bypassed_since.lock().unwrap_or_else(PoisonError::into_inner);
-        may_call(since).then_some(client)
+        may_call(since).then_some(&sidecar.client)
     }
 
     /// Reads a state that is not older than this call, without the sidecar.
@@ -112,7 +112,7 @@
     const fn sidecar_addr(&self) -> Option<SocketAddr> {
         match self.connection {
             Connection::Local => None,
-            Connection::Sidecar { addr, .. } => Some(addr),
+            Connection::Sidecar(ref sidecar) => Some(sidecar.addr),
         }
     }
 
@@ -190,7 +190,7 @@
     async fn counts(&self) -> Result<RankCounts, RankError> {
         // Reading counts from another machine would pause the group, and the counts are not worth
         // that. So there is no direct call if the sidecar does not answer.
-        let Connection::Sidecar { .. } = self.connection else { return self.direct.counts().await };
+        let Connection::Sidecar(_) = self.connection else { return self.direct.counts().await };
         let Some(sidecar) = self.sidecar() else { return Err(RankError::Unknown) };
         let counted = timeout(self.call_timeout, sidecar.counts(self.term)).await;
         counted.ok().and_then(Result::ok).unwrap_or_else(|| {
