Log the shared parts of prompts, and how far a broken answer had come

Change: the lines 'sent' and 'suspected' have the ids of the shared parts, 'suspected' also the number of events that had arrived. No decision changes.

--- a/src/direct/checked_request.rs
+++ b/src/direct/checked_request.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::service_state::ServiceState;
-use super::{Account, HeaderNames, Route, Service, Upstream};
+use super::{Account, HeaderNames, PromptParts, Route, Service, Upstream};
 use crate::net::LAST_EVENT_ID;
 use crate::outcome::Reason;
 
@@ -50,6 +50,8 @@
     pub(super) body: Bytes,
     /// Fingerprint that stays the same when the caller repeats the request.
     pub(super) fingerprint: u64,
+    /// Parts of the prompt that other requests may share.
+    pub(super) prompt: PromptParts,
     pub(super) account: Option<Arc<Account>>,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<Service>,
--- a/src/direct/crash_gate.rs
+++ b/src/direct/crash_gate.rs
@@ -8,6 +8,7 @@
 use super::quarantine::{CrashSign, MAX_CRASHES};
 use super::{CrashStatus, Quarantine, Service, Upstream};
 use crate::direct::attempts::AttemptHistory;
+use crate::direct::responses::StreamProgress;
 use crate::outcome::{Reason, Refusal};
 
 /// Retry-after time of a quarantined request that could not be tried though a trial is due.
@@ -21,8 +22,9 @@
         upstream: &Arc<Upstream>,
         started: Instant,
         sign: CrashSign,
+        progress: StreamProgress,
     ) {
-        self.log_suspected(request, upstream, sign);
+        self.log_suspected(request, upstream, sign, progress);
         self.crash_recorder.suspect(upstream, request.fingerprint, started, sign);
     }
 
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -11,6 +11,7 @@
 use super::{Candidate, EngineLoad, Quarantine, Upstream};
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::attempts::FailedAttempt;
+use crate::direct::responses::StreamProgress;
 use crate::event_log::Level;
 use crate::units::BootTime;
 use crate::units::millis;
@@ -30,6 +31,7 @@
             attempt: history.attempts,
             route: &request.route.name,
             account: request.account.as_ref().map_or("", |account| &account.name),
+            parts: request.prompt.to_string(),
             upstream: &upstream.listed.id,
             revision: request.revision,
             settings_age_ms: millis(age),
@@ -90,12 +92,15 @@
         request: &CheckedRequest,
         upstream: &Upstream,
         sign: CrashSign,
+        progress: StreamProgress,
     ) {
         let event = Event::Suspected {
             id: request.id.to_str().unwrap_or_default(),
             upstream: &upstream.listed.id,
             fingerprint: hex(request.fingerprint),
+            parts: request.prompt.to_string(),
             sign: sign.as_str(),
+            events: progress.events,
         };
         self.log.write(Level::Info, &event);
     }
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -22,6 +22,7 @@
 use crate::direct::attempts::FailedAttempt;
 use crate::direct::attempts::HeaderWatch;
 use crate::direct::attempts::OpenAttempt;
+use crate::direct::responses::StreamProgress;
 use crate::direct::upstreams::InFlight;
 use crate::entry::Failure;
 use crate::event_log::EventLog;
@@ -148,7 +149,7 @@
             history.record_failure(failed.failure);
             self.log_failed(request, history, &upstream, &failed, started);
             if let Some(sign) = failed.sign {
-                self.suspect(request, &upstream, started, sign);
+                self.suspect(request, &upstream, started, sign, StreamProgress::default());
                 self.await_verdict(request, history, &upstream, sign).await;
             }
             if let Some(wait) = failed.retry_after {
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -44,7 +44,11 @@
         upstream: &'a str,
         #[serde(rename = "print")]
         fingerprint: String,
+        /// Ids of the shared parts of the prompt.
+        parts: String,
         sign: &'a str,
+        /// Number of events of a stream that had arrived in the attempt.
+        events: u32,
     },
     /// A crash was not counted against this request.
     CrashNotCounted {
@@ -108,6 +112,8 @@
         attempt: u32,
         route: &'a str,
         account: &'a str,
+        /// Ids of the shared parts of the prompt.
+        parts: String,
         upstream: &'a str,
         revision: u64,
         settings_age_ms: u64,
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -13,7 +13,7 @@
 
 use super::checked_request::{CheckedRequest, answer_time, strip_headers};
 use super::dispatcher::{Dispatcher, UpstreamResponse};
-use super::{Account, DirectBody, DirectMeter, Route, Routing};
+use super::{Account, DirectBody, DirectMeter, PromptParts, Route, Routing};
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::feeds::CurrentRouting;
 use crate::direct::responses::RequestTracker;
@@ -133,6 +133,7 @@
             head.uri.path_and_query().map_or("", PathAndQuery::as_str),
             &body,
         );
+        let prompt = PromptParts::read(&head.headers, &self.dispatcher.header_names.prompt);
         let mut headers = head.headers;
         strip_headers(&mut headers);
         Ok(CheckedRequest {
@@ -142,6 +143,7 @@
             headers,
             body,
             fingerprint,
+            prompt,
             account,
             state: self.dispatcher.service_state(&service.name),
             service: Arc::clone(service),
--- a/src/direct/header_names.rs
+++ b/src/direct/header_names.rs
@@ -25,6 +25,8 @@
     pub urgency: HeaderName,
     /// Number of prompt tokens, and maximum number of response tokens.
     pub tokens: HeaderName,
+    /// Parts of the prompt.
+    pub prompt: HeaderName,
 }
 
 impl HeaderNames {
@@ -36,7 +38,7 @@
     /// # let names = HeaderNames {
     /// #     attempt: name("id"), deadline: name("d"), account: name("a"), upstream: name("u"),
     /// #     not_run: name("n"), load: name("l"), limit: name("r"), draining: name("v"), seal: name("seal"), urgency: name("p"),
-    /// #     tokens: name("t"),
+    /// #     tokens: name("t"), prompt: name("m"),
     /// # };
     /// assert!(names.in_responses().any(|name| *name == names.seal));
     /// ```
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod monitoring;
 mod node;
+mod prompt_parts;
 mod quarantine;
 mod responses;
 mod routes;
@@ -35,6 +36,7 @@
 pub use header_names::HeaderNames;
 pub use limits::{LimitChange, LimitRow, NamedLimit, RowLimit, UpstreamLimits};
 pub use node::DirectNode;
+pub use prompt_parts::PromptParts;
 pub use quarantine::{Crash, CrashSet, CrashStatus, Crashes, Quarantine, SharedCrashes};
 pub use responses::{BodyMemory, BodyShare, DirectBody};
 pub use routes::{Account, Delivery, Engine, Experts, Limits, Route, Routing, Service, Split};
--- a/src/direct/responses/relay.rs
+++ b/src/direct/responses/relay.rs
@@ -10,7 +10,7 @@
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::{BegunStream, Dispatcher, Stream, UpstreamResponse};
 use crate::direct::quarantine::CrashSign;
-use crate::direct::responses::RequestTracker;
+use crate::direct::responses::{RequestTracker, StreamProgress};
 use crate::direct::upstreams::InFlight;
 use crate::direct::{StreamStats, Upstream};
 use crate::net::{BodyError, BodySender, EventSplitter};
@@ -64,7 +64,8 @@
             let Stream { begun, upstream, attempt } = *stream;
             let BegunStream { head, mut body, conn, in_flight } = begun;
             let started = attempt.started();
-            let end = self.forward(&mut body, &in_flight, &upstream, &sender).await;
+            let mut progress = StreamProgress::default();
+            let end = self.forward(&mut body, &in_flight, &upstream, &sender, &mut progress).await;
             drop(in_flight);
             let (err, is_charged) = match end {
                 RelayEnd::Complete => {
@@ -90,7 +91,7 @@
                     self.dispatcher.log_failed(request, history, &upstream, &broken, started);
                     attempt.close();
                     if let Some(sign) = broken.sign {
-                        self.dispatcher.suspect(request, &upstream, started, sign);
+                        self.dispatcher.suspect(request, &upstream, started, sign, progress);
                     }
                     upstream.record_loss();
                     (err, false)
@@ -100,7 +101,7 @@
                     self.dispatcher.log_failed(request, history, &upstream, &stuck, started);
                     attempt.close();
                     let sign = CrashSign::Silence;
-                    self.dispatcher.suspect(request, &upstream, started, sign);
+                    self.dispatcher.suspect(request, &upstream, started, sign, progress);
                     (BodyError::Truncated, true)
                 }
             };
@@ -121,6 +122,7 @@
         in_flight: &InFlight,
         upstream: &Upstream,
         sender: &BodySender,
+        progress: &mut StreamProgress,
     ) -> RelayEnd {
         let Self { dispatcher, request, history, tracker, splitter, event_timing } = self;
         splitter.drop_partial();
@@ -146,6 +148,7 @@
                 Ok(None) => continue,
                 Err(err) => return RelayEnd::Broken(err),
             };
+            progress.record_event(Instant::now());
             tracker.first_byte();
             event_timing.record_event(&request.state.stream_stats);
             // A caller that does not read must not hold up the upstream.
--- a/tests/it/large_fleet.rs
+++ b/tests/it/large_fleet.rs
@@ -141,6 +141,7 @@
         seal: name("seal"),
         urgency: name("urgency"),
         tokens: name("tokens"),
+        prompt: name("prompt"),
     }
 }
 
