A part of a prompt that crashes upstreams is quarantined

Cause: crashes were counted against the whole request (account, path, body). Requests that share only a part of their prompts are all new, so each crash was somebody's first. Class: the evidence was keyed by what a caller repeats, not by what the upstreams have in common as they end. Change: a crash counts also against each shared part of the prompts in flight, up to 64 a crash, in the same rows and by the same rules as requests (joined sets, trial by one entry). A completion clears the parts of its prompt. What tells the innocent ones apart: an upstream that went on with an answer on the part and lived makes up for a crash; a part with which requests have completed takes four crashes; at the limit, a request without another part that explains the same crashes runs. Why it works: only the part that crashes is in flight at each crash and never completes; the others either complete or are at upstreams that live.

--- a/src/direct/checked_request.rs
+++ b/src/direct/checked_request.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::service_state::ServiceState;
-use super::{Account, HeaderNames, PromptParts, Route, Service, Upstream};
+use super::{Account, CrashKeys, HeaderNames, PromptParts, Route, Service, Upstream};
 use crate::net::LAST_EVENT_ID;
 use crate::outcome::Reason;
 
@@ -48,8 +48,8 @@
     /// Headers that are forwarded.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
-    /// Fingerprint that stays the same when the caller repeats the request.
-    pub(super) fingerprint: u64,
+    /// Fingerprints that stay the same when the caller repeats the request.
+    pub(super) crash_keys: CrashKeys,
     /// Parts of the prompt that other requests may share.
     pub(super) prompt: PromptParts,
     pub(super) account: Option<Arc<Account>>,
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -97,7 +97,7 @@
         let event = Event::Suspected {
             id: request.id.to_str().unwrap_or_default(),
             upstream: &upstream.listed.id,
-            fingerprint: hex(request.fingerprint),
+            fingerprint: hex(request.crash_keys.request),
             parts: request.prompt.to_string(),
             sign: sign.as_str(),
             events: progress.events,
@@ -105,10 +105,16 @@
         self.log.write(Level::Info, &event);
     }
 
-    pub(super) fn log_quarantined(&self, request: &CheckedRequest, quarantine: &Quarantine) {
+    pub(super) fn log_quarantined(
+        &self,
+        request: &CheckedRequest,
+        key: u64,
+        quarantine: &Quarantine,
+    ) {
         let event = Event::Quarantined {
             id: request.id.to_str().unwrap_or_default(),
-            fingerprint: hex(request.fingerprint),
+            fingerprint: hex(key),
+            parts: request.prompt.to_string(),
             crashes: quarantine.crashes,
             age_ms: millis(quarantine.age),
             left_ms: millis(quarantine.left),
@@ -118,7 +124,7 @@
 
     pub(super) fn log_cleared(&self, request: &CheckedRequest, crashes: u32) {
         let id = request.id.to_str().unwrap_or_default();
-        let fingerprint = hex(request.fingerprint);
+        let fingerprint = hex(request.crash_keys.request);
         self.log.write(Level::Info, &Event::CrashesCleared { id, fingerprint, crashes });
     }
 
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -72,11 +72,14 @@
         fingerprint: String,
         crashes: u32,
     },
-    /// A request was refused because it has crashed upstreams.
+    /// A request was refused because it, or a part of its prompt, has crashed upstreams.
     Quarantined {
         id: &'a str,
+        /// Fingerprint of the request or of the part.
         #[serde(rename = "print")]
         fingerprint: String,
+        /// Ids of the shared parts of the prompt.
+        parts: String,
         crashes: u32,
         age_ms: u64,
         left_ms: u64,
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -13,7 +13,7 @@
 
 use super::checked_request::{CheckedRequest, answer_time, strip_headers};
 use super::dispatcher::{Dispatcher, UpstreamResponse};
-use super::{Account, DirectBody, DirectMeter, PromptParts, Route, Routing};
+use super::{Account, CrashKeys, DirectBody, DirectMeter, PromptParts, Route, Routing};
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::feeds::CurrentRouting;
 use crate::direct::responses::RequestTracker;
@@ -142,7 +142,7 @@
             uri: head.uri,
             headers,
             body,
-            fingerprint,
+            crash_keys: CrashKeys::new(fingerprint, &service.name, &prompt),
             prompt,
             account,
             state: self.dispatcher.service_state(&service.name),
--- a/src/direct/quarantine/crash.rs
+++ b/src/direct/quarantine/crash.rs
@@ -1,6 +1,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use super::CrashKeys;
 use crate::direct::ListedUpstream;
 use crate::units::unix_millis;
 
@@ -35,8 +36,12 @@
 }
 
 /// An attempt that was in flight as its upstream may have ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub(in crate::direct) struct SuspectedAttempt {
+    /// What a crash is counted against.
+    pub(in crate::direct) keys: CrashKeys,
+    /// Whether the upstream had gone on with its answer after the first event.
+    pub(in crate::direct) progressed: bool,
     /// When it was sent.
     pub(in crate::direct) started: Instant,
     /// When this entry noticed its end.
--- a/src/direct/quarantine/crash_record.rs
+++ b/src/direct/quarantine/crash_record.rs
@@ -3,7 +3,8 @@
 use tokio::time::Instant;
 
 use super::shared_crashes::MAX_AGE_S;
-use super::{Crash, CrashSet, SharedCrashes};
+use super::{Crash, CrashSet, SharedCrashes, Survivals};
+use crate::direct::ListedUpstream;
 use crate::units::unix_seconds;
 
 /// Number of crashes from which a request is quarantined, whatever its service.
@@ -15,15 +16,26 @@
 /// Time after the last crash or trial after which a request is forgotten.
 const RETENTION: Duration = Duration::from_secs(MAX_AGE_S);
 
-/// How a request is treated because of the crashes at which it was in flight.
+/// How a request, or one with a part of a prompt, is treated because of the crashes at which it was in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashStatus {
     /// It is sent like any other.
     Clear,
-    /// It is refused.
-    Quarantined(Quarantine),
     /// Its quarantine time is over: one entry may send it once.
     TrialDue(Quarantine),
+    /// It is refused.
+    Quarantined(Quarantine),
+}
+
+impl CrashStatus {
+    /// Returns the order of treatments, the most severe one last.
+    pub(super) const fn severity(&self) -> u32 {
+        match self {
+            Self::Clear => 0,
+            Self::TrialDue(_) => 1,
+            Self::Quarantined(_) => 2,
+        }
+    }
 }
 
 /// Why and for how long a request is refused.
@@ -41,6 +53,7 @@
 #[derive(Clone, Debug)]
 pub(in crate::direct) struct CrashRecord {
     crashes: CrashSet,
+    survivals: Survivals,
     trials: u32,
     /// When this entry noticed the last crash or trial or learned of it.
     pub(in crate::direct) last: Instant,
@@ -51,12 +64,13 @@
     pub(in crate::direct) fn first(crash: Crash, ended: Instant) -> Self {
         let mut crashes = CrashSet::default();
         crashes.insert(crash);
-        Self { crashes, trials: 0, last: ended }
+        Self { crashes, survivals: Survivals::default(), trials: 0, last: ended }
     }
 
     /// Creates the record of crashes that other entries have noticed.
     pub(in crate::direct) fn learned(shared: &SharedCrashes, now: Instant) -> Self {
-        Self { crashes: shared.crashes.clone(), trials: shared.trials, last: now }
+        let (crashes, survivals) = (shared.crashes.clone(), shared.survivals.clone());
+        Self { crashes, survivals, trials: shared.trials, last: now }
     }
 
     /// Adds a crash. Returns whether the record changed.
@@ -69,11 +83,17 @@
         changed
     }
 
-    /// Adds what other entries have noticed. Returns whether it raises the number of crashes or
+    /// Adds an upstream that lived on. Returns whether the record changed.
+    pub(in crate::direct) fn add_survival(&mut self, listed: &ListedUpstream) -> bool {
+        self.survivals.insert(&listed.id, listed.started_at_ms)
+    }
+
+    /// Adds what other entries have noticed. Returns whether it changes the number of crashes or
     /// trials.
     pub(in crate::direct) fn join(&mut self, shared: &SharedCrashes, now: Instant) -> bool {
         let before = (self.count(), self.trials);
         self.crashes.join(&shared.crashes);
+        self.survivals.join(&shared.survivals);
         self.trials = self.trials.max(shared.trials);
         let says_more = (self.count(), self.trials) != before;
         if says_more {
@@ -82,14 +102,21 @@
         says_more
     }
 
-    /// Returns the number of crashes that count.
+    /// Returns the number of crashes that count. Each upstream that lived on makes up for one.
     pub(in crate::direct) fn count(&self) -> u32 {
-        self.crashes.count()
+        self.crashes.count().saturating_sub(self.survivals.count_beside(&self.crashes))
+    }
+
+    /// Returns whether this record explains all crashes of another one as well.
+    pub(in crate::direct) fn explains(&self, other: &Self) -> bool {
+        self.count() >= other.count() && self.crashes.includes(&other.crashes)
     }
 
     /// Returns whether a row says as much as this record.
     pub(in crate::direct) fn is_said_by(&self, shared: &SharedCrashes) -> bool {
-        self.crashes == shared.crashes && self.trials == shared.trials
+        self.crashes == shared.crashes
+            && self.survivals == shared.survivals
+            && self.trials == shared.trials
     }
 
     /// Returns whether the last crash is too long ago to count.
@@ -100,13 +127,14 @@
     /// Returns the crashes for the other entries.
     pub(in crate::direct) fn shared(&self) -> SharedCrashes {
         let at = unix_seconds(self.last.elapsed());
-        SharedCrashes { crashes: self.crashes.clone(), trials: self.trials, at }
+        let (crashes, survivals) = (self.crashes.clone(), self.survivals.clone());
+        SharedCrashes { crashes, survivals, trials: self.trials, at }
     }
 
     /// Returns the crashes with one more trial, which begins now.
     pub(in crate::direct) fn with_trial(&self) -> SharedCrashes {
         let at = unix_seconds(Duration::ZERO);
-        SharedCrashes { crashes: self.crashes.clone(), trials: self.trials + 1, at }
+        SharedCrashes { trials: self.trials + 1, at, ..self.shared() }
     }
 
     /// Returns how the request is treated from `limit` crashes on. `first_quarantine` is the
--- a/src/direct/quarantine/crash_recorder.rs
+++ b/src/direct/quarantine/crash_recorder.rs
@@ -1,3 +1,5 @@
+use std::cmp::Reverse;
+use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,6 +23,8 @@
 const PROBE_DELAY: Duration = Duration::from_millis(50);
 /// Maximum number of upstreams of a failure domain that are asked whether they live.
 const MAX_WITNESSES: usize = 3;
+/// Maximum number of parts of prompts that one crash is counted against.
+const MAX_PARTS: usize = 64;
 
 /// Why an attempt is suspected to have been in flight as its upstream crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,12 +82,10 @@
     pub(in crate::direct) fn suspect(
         self: &Arc<Self>,
         upstream: &Arc<Upstream>,
-        fingerprint: u64,
-        started: Instant,
+        attempt: SuspectedAttempt,
         sign: CrashSign,
     ) {
-        let attempt = SuspectedAttempt { started, ended: Instant::now() };
-        upstream.suspects.add(fingerprint, attempt);
+        upstream.suspects.add(attempt);
         if sign == CrashSign::ConnectionBroken && upstream.suspects.begin_probe() {
             let (recorder, upstream) = (Arc::clone(self), Arc::clone(upstream));
             tokio::spawn(async move { recorder.probe(&upstream).await });
@@ -97,13 +99,24 @@
     pub(in crate::direct) async fn probe(&self, upstream: &Upstream) {
         sleep(PROBE_DELAY).await;
         upstream.suspects.end_probe();
+        let begin = Instant::now();
         match Connection::open(upstream.addr()).await {
-            Ok(conn) => upstream.put_idle(conn.into_idle(None)),
+            Ok(conn) => {
+                upstream.put_idle(conn.into_idle(None));
+                self.record_survival(upstream, begin);
+            }
             Err(err) if is_refused(&err) => self.record_refused(upstream).await,
             Err(_) => {}
         }
     }
 
+    /// Records that the upstream outlived the answers that broke off before a time.
+    fn record_survival(&self, upstream: &Upstream, time: Instant) {
+        for keys in upstream.suspects.progressed_before(time) {
+            self.crashes.record_survival(&keys, &upstream.listed);
+        }
+    }
+
     /// Waits until the platform's list tells that the upstream has ended, as long as any request is
     /// suspected.
     async fn watch(self: Arc<Self>, upstream: Arc<Upstream>) {
@@ -153,18 +166,33 @@
 
     /// Records that the upstream has crashed, for the requests that are suspected.
     fn record_crash(&self, upstream: &Upstream, proof: CrashProof, isolated: bool) {
-        for (fingerprint, attempt) in upstream.suspects.take() {
-            let crash = attempt.crash(&upstream.listed, isolated);
-            let crashes = self.crashes.record(fingerprint, crash, attempt.ended);
-            self.log_crash(upstream, fingerprint, attempt, crashes, proof);
+        let attempts = upstream.suspects.take();
+        for attempt in &attempts {
+            self.record_key(upstream, attempt.keys.request, attempt, proof, isolated);
+        }
+        for (part, attempt) in shared_parts(&attempts) {
+            self.record_key(upstream, part, attempt, proof, isolated);
         }
     }
 
+    fn record_key(
+        &self,
+        upstream: &Upstream,
+        key: u64,
+        attempt: &SuspectedAttempt,
+        proof: CrashProof,
+        isolated: bool,
+    ) {
+        let crash = attempt.crash(&upstream.listed, isolated);
+        let crashes = self.crashes.record(key, crash, attempt.ended);
+        self.log_crash(upstream, key, attempt, crashes, proof);
+    }
+
     fn log_crash(
         &self,
         upstream: &Upstream,
         fingerprint: u64,
-        attempt: SuspectedAttempt,
+        attempt: &SuspectedAttempt,
         crashes: Option<u32>,
         proof: CrashProof,
     ) {
@@ -197,6 +225,24 @@
     }
 }
 
+/// Returns the parts of the prompts of attempts, each once, with the attempt that began first.
+/// Beyond [`MAX_PARTS`] those that are in fewest of the prompts are left out.
+fn shared_parts(attempts: &[SuspectedAttempt]) -> Vec<(u64, &SuspectedAttempt)> {
+    let mut parts: HashMap<u64, (usize, &SuspectedAttempt)> = HashMap::new();
+    for attempt in attempts {
+        for part in &attempt.keys.parts {
+            let (count, first) = parts.entry(*part).or_insert((0, attempt));
+            *count += 1;
+            if attempt.started < first.started {
+                *first = attempt;
+            }
+        }
+    }
+    let mut parts: Vec<_> = parts.into_iter().collect();
+    parts.sort_unstable_by_key(|(part, (count, _))| (Reverse(*count), *part));
+    parts.into_iter().take(MAX_PARTS).map(|(part, (_, first))| (part, first)).collect()
+}
+
 /// Returns whether an upstream does not listen. A timeout does not tell: the way to it may be cut.
 fn is_refused(err: &io::Error) -> bool {
     err.kind() == io::ErrorKind::ConnectionRefused
--- a/src/direct/quarantine/crash_set.rs
+++ b/src/direct/quarantine/crash_set.rs
@@ -80,6 +80,18 @@
         incidents
     }
 
+    /// Returns the upstreams that ended, by id and start time.
+    pub(super) fn incarnations(&self) -> impl Iterator<Item = (&str, Option<u64>)> {
+        self.0.iter().map(Crash::incarnation)
+    }
+
+    /// Returns whether all upstreams of another set are in this one.
+    pub(super) fn includes(&self, other: &Self) -> bool {
+        other.0.iter().all(|crash| {
+            self.0.binary_search_by_key(&crash.incarnation(), Crash::incarnation).is_ok()
+        })
+    }
+
     /// Drops the crashes that ended up to a Unix time in milliseconds. Returns whether there were
     /// any.
     pub(in crate::direct) fn drop_until(&mut self, time: u64) -> bool {
--- a/src/direct/quarantine/crashes.rs
+++ b/src/direct/quarantine/crashes.rs
@@ -8,23 +8,31 @@
 
 use super::completions::Completions;
 use super::crash_record::{CrashRecord, MAX_CRASHES};
-use super::{Crash, CrashStatus, SharedCrashes};
+use super::{Crash, CrashKeys, CrashStatus, SharedCrashes};
+use crate::direct::ListedUpstream;
 use crate::units::{millis, unix_millis};
 
 /// Time after a completion of a request in which it is not blamed for crashes: one that crashes
 /// upstreams does not complete.
 const COMPLETION_GRACE: Duration = Duration::from_secs(3);
-/// Maximum number of requests on record; beyond it the oldest is dropped.
+/// Maximum number of requests and parts on record; beyond it the oldest is dropped.
 const MAX_RECORDS: usize = 4_096;
+/// Number of crashes from which a part of prompts is quarantined with which requests have completed
+/// before: it has been sound for long, so it takes one more.
+const PROVEN_PART_CRASHES: u32 = MAX_CRASHES + 1;
+/// Time for which a completion shows that a part of prompts has been sound.
+const PROOF_TIME: Duration = Duration::from_secs(600);
 
-/// Requests that were in flight when upstreams crashed, by fingerprint, and which of them are to be
-/// shared with the other entries.
+/// Requests that were in flight when upstreams crashed, and the shared parts of their prompts, by
+/// fingerprint, and which of them are to be shared with the other entries.
 #[derive(Debug)]
 pub struct Crashes {
     /// Quarantine time of a request after the crash that makes it quarantined.
     first_quarantine: Duration,
     state: Mutex<State>,
     completions: Completions,
+    /// Those of the shared parts of prompts.
+    part_completions: Completions,
     /// Notified when a request is to be shared.
     unshared: Notify,
 }
@@ -44,8 +52,13 @@
     /// Creates a record of no crashes. `first_quarantine` is how long a request is refused after
     /// the crash that makes it quarantined.
     pub fn new(first_quarantine: Duration) -> Self {
-        let (state, completions) = (Mutex::default(), Completions::default());
-        Self { first_quarantine, state, completions, unshared: Notify::new() }
+        Self {
+            first_quarantine,
+            state: Mutex::default(),
+            completions: Completions::default(),
+            part_completions: Completions::default(),
+            unshared: Notify::new(),
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -157,29 +170,124 @@
         self.lock().records.get(&fingerprint).map_or(0, CrashRecord::count)
     }
 
-    /// Forgets a request that has completed. Returns the number of crashes on record, if any.
-    pub fn clear(&self, fingerprint: u64) -> Option<u32> {
-        self.completions.record(fingerprint, unix_millis(Duration::ZERO));
+    /// Forgets a request that has completed, and the shared parts of its prompt. Returns the
+    /// greatest number of crashes on record, if any.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use ebonyusher::direct::{CrashKeys, Crashes};
+    /// let crashes = Crashes::new(Duration::from_secs(60));
+    /// assert_eq!(crashes.clear(&CrashKeys::default()), None);
+    /// ```
+    pub fn clear(&self, keys: &CrashKeys) -> Option<u32> {
+        let now = unix_millis(Duration::ZERO);
+        self.completions.record(keys.request, now);
+        keys.parts.iter().for_each(|part| self.part_completions.record(*part, now));
         let mut state = self.lock();
+        keys.iter().filter_map(|key| self.forget(&mut state, key)).max()
+    }
+
+    fn forget(&self, state: &mut State, fingerprint: u64) -> Option<u32> {
         let known = state.records.remove(&fingerprint)?;
-        self.share(&mut state, fingerprint);
+        self.share(state, fingerprint);
         Some(known.count())
     }
 
+    /// Records that an upstream went on with its answer to a request and lived, for those shared
+    /// parts of its prompt that were in flight at crashes.
+    pub(in crate::direct) fn record_survival(&self, keys: &CrashKeys, listed: &ListedUpstream) {
+        let mut state = self.lock();
+        for part in &keys.parts {
+            let known = state.records.get_mut(part);
+            if known.is_some_and(|known| known.add_survival(listed)) {
+                self.share(&mut state, *part);
+            }
+        }
+    }
+
     /// Returns the Unix time in milliseconds up to which crashes do not count against a request,
     /// if it is known to have completed.
     fn blameless_until(&self, fingerprint: u64) -> Option<u64> {
         let grace = millis(COMPLETION_GRACE);
-        self.completions.last(fingerprint).map(|at| at.saturating_add(grace))
+        let last = self.completions.last(fingerprint);
+        let last = last.max(self.part_completions.last(fingerprint));
+        last.map(|at| at.saturating_add(grace))
     }
 
-    /// Returns how a request is treated whose service quarantines from `limit` crashes on.
+    /// Returns how the request or the part with a fingerprint is treated at a service that
+    /// quarantines from `limit` crashes on.
     pub fn status(&self, fingerprint: u64, limit: u32, now: Instant) -> CrashStatus {
-        let state = self.lock();
-        let known = state.records.get(&fingerprint).filter(|known| !known.is_expired(now));
+        self.status_in(&self.lock(), fingerprint, limit, now)
+    }
+
+    fn status_in(&self, state: &State, key: u64, limit: u32, now: Instant) -> CrashStatus {
+        let known = state.records.get(&key).filter(|known| !known.is_expired(now));
         known.map_or(CrashStatus::Clear, |known| known.status(limit, self.first_quarantine, now))
     }
 
+    /// Returns how a request is treated because of its own crashes and those of the parts of its
+    /// prompt, and the fingerprint that decides.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use ebonyusher::direct::{CrashKeys, CrashStatus, Crashes};
+    /// # use tokio::time::Instant;
+    /// let crashes = Crashes::new(Duration::from_secs(60));
+    /// let keys = CrashKeys { request: 7, ..CrashKeys::default() };
+    /// assert_eq!(crashes.judge(&keys, 3, Instant::now()), (7, CrashStatus::Clear));
+    /// ```
+    pub fn judge(&self, keys: &CrashKeys, limit: u32, now: Instant) -> (u64, CrashStatus) {
+        let state = self.lock();
+        let request = (keys.request, self.status_in(&state, keys.request, limit, now));
+        let parts = keys.parts.iter();
+        let parts = parts.map(|part| (*part, self.part_status(&state, keys, *part, limit, now)));
+        parts.fold(
+            request,
+            |worst, next| {
+                if next.1.severity() > worst.1.severity() { next } else { worst }
+            },
+        )
+    }
+
+    fn part_status(
+        &self,
+        state: &State,
+        keys: &CrashKeys,
+        part: u64,
+        limit: u32,
+        now: Instant,
+    ) -> CrashStatus {
+        let limit = if self.is_proven(part) { PROVEN_PART_CRASHES } else { limit };
+        if self.is_explained_by_another(state, keys, part, limit) {
+            return CrashStatus::Clear;
+        }
+        self.status_in(state, part, limit, now)
+    }
+
+    /// Returns whether something that a request does not have was in flight at all crashes of one
+    /// of its parts, so that the part may be innocent. The request then tells the two apart: if it
+    /// is the part that crashes upstreams, it has crashed one more.
+    fn is_explained_by_another(
+        &self,
+        state: &State,
+        keys: &CrashKeys,
+        part: u64,
+        limit: u32,
+    ) -> bool {
+        let Some(known) = state.records.get(&part).filter(|known| known.count() == limit) else {
+            return false;
+        };
+        state.records.iter().any(|(key, other)| {
+            keys.iter().all(|own| own != *key) && other.explains(known) && !self.is_proven(*key)
+        })
+    }
+
+    /// Returns whether a request with this part of a prompt has completed at this entry.
+    fn is_proven(&self, part: u64) -> bool {
+        let now = unix_millis(Duration::ZERO);
+        self.part_completions.last(part).is_some_and(|at| at + millis(PROOF_TIME) > now)
+    }
+
     /// Returns the count with one more trial, if one is due.
     pub(in crate::direct) fn next_trial(
         &self,
--- a/src/direct/quarantine/mod.rs
+++ b/src/direct/quarantine/mod.rs
@@ -2,6 +2,7 @@
 
 mod completions;
 mod crash;
+mod crash_keys;
 mod crash_record;
 mod crash_recorder;
 mod crash_set;
@@ -9,11 +10,13 @@
 mod crashes;
 mod hex;
 mod shared_crashes;
+mod survivals;
 mod trial;
 mod upstream_suspects;
 
 pub use crash::Crash;
-use crash::SuspectedAttempt;
+pub(super) use crash::SuspectedAttempt;
+pub use crash_keys::CrashKeys;
 pub(super) use crash_record::MAX_CRASHES;
 pub use crash_record::{CrashStatus, Quarantine};
 pub(super) use crash_recorder::{CrashRecorder, CrashSign};
@@ -22,5 +25,6 @@
 pub use crashes::Crashes;
 pub(super) use hex::hex;
 pub use shared_crashes::SharedCrashes;
+pub use survivals::Survivals;
 pub(super) use trial::Trials;
 pub(super) use upstream_suspects::UpstreamSuspects;
--- a/src/direct/quarantine/shared_crashes.rs
+++ b/src/direct/quarantine/shared_crashes.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use super::CrashSet;
+use super::{CrashSet, Survivals};
 
 /// Time in seconds after the last crash or trial for which crashes count, longer than any
 /// quarantine.
@@ -15,6 +15,9 @@
     /// Number of trials after quarantine times.
     #[serde(default)]
     pub trials: u32,
+    /// The upstreams that lived on with it.
+    #[serde(default)]
+    pub survivals: Survivals,
     /// Unix time of the last crash or trial in seconds.
     pub at: u64,
 }
--- a/src/direct/quarantine/upstream_suspects.rs
+++ b/src/direct/quarantine/upstream_suspects.rs
@@ -4,20 +4,20 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::SuspectedAttempt;
+use super::{CrashKeys, SuspectedAttempt};
 
 /// Time after the end of an attempt within which the end of its upstream means that it crashed
 /// under the request. An upstream that ends silently is listed for some seconds.
 const SUSPICION_TIME: Duration = Duration::from_secs(8);
 
-/// The attempts at one upstream that recently ended as if it had crashed, by fingerprint, and who
-/// checks whether it has.
+/// The attempts at one upstream that recently ended as if it had crashed, and who checks whether it
+/// has.
 #[derive(Debug, Default)]
 pub(in crate::direct) struct UpstreamSuspects(Mutex<State>);
 
 #[derive(Debug, Default)]
 struct State {
-    attempts: SmallVec<[(u64, SuspectedAttempt); 4]>,
+    attempts: SmallVec<[SuspectedAttempt; 2]>,
     /// Whether a task is about to check if the upstream still listens.
     probing: bool,
     /// Whether a task waits for the upstream's end.
@@ -32,24 +32,31 @@
         let is_recent = |attempt: &SuspectedAttempt| {
             now.saturating_duration_since(attempt.ended) < SUSPICION_TIME
         };
-        state.attempts.retain(|(_, attempt)| is_recent(attempt));
+        state.attempts.retain(|attempt| is_recent(attempt));
         state
     }
 
-    /// Remembers that an attempt at the request with this fingerprint ended as if the upstream had
-    /// crashed. It takes the place of an earlier one, after which the upstream lived on.
-    pub(super) fn add(&self, fingerprint: u64, attempt: SuspectedAttempt) {
+    /// Remembers that an attempt ended as if the upstream had crashed. It takes the place of an
+    /// earlier one of the same request, after which the upstream lived on.
+    pub(super) fn add(&self, attempt: SuspectedAttempt) {
         let mut state = self.lock();
-        state.attempts.retain(|(other, _)| *other != fingerprint);
-        state.attempts.push((fingerprint, attempt));
+        state.attempts.retain(|other| other.keys.request != attempt.keys.request);
+        state.attempts.push(attempt);
     }
 
     /// Removes and returns the attempts. If the upstream has ended, it has crashed while it ran
     /// them.
-    pub(super) fn take(&self) -> SmallVec<[(u64, SuspectedAttempt); 4]> {
+    pub(super) fn take(&self) -> SmallVec<[SuspectedAttempt; 2]> {
         std::mem::take(&mut self.lock().attempts)
     }
 
+    /// Returns the keys of the attempts that ended before `time` and whose answers had gone on.
+    pub(super) fn progressed_before(&self, time: Instant) -> SmallVec<[CrashKeys; 2]> {
+        let state = self.lock();
+        let fits = |attempt: &&SuspectedAttempt| attempt.progressed && attempt.ended < time;
+        state.attempts.iter().filter(fits).map(|attempt| attempt.keys.clone()).collect()
+    }
+
     /// Returns whether a request that is suspected here is suspected at another upstream as well.
     pub(super) fn shares_any(&self, other: &Self) -> bool {
         let fingerprints: SmallVec<[u64; 4]> = self.lock().fingerprints().collect();
@@ -58,13 +65,13 @@
 
     /// Returns when the first of the attempts ended, if there are any.
     pub(super) fn since(&self) -> Option<Instant> {
-        self.lock().attempts.iter().map(|(_, attempt)| attempt.ended).min()
+        self.lock().attempts.iter().map(|attempt| attempt.ended).min()
     }
 
     /// Returns until when the newest suspicion lasts. If there is none, the watch is over.
     pub(super) fn watch_until(&self) -> Option<Instant> {
         let mut state = self.lock();
-        let newest = state.attempts.last().map(|(_, attempt)| attempt.ended + SUSPICION_TIME);
+        let newest = state.attempts.last().map(|attempt| attempt.ended + SUSPICION_TIME);
         state.watching = newest.is_some();
         newest
     }
@@ -87,6 +94,6 @@
 
 impl State {
     fn fingerprints(&self) -> impl Iterator<Item = u64> {
-        self.attempts.iter().map(|(fingerprint, _)| *fingerprint)
+        self.attempts.iter().map(|attempt| attempt.keys.request)
     }
 }
--- a/src/direct/responses/stream_progress.rs
+++ b/src/direct/responses/stream_progress.rs
@@ -10,6 +10,11 @@
 }
 
 impl StreamProgress {
+    /// Returns whether the upstream went on with its answer after the first event.
+    pub(in crate::direct) const fn has_gone_on(&self) -> bool {
+        self.events > 1
+    }
+
     /// Records that one or more events have arrived.
     pub(in crate::direct) fn record_event(&mut self, now: Instant) {
         self.events += 1;
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use ebonyusher::direct::{
-    BodyMemory, Crash, CrashSet, Crashes, Freshness, Inactivity, ListedUpstream, RetryBudget,
-    RetryLimits, Roster, RosterChange, SharedCrashes,
+    BodyMemory, Crash, CrashKeys, CrashSet, Crashes, Freshness, Inactivity, ListedUpstream,
+    RetryBudget, RetryLimits, Roster, RosterChange, SharedCrashes,
 };
 use ebonyusher::net::EventSplitter;
 use ebonyusher::units::{BootTime, unix_millis};
@@ -59,6 +59,11 @@
     assert_eq!(roster.ids(), ["u-2"]);
 }
 
+/// The keys of a request whose prompt shares no part with others.
+fn request(fingerprint: u64) -> CrashKeys {
+    CrashKeys { request: fingerprint, ..CrashKeys::default() }
+}
+
 /// First quarantine time of requests that crash upstreams.
 const QUARANTINE: Duration = Duration::from_secs(60);
 
@@ -94,7 +99,7 @@
 #[test]
 fn a_request_that_completed_shortly_before_is_not_blamed_for_crashes() {
     let (crashes, now) = (Crashes::new(QUARANTINE), Instant::now());
-    crashes.clear(1);
+    crashes.clear(&request(1));
     let time = unix_millis(Duration::ZERO);
 
     for at in 0..3 {
@@ -114,7 +119,7 @@
     for at in 0..3 {
         late.crashes.insert(Crash { isolated: true, ..crash(at, time - 9, time - 5) });
     }
-    crashes.clear(1);
+    crashes.clear(&request(1));
 
     let learned = crashes.merge(1, &late, now);
 
