A broken stream waits for the verdict on its upstream before it is resumed

What callers saw: a stream that crashed an upstream was resumed at another one within a millisecond, and crashed that one too, though the first crash already sufficed to quarantine it. Cause: only attempts without a response waited until it was known whether their upstream had crashed; a stream that had begun did not. Change: the relay waits like the dispatcher, only if this crash would decide.

--- a/src/direct/responses/relay.rs
+++ b/src/direct/responses/relay.rs
@@ -94,6 +94,10 @@
                         self.dispatcher.suspect(request, &upstream, started, sign, progress);
                     }
                     upstream.record_loss();
+                    if let Some(sign) = broken.sign {
+                        let (request, history) = (&self.request, &mut self.history);
+                        self.dispatcher.await_verdict(request, history, &upstream, sign).await;
+                    }
                     (err, false)
                 }
                 RelayEnd::Stuck(stuck) => {
