What broke off while its upstream lived is not blamed for a later crash

What callers saw: requests whose connection had broken up to 8 s before an upstream crashed counted as in flight at the crash, and could be quarantined. Cause: suspected attempts were kept for 8 s and all counted when their upstream ended. The crash of a rank breaks the streams of all others 1.5 s later, so innocents piled up at each rank until it was next. Change: of the connections that broke, those count that broke within 200 ms of the last one: a crash breaks all at once.

--- a/src/direct/crash_gate.rs
+++ b/src/direct/crash_gate.rs
@@ -36,10 +36,11 @@
         let attempt = SuspectedAttempt {
             keys: request.crash_keys.clone(),
             progressed: progress.has_gone_on(),
+            sign,
             started,
             ended: Instant::now(),
         };
-        self.crash_recorder.suspect(upstream, attempt, sign);
+        self.crash_recorder.suspect(upstream, attempt);
     }
 
     /// Waits until it is known whether the upstream has crashed, if the request would then be
--- a/src/direct/quarantine/crash.rs
+++ b/src/direct/quarantine/crash.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use super::CrashKeys;
+use super::{CrashKeys, CrashSign};
 use crate::direct::ListedUpstream;
 use crate::units::unix_millis;
 
@@ -42,6 +42,8 @@
     pub(in crate::direct) keys: CrashKeys,
     /// Whether the upstream had gone on with its answer after the first event.
     pub(in crate::direct) progressed: bool,
+    /// How it ended.
+    pub(in crate::direct) sign: CrashSign,
     /// When it was sent.
     pub(in crate::direct) started: Instant,
     /// When this entry noticed its end.
--- a/src/direct/quarantine/crash_recorder.rs
+++ b/src/direct/quarantine/crash_recorder.rs
@@ -83,8 +83,8 @@
         self: &Arc<Self>,
         upstream: &Arc<Upstream>,
         attempt: SuspectedAttempt,
-        sign: CrashSign,
     ) {
+        let sign = attempt.sign;
         upstream.suspects.add(attempt);
         if sign == CrashSign::ConnectionBroken && upstream.suspects.begin_probe() {
             let (recorder, upstream) = (Arc::clone(self), Arc::clone(upstream));
--- a/src/direct/quarantine/upstream_suspects.rs
+++ b/src/direct/quarantine/upstream_suspects.rs
@@ -4,11 +4,13 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::{CrashKeys, SuspectedAttempt};
+use super::{CrashKeys, CrashSign, SuspectedAttempt};
 
 /// Time after the end of an attempt within which the end of its upstream means that it crashed
 /// under the request. An upstream that ends silently is listed for some seconds.
 const SUSPICION_TIME: Duration = Duration::from_secs(8);
+/// Time within which the connections of all requests break when an upstream crashes.
+const BREAK_WINDOW: Duration = Duration::from_millis(200);
 
 /// The attempts at one upstream that recently ended as if it had crashed, and who checks whether it
 /// has.
@@ -44,10 +46,17 @@
         state.attempts.push(attempt);
     }
 
-    /// Removes and returns the attempts. If the upstream has ended, it has crashed while it ran
-    /// them.
+    /// Removes all attempts, and returns those that were in flight as the upstream crashed, if it
+    /// has ended. A crash breaks all connections at once, so what broke earlier did so while the
+    /// upstream lived.
     pub(super) fn take(&self) -> SmallVec<[SuspectedAttempt; 2]> {
-        std::mem::take(&mut self.lock().attempts)
+        let mut attempts = std::mem::take(&mut self.lock().attempts);
+        let is_broken = |attempt: &SuspectedAttempt| attempt.sign == CrashSign::ConnectionBroken;
+        let last = attempts.iter().filter(|attempt| is_broken(attempt)).map(|a| a.ended).max();
+        attempts.retain(|attempt| {
+            !is_broken(attempt) || last.is_some_and(|last| attempt.ended + BREAK_WINDOW >= last)
+        });
+        attempts
     }
 
     /// Returns the keys of the attempts that ended before `time` and whose answers had gone on.
