What entries write of one crash is gathered before it is written and read

Cause: with parts of prompts on record a crash changes more rows, at several entries at once; each wrote at once, and each write ended the wait of all readers. Change: a write gathers for 20 to 120 ms (random, so that later writers know what the earlier ones wrote), and two reads of shared rows are 150 ms apart.

--- a/src/direct/feeds/row_follower.rs
+++ b/src/direct/feeds/row_follower.rs
@@ -11,6 +11,8 @@
 
 /// Maximum time that one call waits for rows written by other entries.
 const MAX_WAIT: Duration = Duration::from_secs(20);
+/// Minimum time between two reads, in which what several entries write of one crash gathers.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Follows the rows of the platform's table by which entries share what they know.
 #[derive(Debug)]
@@ -35,7 +37,8 @@
                         self.crash_sharing.share_missing(&changes.items);
                     }
                     cursor = Some(changes.cursor);
-                    sleep(self.limit_sharing.limits.read_interval(Instant::now())).await;
+                    let interval = self.limit_sharing.limits.read_interval(Instant::now());
+                    sleep(interval.max(MIN_READ_INTERVAL)).await;
                 }
                 Err(DirectoryError::HistoryGone) => cursor = None,
                 Err(DirectoryError::Rewound(era)) => {
--- a/src/direct/quarantine/crash_sharing.rs
+++ b/src/direct/quarantine/crash_sharing.rs
@@ -1,3 +1,4 @@
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +18,9 @@
 const KEY_PREFIX: &str = "crashed/";
 /// Maximum number of rows that one transaction writes.
 const MAX_ROWS: usize = 50;
+/// Range of the time for which changes are gathered before a write, in milliseconds. It is random,
+/// so that an entry mostly knows what the others have written of the same crash.
+const GATHER_MS: RangeInclusive<u64> = 20..=120;
 
 /// Shares crash counts of requests with the other entries through the platform's table.
 ///
@@ -63,6 +67,8 @@
     pub(in crate::direct) async fn publish(self, table: Arc<impl Table>) {
         let mut health = PlatformHealth::new("crash counts", self.log.clone());
         loop {
+            self.crashes.unshared(MAX_ROWS).await;
+            sleep(Duration::from_millis(rand::random_range(GATHER_MS))).await;
             let rows = self.crashes.unshared(MAX_ROWS).await;
             match table.commit(&write_rows(&rows)).await {
                 Ok(_) => {
