Rows of crashes that no longer count leave the table; a model of a group that one part crashes

Cause: rows of requests that never complete stayed in the table for ever, and a record dropped for lack of room left its row. With parts that callers invent that would grow without bound.

--- a/src/direct/quarantine/crash_sharing.rs
+++ b/src/direct/quarantine/crash_sharing.rs
@@ -58,7 +58,7 @@
                     self.log.write(Level::Info, &event);
                 }
             }
-            Ok(_) => {}
+            Ok(_) => self.crashes.remove_row(fingerprint),
             Err(err) => self.log_unusable(&err),
         }
     }
--- a/src/direct/quarantine/crashes.rs
+++ b/src/direct/quarantine/crashes.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Removes a row that no longer counts, unless this entry knows of later crashes.
+    pub(in crate::direct) fn remove_row(&self, fingerprint: u64) {
+        self.share(&mut self.lock(), fingerprint);
+    }
+
     /// Marks all requests as to be shared that the table, read as a whole, does not hold.
     pub(in crate::direct) fn share_all_but(&self, listed: &HashSet<u64>) {
         let mut state = self.lock();
@@ -195,7 +200,19 @@
 
     /// Records that an upstream went on with its answer to a request and lived, for those shared
     /// parts of its prompt that were in flight at crashes.
-    pub(in crate::direct) fn record_survival(&self, keys: &CrashKeys, listed: &ListedUpstream) {
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use ebonyusher::direct::{CrashKeys, Crashes, ListedUpstream};
+    /// # let upstream = ListedUpstream {
+    /// #     id: "u-1".into(), service: "drafts".into(), addr: "127.0.0.1:80".parse().unwrap(),
+    /// #     domain: "osu".into(), draining: false, started_at_ms: None,
+    /// # };
+    /// let crashes = Crashes::new(Duration::from_secs(60));
+    /// crashes.record_survival(&CrashKeys { request: 7, parts: [1].into_iter().collect() }, &upstream);
+    /// assert_eq!(crashes.count(1), 0);
+    /// ```
+    pub fn record_survival(&self, keys: &CrashKeys, listed: &ListedUpstream) {
         let mut state = self.lock();
         for part in &keys.parts {
             let known = state.records.get_mut(part);
@@ -337,12 +354,14 @@
 }
 
 impl State {
+    /// Adds a record. If there are too many, the oldest one is dropped, and its row with it, so that
+    /// the table holds no more of them than an entry.
     fn insert(&mut self, fingerprint: u64, record: CrashRecord) {
         if self.records.len() >= MAX_RECORDS {
             let oldest = self.records.iter().min_by_key(|(_, known)| known.last);
             if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
                 self.records.remove(&oldest);
-                self.unshared.remove(&oldest);
+                self.unshared.insert(oldest);
             }
         }
         self.records.insert(fingerprint, record);
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod admin_api;
 mod at_most_once;
 mod budget;
+mod crash_parts;
 mod departed_callers;
 mod direct_parts;
 mod explain;
