The end of an answer without length or chunks is told from the end of its upstream

What callers saw: a stream without length or chunks whose upstream crashed between two events looked complete, and so did a plain answer. Such a crash was nobody's: the request counted as completed, which cleared its part of the prompt. Cause: the end of the connection was taken for the end of the body, though it also comes with the end of the process.

--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::direct::attempts::FailedAttempt;
+use crate::direct::attempts::is_close_delimited;
 use crate::direct::attempts::{Connection, SendError};
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::{BegunStream, Dispatcher, Exchanged};
@@ -68,6 +69,7 @@
             self.record_load_share(request);
             return Ok(Exchanged::Begun(BegunStream { head, body, conn, in_flight }));
         }
+        let ends_with_connection = is_close_delimited(&head.headers, &body);
         let body = match timeout_at(request.deadline, self.read_body(body)).await {
             Ok(Ok(body)) => body,
             Ok(Err(ReadError::Broken(err))) => {
@@ -86,6 +88,10 @@
                 return Err(FailedAttempt::silent("response body incomplete at the deadline"));
             }
         };
+        if ends_with_connection && !self.crash_recorder.outlives(upstream).await {
+            upstream.record_loss();
+            return Err(FailedAttempt::broken(&"the upstream ended with its response"));
+        }
         self.is_reusable(&mut conn, upstream, &head.headers).await.then(|| {
             upstream.put_idle(conn.into_idle(keep_alive_timeout(&head.headers)));
         });
--- a/src/direct/quarantine/crash_recorder.rs
+++ b/src/direct/quarantine/crash_recorder.rs
@@ -110,6 +110,19 @@
         }
     }
 
+    /// Returns whether an upstream has outlived the end of a connection, as far as can be told. The
+    /// new connection is kept for later requests.
+    pub(in crate::direct) async fn outlives(&self, upstream: &Upstream) -> bool {
+        sleep(PROBE_DELAY).await;
+        match Connection::open(upstream.addr()).await {
+            Ok(conn) => {
+                upstream.put_idle(conn.into_idle(None));
+                true
+            }
+            Err(err) => !is_refused(&err),
+        }
+    }
+
     /// Records that the upstream outlived the answers that broke off before a time.
     fn record_survival(&self, upstream: &Upstream, time: Instant) {
         for keys in upstream.suspects.progressed_before(time) {
--- a/src/direct/responses/relay.rs
+++ b/src/direct/responses/relay.rs
@@ -7,6 +7,7 @@
 
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::attempts::FailedAttempt;
+use crate::direct::attempts::is_close_delimited;
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::{BegunStream, Dispatcher, Stream, UpstreamResponse};
 use crate::direct::quarantine::CrashSign;
@@ -64,9 +65,14 @@
             let Stream { begun, upstream, attempt } = *stream;
             let BegunStream { head, mut body, conn, in_flight } = begun;
             let started = attempt.started();
+            let ends_with_connection = is_close_delimited(&head.headers, &body);
             let mut progress = StreamProgress::default();
             let end = self.forward(&mut body, &in_flight, &upstream, &sender, &mut progress).await;
             drop(in_flight);
+            let end = match end {
+                RelayEnd::Complete if ends_with_connection => self.confirm_end(&upstream).await,
+                end => end,
+            };
             let (err, is_charged) = match end {
                 RelayEnd::Complete => {
                     attempt.close();
@@ -120,6 +126,14 @@
         }
     }
 
+    /// Tells the end of a body that ends with its connection from the end of its upstream.
+    async fn confirm_end(&self, upstream: &Upstream) -> RelayEnd {
+        match self.dispatcher.crash_recorder.outlives(upstream).await {
+            true => RelayEnd::Complete,
+            false => RelayEnd::Broken(BodyError::Truncated),
+        }
+    }
+
     async fn forward(
         &mut self,
         body: &mut Incoming,
