With sidecars, a part of a prompt that crashes engines is quarantined as well

Cause: the same as without sidecars: sidecars and entries named what was in flight at a crash by account, path and body only. What was in flight is one type, CrashKeys, for entries with and without sidecars.

--- a/src/direct/checked_request.rs
+++ b/src/direct/checked_request.rs
@@ -11,7 +11,8 @@
 use tokio::time::Instant;
 
 use super::service_state::ServiceState;
-use super::{Account, CrashKeys, HeaderNames, PromptParts, Route, Service, Upstream};
+use super::{Account, HeaderNames, PromptParts, Route, Service, Upstream};
+use crate::entry::CrashKeys;
 use crate::net::LAST_EVENT_ID;
 use crate::outcome::Reason;
 
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -13,13 +13,13 @@
 
 use super::checked_request::{CheckedRequest, answer_time, strip_headers};
 use super::dispatcher::{Dispatcher, UpstreamResponse};
-use super::{Account, CrashKeys, DirectBody, DirectMeter, PromptParts, Route, Routing};
+use super::{Account, DirectBody, DirectMeter, PromptParts, Route, Routing};
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::feeds::CurrentRouting;
 use crate::direct::responses::RequestTracker;
 use crate::direct::responses::refusal_response;
 use crate::direct::responses::{EventTiming, Relay};
-use crate::entry::fingerprint;
+use crate::entry::{CrashKeys, fingerprint};
 use crate::id::AttemptId;
 use crate::net::{
     ChannelBody, CollectError, EventSplitter, Handler, collect, header_millis, header_str,
@@ -142,7 +142,7 @@
             uri: head.uri,
             headers,
             body,
-            crash_keys: CrashKeys::new(fingerprint, &service.name, &prompt),
+            crash_keys: CrashKeys::new(fingerprint, &service.name, prompt.ids()),
             prompt,
             account,
             state: self.dispatcher.service_state(&service.name),
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -37,9 +37,7 @@
 pub use limits::{LimitChange, LimitRow, NamedLimit, RowLimit, UpstreamLimits};
 pub use node::DirectNode;
 pub use prompt_parts::PromptParts;
-pub use quarantine::{
-    Crash, CrashKeys, CrashSet, CrashStatus, Crashes, Quarantine, SharedCrashes, Survivals,
-};
+pub use quarantine::{Crash, CrashSet, CrashStatus, Crashes, Quarantine, SharedCrashes, Survivals};
 pub use responses::{BodyMemory, BodyShare, DirectBody};
 pub use routes::{Account, Delivery, Engine, Experts, Limits, Route, Routing, Service, Split};
 pub use upstreams::{
--- a/src/direct/quarantine/crash.rs
+++ b/src/direct/quarantine/crash.rs
@@ -1,8 +1,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use super::{CrashKeys, CrashSign};
+use super::CrashSign;
 use crate::direct::ListedUpstream;
+use crate::entry::CrashKeys;
 use crate::units::unix_millis;
 
 /// The end of one incarnation of an upstream while a request was in flight there.
--- a/src/direct/quarantine/crashes.rs
+++ b/src/direct/quarantine/crashes.rs
@@ -8,8 +8,9 @@
 
 use super::completions::Completions;
 use super::crash_record::{CrashRecord, MAX_CRASHES};
-use super::{Crash, CrashKeys, CrashStatus, SharedCrashes};
+use super::{Crash, CrashStatus, SharedCrashes};
 use crate::direct::ListedUpstream;
+use crate::entry::CrashKeys;
 use crate::units::{millis, unix_millis};
 
 /// Time after a completion of a request in which it is not blamed for crashes: one that crashes
@@ -180,7 +181,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use ebonyusher::direct::{CrashKeys, Crashes};
+    /// # use ebonyusher::{direct::Crashes, entry::CrashKeys};
     /// let crashes = Crashes::new(Duration::from_secs(60));
     /// assert_eq!(crashes.clear(&CrashKeys::default()), None);
     /// ```
@@ -203,7 +204,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use ebonyusher::direct::{CrashKeys, Crashes, ListedUpstream};
+    /// # use ebonyusher::{direct::{Crashes, ListedUpstream}, entry::CrashKeys};
     /// # let upstream = ListedUpstream {
     /// #     id: "u-1".into(), service: "drafts".into(), addr: "127.0.0.1:80".parse().unwrap(),
     /// #     domain: "osu".into(), draining: false, started_at_ms: None,
@@ -247,7 +248,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use ebonyusher::direct::{CrashKeys, CrashStatus, Crashes};
+    /// # use ebonyusher::{direct::{CrashStatus, Crashes}, entry::CrashKeys};
     /// # use tokio::time::Instant;
     /// let crashes = Crashes::new(Duration::from_secs(60));
     /// let keys = CrashKeys { request: 7, ..CrashKeys::default() };
--- a/src/direct/quarantine/mod.rs
+++ b/src/direct/quarantine/mod.rs
@@ -2,7 +2,6 @@
 
 mod completions;
 mod crash;
-mod crash_keys;
 mod crash_record;
 mod crash_recorder;
 mod crash_set;
@@ -16,7 +15,6 @@
 
 pub use crash::Crash;
 pub(super) use crash::SuspectedAttempt;
-pub use crash_keys::CrashKeys;
 pub(super) use crash_record::MAX_CRASHES;
 pub use crash_record::{CrashStatus, Quarantine};
 pub(super) use crash_recorder::{CrashRecorder, CrashSign};
--- a/src/direct/quarantine/upstream_suspects.rs
+++ b/src/direct/quarantine/upstream_suspects.rs
@@ -4,7 +4,8 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::{CrashKeys, CrashSign, SuspectedAttempt};
+use super::{CrashSign, SuspectedAttempt};
+use crate::entry::CrashKeys;
 
 /// Time after the end of an attempt within which the end of its upstream means that it crashed
 /// under the request. An upstream that ends silently is listed for some seconds.
--- a/src/entry/attempt_request.rs
+++ b/src/entry/attempt_request.rs
@@ -8,7 +8,7 @@
 use crate::id::AttemptId;
 use crate::net::{
     ACCOUNT, ATTEMPT, COST, DEADLINE_MS, FINGERPRINT, IDEMPOTENCY_KEY, LINK_KEY, OUTCOME, PREFIX,
-    PRIORITY, REASON, REPEAT, SERVICE, SUSPECT, WEIGHT,
+    PRIORITY, PROMPT_PARTS, REASON, REPEAT, SERVICE, SUSPECT, WEIGHT,
 };
 
 /// Builds the request of one attempt at a member, `None` if its URI or a header is invalid.
@@ -42,7 +42,10 @@
     put(COST, &request.cost.to_string())?;
     put(WEIGHT, &request.weight.to_string())?;
     put(PRIORITY, request.priority.as_str())?;
-    put(FINGERPRINT, &format!("{:016x}", request.fingerprint))?;
+    put(FINGERPRINT, &format!("{:016x}", request.crash_keys.request))?;
+    if !request.crash_keys.parts.is_empty() {
+        put(PROMPT_PARTS, &hex_list(&request.crash_keys.parts))?;
+    }
     if let Some(key) = &request.key {
         put(IDEMPOTENCY_KEY, key)?;
     }
@@ -55,10 +58,17 @@
     Some(outgoing)
 }
 
+/// Returns numbers in hexadecimal digits, separated by commas.
+fn hex_list(numbers: &[u64]) -> String {
+    let texts: Vec<String> = numbers.iter().map(|number| format!("{number:x}")).collect();
+    texts.join(",")
+}
+
 /// Removes the headers that concern only the caller's connection or its credentials, and those that
 /// only this system may set.
 fn strip_headers(headers: &mut HeaderMap) {
-    let names = [HOST, CONNECTION, AUTHORIZATION, LINK_KEY, SUSPECT, PREFIX, OUTCOME, REASON];
+    let names =
+        [HOST, CONNECTION, AUTHORIZATION, LINK_KEY, SUSPECT, PREFIX, PROMPT_PARTS, OUTCOME, REASON];
     for name in names {
         headers.remove(name);
     }
--- a/src/entry/checked_request.rs
+++ b/src/entry/checked_request.rs
@@ -3,6 +3,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use super::CrashKeys;
 use crate::settings::{Priority, Repeat, Service};
 
 /// A caller's request that has passed the entry's checks and is ready to be sent to an upstream.
@@ -29,8 +30,8 @@
     pub cost: f64,
     /// Hash of the prompt prefix, if the prompt is long enough to have one.
     pub prefix: Option<u64>,
-    /// Fingerprint that identifies the request if it crashes upstreams.
-    pub fingerprint: u64,
+    /// Fingerprints that identify the request and the parts of its prompt if it crashes upstreams.
+    pub crash_keys: CrashKeys,
     /// When the whole response must have arrived.
     pub deadline: Instant,
     /// Idempotency key, from the caller or generated for this request.
--- a/src/direct/quarantine/crash_keys.rs
+++ b/src/entry/crash_keys.rs
@@ -1,8 +1,6 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::direct::PromptParts;
-
 /// What the crashes under a request are counted against: the request as a whole, and each part that
 /// its prompt may share with other requests.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -14,16 +12,17 @@
 }
 
 impl CrashKeys {
-    /// Returns the keys of a request with this fingerprint.
+    /// Returns the keys of a request with this fingerprint whose prompt has shared parts with these
+    /// ids.
     ///
     /// ```
-    /// # use ebonyusher::direct::{CrashKeys, PromptParts};
-    /// let keys = CrashKeys::new(7, "drafts", &PromptParts::default());
+    /// # use ebonyusher::entry::CrashKeys;
+    /// let keys = CrashKeys::new(7, "drafts", &[]);
     /// assert_eq!(keys.iter().collect::<Vec<_>>(), [7]);
     /// ```
-    pub fn new(request: u64, service: &str, prompt: &PromptParts) -> Self {
+    pub fn new(request: u64, service: &str, part_ids: &[u64]) -> Self {
         let part_key = |id: &u64| xxh3_64_with_seed(service.as_bytes(), *id);
-        Self { request, parts: prompt.ids().iter().map(part_key).collect() }
+        Self { request, parts: part_ids.iter().map(part_key).collect() }
     }
 
     /// Returns all keys, that of the request first.
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -14,8 +14,8 @@
 use super::forwarded_body::InFlight;
 use super::hedge::first_success;
 use super::{
-    Candidate, CheckedRequest, Failure, Latency, Member, Members, Policy, QuarantineStatus,
-    RetryBudget, Suspects,
+    Candidate, CheckedRequest, CrashKeys, Failure, Latency, Member, Members, Policy,
+    QuarantineStatus, RetryBudget, Suspects,
 };
 use crate::id::AttemptId;
 use crate::metrics::Meter;
@@ -66,8 +66,8 @@
     }
 
     /// Records that a request has run to completion.
-    pub(super) fn record_completed(&self, fingerprint: u64) {
-        self.suspects.clear(fingerprint);
+    pub(super) fn record_completed(&self, keys: &CrashKeys) {
+        self.suspects.clear_all(keys);
     }
 
     /// The requests that were in flight when an upstream crashed.
@@ -112,7 +112,7 @@
         state: &ServiceState,
         history: &AttemptHistory,
     ) -> Result<StartedResponse, Failure> {
-        let suspect = match self.suspects.status(request.fingerprint) {
+        let suspect = match self.suspects.judge(&request.crash_keys) {
             QuarantineStatus::Quarantined(_) => return Err(Failure::not_run(Reason::Poison)),
             QuarantineStatus::Suspect => true,
             QuarantineStatus::Clear => history.suspected_crashes > 0,
@@ -158,7 +158,7 @@
         let outgoing = attempt_request(request, &member, attempt, &self.link_key, suspect);
         let outgoing = outgoing.ok_or(Failure::not_run(Reason::BadHeader))?;
         let link_lost = member.link_token();
-        let in_flight = InFlight::start(member, attempt, request.fingerprint, request.prefix);
+        let in_flight = InFlight::start(member, attempt, &request.crash_keys, request.prefix);
         let sending = timeout_at(request.deadline + RETURN_TIME, self.client.request(outgoing));
         let answer = tokio::select! {
             answer = sending => answer,
--- a/src/entry/forwarded_body.rs
+++ b/src/entry/forwarded_body.rs
@@ -6,7 +6,7 @@
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 
-use super::{LimiterGuard, Member, Suspects};
+use super::{CrashKeys, LimiterGuard, Member, Suspects};
 use crate::id::AttemptId;
 use crate::net::BodyError;
 
@@ -22,10 +22,10 @@
     pub(super) fn start(
         member: Arc<Member>,
         attempt: AttemptId,
-        fingerprint: u64,
+        keys: &CrashKeys,
         prefix: Option<u64>,
     ) -> Self {
-        member.start_attempt(attempt, fingerprint, prefix);
+        member.start_attempt(attempt, keys, prefix);
         Self { member, attempt }
     }
 
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 pub struct ForwardedBody {
     body: Incoming,
-    fingerprint: u64,
+    keys: CrashKeys,
     suspects: Arc<Suspects>,
     _in_flight: InFlight,
     _guard: LimiterGuard,
@@ -55,12 +55,12 @@
 impl ForwardedBody {
     pub(super) const fn new(
         body: Incoming,
-        fingerprint: u64,
+        keys: CrashKeys,
         suspects: Arc<Suspects>,
         in_flight: InFlight,
         guard: LimiterGuard,
     ) -> Self {
-        Self { body, fingerprint, suspects, _in_flight: in_flight, _guard: guard }
+        Self { body, keys, suspects, _in_flight: in_flight, _guard: guard }
     }
 }
 
@@ -74,7 +74,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
         if frame.is_none() {
-            self.suspects.clear(self.fingerprint);
+            self.suspects.clear_all(&self.keys);
         }
         Poll::Ready(frame.map(|frame| frame.map_err(BodyError::from)))
     }
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -12,10 +12,12 @@
 use super::dispatch::StartedResponse;
 use super::entry_count::EntryCount;
 use super::forwarded_body::ForwardedBody;
+use super::prompt_parts::prompt_parts;
 use super::request_estimate::RequestEstimate;
 use super::stream_relay::StreamRelay;
 use super::{
-    CheckedRequest, Dispatcher, EntryBody, Limiter, LimiterGuard, Policy, fingerprint, look_up_key,
+    CheckedRequest, CrashKeys, Dispatcher, EntryBody, Limiter, LimiterGuard, Policy, fingerprint,
+    look_up_key,
 };
 use crate::id::AttemptId;
 use crate::metrics::{Event, Meter};
@@ -102,7 +104,7 @@
             let (parts, body) = started.answer.into_parts();
             let suspects = Arc::clone(self.dispatcher.suspects());
             let forwarded =
-                ForwardedBody::new(body, request.fingerprint, suspects, started.in_flight, guard);
+                ForwardedBody::new(body, request.crash_keys, suspects, started.in_flight, guard);
             Response::from_parts(parts, EntryBody::stream(EitherBody::Left(Box::new(forwarded))))
         };
         if let Some(key) = key.and_then(|key| HeaderValue::from_str(&key).ok()) {
@@ -189,8 +191,13 @@
     } else {
         RequestEstimate::plain()
     };
+    let parts = if service.kind == Kind::Engine { prompt_parts(&body) } else { SmallVec::new() };
     Ok(CheckedRequest {
-        fingerprint: fingerprint(&account, head.uri.path(), &body),
+        crash_keys: CrashKeys::new(
+            fingerprint(&account, head.uri.path(), &body),
+            &route.service,
+            &parts,
+        ),
         head,
         body,
         account,
--- a/src/entry/link.rs
+++ b/src/entry/link.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Member, Suspects};
+use super::{CrashKeys, Member, Suspects};
 use crate::id::Incarnation;
 use crate::metrics::{Event, Meter};
 use crate::peer::{CrashReport, Hello, LinkReport, LinkRpcClient};
@@ -41,11 +41,11 @@
     pub(super) meter: Arc<Meter>,
 }
 
-/// The sidecar's incarnation and the fingerprints of the requests in flight when a link was lost.
+/// The sidecar's incarnation and the requests in flight when a link was lost.
 #[derive(Debug)]
 struct LostLink {
     incarnation: Option<Incarnation>,
-    fingerprints: SmallVec<[u64; 8]>,
+    requests: SmallVec<[CrashKeys; 2]>,
 }
 
 impl Link {
@@ -120,8 +120,8 @@
         info!("link: lost the link to {}", self.member.instance.name);
         self.meter.count(Event::LinkLost);
         self.suspects.record_lost_sidecar();
-        let (incarnation, fingerprints) = self.member.unlink();
-        LostLink { incarnation, fingerprints }
+        let (incarnation, requests) = self.member.unlink();
+        LostLink { incarnation, requests }
     }
 
     /// Applies a report to the member, and records and shares the crashes in it.
@@ -159,11 +159,11 @@
         let Some(from) = lost.incarnation.filter(|from| Some(*from) != current_incarnation) else {
             return;
         };
-        if lost.fingerprints.is_empty() || !self.suspects.is_single_loss() {
+        if lost.requests.is_empty() || !self.suspects.is_single_loss() {
             return;
         }
         let event = xxh3_64(format!("{from}-lost").as_bytes());
-        let report = CrashReport { event, prints: lost.fingerprints };
+        let report = CrashReport::new(event, &lost.requests);
         self.suspects.record_crash(&report);
         self.share_crash(report);
     }
--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use super::Candidate;
+use super::{Candidate, CrashKeys};
 use crate::id::{AttemptId, Incarnation};
 use crate::peer::{LinkReport, Load};
 use crate::platform::Instance;
@@ -63,8 +63,8 @@
     revision: u64,
     load: Load,
     load_at: Option<Instant>,
-    /// Fingerprints of this entry's requests in flight, by attempt.
-    own_requests: HashMap<AttemptId, u64>,
+    /// This entry's requests in flight, by attempt.
+    own_requests: HashMap<AttemptId, CrashKeys>,
     /// Number of this entry's requests in flight that the last load report already counts.
     own_at_report: u32,
     /// Cancelled when the current link is lost.
@@ -113,13 +113,13 @@
         self.lock().apply_load(load);
     }
 
-    /// Records that the link is lost, and returns the sidecar's incarnation and the fingerprints of
-    /// the requests in flight.
-    pub fn unlink(&self) -> (Option<Incarnation>, SmallVec<[u64; 8]>) {
+    /// Records that the link is lost, and returns the sidecar's incarnation and the requests in
+    /// flight.
+    pub fn unlink(&self) -> (Option<Incarnation>, SmallVec<[CrashKeys; 2]>) {
         let mut state = self.lock();
         state.linked = false;
         state.link_token.cancel();
-        (state.incarnation, state.own_requests.values().copied().collect())
+        (state.incarnation, state.own_requests.values().cloned().collect())
     }
 
     /// Records that a response refused a request because the instance is leaving if `leaving` is
@@ -165,9 +165,9 @@
     }
 
     /// Counts an attempt as in flight, and its prompt prefix as cached.
-    pub fn start_attempt(&self, attempt: AttemptId, fingerprint: u64, prefix: Option<u64>) {
+    pub fn start_attempt(&self, attempt: AttemptId, keys: &CrashKeys, prefix: Option<u64>) {
         let mut state = self.lock();
-        state.own_requests.insert(attempt, fingerprint);
+        state.own_requests.insert(attempt, keys.clone());
         if let Some(prefix) = prefix {
             state.add_prefix(prefix);
         }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,8 @@
 mod attempt_history;
 mod attempt_request;
 mod checked_request;
+mod crash_keys;
+mod crash_ledger;
 mod dispatch;
 mod entry_body;
 mod entry_count;
@@ -22,6 +24,7 @@
 mod node;
 mod policies;
 mod policy;
+mod prompt_parts;
 mod request_estimate;
 mod retry_budget;
 mod stream_relay;
@@ -30,6 +33,7 @@
 mod suspects_sync;
 
 pub use checked_request::CheckedRequest;
+pub use crash_keys::CrashKeys;
 pub use dispatch::Dispatcher;
 pub use entry_body::EntryBody;
 pub use failure::Failure;
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -50,7 +50,7 @@
             match ended {
                 RelayEnd::ClientGone => return,
                 RelayEnd::Complete => {
-                    self.dispatcher.record_completed(self.request.fingerprint);
+                    self.dispatcher.record_completed(&self.request.crash_keys);
                     return sender.close().await;
                 }
                 RelayEnd::Broken(err) => match self.resume().await {
--- a/src/net/headers.rs
+++ b/src/net/headers.rs
@@ -22,6 +22,8 @@
 pub const WEIGHT: HeaderName = HeaderName::from_static("ebonyusher-weight");
 /// Fingerprint of the request, for finding those that crash upstreams.
 pub const FINGERPRINT: HeaderName = HeaderName::from_static("ebonyusher-fingerprint");
+/// Fingerprints of the shared parts of the prompt, in hexadecimal digits, separated by commas.
+pub const PROMPT_PARTS: HeaderName = HeaderName::from_static("ebonyusher-prompt-parts");
 /// Present if the request was in flight at a crash.
 pub const SUSPECT: HeaderName = HeaderName::from_static("ebonyusher-suspect");
 /// Hash of the prompt prefix, by which the engine names it in its cache events.
--- a/src/sidecar/crash_watch.rs
+++ b/src/sidecar/crash_watch.rs
@@ -11,6 +11,7 @@
 
 use super::in_flight::InFlight;
 use super::signals::Signals;
+use crate::entry::CrashKeys;
 use crate::metrics::{Event, Meter};
 use crate::peer::CrashReport;
 
@@ -61,7 +62,7 @@
     pub fn report_broken(self: &Arc<Self>) {
         self.broken_requests.fetch_add(1, Ordering::SeqCst);
         if !self.window_open.swap(true, Ordering::SeqCst) {
-            let suspects = self.in_flight.fingerprints();
+            let suspects = self.in_flight.requests();
             let running = u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX);
             tokio::spawn(Arc::clone(self).detect_crash(suspects, running));
         }
@@ -76,7 +77,7 @@
     /// Waits for the window to end and reports a crash if at least `running` connections broke,
     /// where `running` is the number of requests in flight when the first one broke. A single
     /// broken connection among others is not a crash.
-    async fn detect_crash(self: Arc<Self>, suspects: SmallVec<[u64; 8]>, running: u32) {
+    async fn detect_crash(self: Arc<Self>, suspects: SmallVec<[CrashKeys; 2]>, running: u32) {
         sleep(BREAK_WINDOW).await;
         let broken = self.broken_requests.swap(0, Ordering::SeqCst);
         let all_broke = broken >= running;
@@ -88,8 +89,7 @@
         let name = format!("{}-{serial}", self.signals.incarnation);
         warn!("sidecar: upstream crashed with {running} requests in flight");
         self.meter.count(Event::Crash);
-        self.signals
-            .report_crash(CrashReport { event: xxh3_64(name.as_bytes()), prints: suspects });
+        self.signals.report_crash(CrashReport::new(xxh3_64(name.as_bytes()), &suspects));
         if !self.probe().await {
             self.report_refused();
         }
--- a/src/sidecar/in_flight.rs
+++ b/src/sidecar/in_flight.rs
@@ -3,11 +3,12 @@
 
 use smallvec::SmallVec;
 
+use crate::entry::CrashKeys;
 use crate::id::AttemptId;
 
-/// Fingerprints of the requests that are in flight at an upstream.
+/// The requests that are in flight at an upstream.
 #[derive(Clone, Debug, Default)]
-pub struct InFlight(Arc<Mutex<HashMap<AttemptId, u64>>>);
+pub struct InFlight(Arc<Mutex<HashMap<AttemptId, CrashKeys>>>);
 
 /// Keeps a request in the list of those in flight until dropped.
 #[derive(Debug)]
@@ -17,22 +18,19 @@
 }
 
 impl InFlight {
-    fn lock(&self) -> MutexGuard<'_, HashMap<AttemptId, u64>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<AttemptId, CrashKeys>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Adds a request to the list.
-    pub fn add(&self, attempt: AttemptId, fingerprint: u64) -> InFlightGuard {
-        self.lock().insert(attempt, fingerprint);
+    pub fn add(&self, attempt: AttemptId, keys: CrashKeys) -> InFlightGuard {
+        self.lock().insert(attempt, keys);
         InFlightGuard { list: self.clone(), attempt }
     }
 
-    /// Returns the fingerprints without duplicates.
-    pub fn fingerprints(&self) -> SmallVec<[u64; 8]> {
-        let mut fingerprints: SmallVec<[u64; 8]> = self.lock().values().copied().collect();
-        fingerprints.sort_unstable();
-        fingerprints.dedup();
-        fingerprints
+    /// Returns the requests.
+    pub fn requests(&self) -> SmallVec<[CrashKeys; 2]> {
+        self.lock().values().cloned().collect()
     }
 
     /// Returns the number of requests in the list.
--- a/src/sidecar/request_metadata.rs
+++ b/src/sidecar/request_metadata.rs
@@ -1,11 +1,13 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use smallvec::SmallVec;
 
+use crate::entry::CrashKeys;
 use crate::id::AttemptId;
 use crate::net::{
-    ACCOUNT, ATTEMPT, COST, DEADLINE_MS, FINGERPRINT, IDEMPOTENCY_KEY, PRIORITY, REPEAT, SERVICE,
-    SUSPECT, WEIGHT, header_millis, header_str,
+    ACCOUNT, ATTEMPT, COST, DEADLINE_MS, FINGERPRINT, IDEMPOTENCY_KEY, PRIORITY, PROMPT_PARTS,
+    REPEAT, SERVICE, SUSPECT, WEIGHT, header_millis, header_str,
 };
 use crate::settings::{Priority, Repeat};
 
@@ -28,8 +30,8 @@
     pub weight: f64,
     /// Priority class of the request.
     pub priority: Priority,
-    /// Fingerprint of the request, the same each time that the account sends it.
-    pub fingerprint: u64,
+    /// Fingerprints of the request and of the parts of its prompt, the same in each attempt.
+    pub crash_keys: CrashKeys,
     /// Whether the request was in flight at a crash.
     pub suspect: bool,
     /// Idempotency key, if the caller sent one.
@@ -49,9 +51,18 @@
             cost: text(&COST)?.parse().ok().filter(|cost: &f64| *cost > 0.0)?,
             weight: text(&WEIGHT)?.parse().ok().filter(|weight: &f64| *weight > 0.0)?,
             priority: Priority::parse(text(&PRIORITY)?)?,
-            fingerprint: u64::from_str_radix(text(&FINGERPRINT)?, 16).ok()?,
+            crash_keys: CrashKeys {
+                request: u64::from_str_radix(text(&FINGERPRINT)?, 16).ok()?,
+                parts: read_parts(text(&PROMPT_PARTS).unwrap_or_default())?,
+            },
             suspect: headers.contains_key(SUSPECT),
             key: text(&IDEMPOTENCY_KEY).map(str::to_owned),
         })
     }
 }
+
+/// Reads fingerprints; `None` if one is invalid.
+fn read_parts(text: &str) -> Option<SmallVec<[u64; 4]>> {
+    let parts = text.split(',').filter(|part| !part.is_empty());
+    parts.map(|part| u64::from_str_radix(part, 16).ok()).collect()
+}
--- a/src/sidecar/upstream.rs
+++ b/src/sidecar/upstream.rs
@@ -15,8 +15,8 @@
 use super::{RequestMetadata, SendError};
 use crate::metrics::Meter;
 use crate::net::{
-    ACCOUNT, ATTEMPT, COST, DEADLINE_MS, ExchangeClient, FINGERPRINT, LINK_KEY, REPEAT, SERVICE,
-    SUSPECT, WEIGHT, exchange_client, is_not_sent,
+    ACCOUNT, ATTEMPT, COST, DEADLINE_MS, ExchangeClient, FINGERPRINT, LINK_KEY, PROMPT_PARTS,
+    REPEAT, SERVICE, SUSPECT, WEIGHT, exchange_client, is_not_sent,
 };
 
 /// Client of the upstream beside a sidecar.
@@ -43,7 +43,7 @@
 
     /// Adds a request to the list of those in flight.
     pub fn track(&self, metadata: &RequestMetadata) -> InFlightGuard {
-        self.in_flight.add(metadata.attempt, metadata.fingerprint)
+        self.in_flight.add(metadata.attempt, metadata.crash_keys.clone())
     }
 
     /// Sends a request and waits for the head of the response.
@@ -104,6 +104,7 @@
         COST,
         WEIGHT,
         FINGERPRINT,
+        PROMPT_PARTS,
         SUSPECT,
         ATTEMPT,
         DEADLINE_MS,
--- a/tests/it/crash_parts.rs
+++ b/tests/it/crash_parts.rs
@@ -4,7 +4,8 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use ebonyusher::direct::{Crash, CrashKeys, CrashStatus, Crashes, ListedUpstream};
+use ebonyusher::direct::{Crash, CrashStatus, Crashes, ListedUpstream};
+use ebonyusher::entry::CrashKeys;
 use ebonyusher::units::unix_millis;
 use proptest::prelude::*;
 use rstest::rstest;
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -6,9 +6,10 @@
 
 use bytes::Bytes;
 use ebonyusher::direct::{
-    BodyMemory, Crash, CrashKeys, CrashSet, Crashes, Freshness, Inactivity, ListedUpstream,
-    RetryBudget, RetryLimits, Roster, RosterChange, SharedCrashes,
+    BodyMemory, Crash, CrashSet, Crashes, Freshness, Inactivity, ListedUpstream, RetryBudget,
+    RetryLimits, Roster, RosterChange, SharedCrashes,
 };
+use ebonyusher::entry::CrashKeys;
 use ebonyusher::net::EventSplitter;
 use ebonyusher::units::{BootTime, unix_millis};
 use proptest::prelude::*;
--- a/tests/it/fault_table.rs
+++ b/tests/it/fault_table.rs
@@ -6,6 +6,7 @@
 use ebonyusher::entry::PowerOfTwoChoices;
 use ebonyusher::outcome::{Outcome, Reason};
 use ebonyusher::sidecar::SidecarNode;
+use ebonyusher_bench::client::Reply;
 use ebonyusher_standin::Faults;
 use rstest::rstest;
 use tokio::time::sleep;
@@ -171,6 +172,29 @@
     assert_eq!(starts, 2, "two engines crashed");
 }
 
+/// Sends a chat request whose prompt begins with `first`, like no other one.
+async fn chat_after(cluster: &TestCluster, first: &str, at: u32) -> Reply {
+    let messages = format!(r#"[{{"content":"{first}"}},{{"content":"{at}"}}]"#);
+    cluster.chat(format!(r#"{{"stream":true,"max_tokens":4,"messages":{messages}}}"#)).await
+}
+
+#[tokio::test]
+async fn requests_whose_prompts_share_a_part_that_crashes_engines_are_stopped_and_others_are_not() {
+    const MAX_CRASHES: u64 = 5;
+    let cluster = TestCluster::start(4, 0, 1).await;
+
+    let mut others = Vec::new();
+    for at in 0..8 {
+        chat_after(&cluster, "poison", at).await;
+        sleep(Duration::from_millis(300)).await;
+        others.push(chat_after(&cluster, "rules", at).await.outcome);
+    }
+
+    let starts = cluster.engines.iter().map(|engine| engine.handler.starts().count()).sum::<u64>();
+    assert_eq!(others, [Some(Outcome::Ran); 8]);
+    assert!(starts - 8 <= MAX_CRASHES, "{} crashes", starts - 8);
+}
+
 #[tokio::test]
 async fn crashes_seen_while_the_table_is_down_are_shared_after_it() {
     let mut cluster = TestCluster::start(4, 0, 1).await;
--- a/tests/it/routing.rs
+++ b/tests/it/routing.rs
@@ -1,6 +1,6 @@
 //! The choice among upstreams: load reports, the balancing policy and subsets.
 
-use ebonyusher::entry::{Candidate, Member, Policy, PowerOfTwoChoices, pick_subset};
+use ebonyusher::entry::{Candidate, CrashKeys, Member, Policy, PowerOfTwoChoices, pick_subset};
 use ebonyusher::id::{AttemptId, Incarnation};
 use ebonyusher::peer::{LinkReport, Load};
 use ebonyusher::platform::{Instance, Phase};
@@ -81,7 +81,7 @@
     member.apply_report(&report(1, 4, 1));
 
     let reported = member.candidate(None, Instant::now()).occupancy;
-    member.start_attempt(AttemptId::random(), 7, None);
+    member.start_attempt(AttemptId::random(), &CrashKeys::default(), None);
     let with_own = member.candidate(None, Instant::now()).occupancy;
     advance(std::time::Duration::from_secs(20)).await;
     let faded = member.candidate(None, Instant::now()).occupancy;
--- a/tests/it/suspects.rs
+++ b/tests/it/suspects.rs
@@ -9,7 +9,8 @@
 use tokio::time::advance;
 
 fn crash(event: u64, fingerprints: &[u64]) -> CrashReport {
-    CrashReport { event, prints: fingerprints.iter().copied().collect() }
+    let prints = fingerprints.iter().copied().collect();
+    CrashReport { event, prints, ..CrashReport::default() }
 }
 
 #[test]
--- a/tests/it/test_cluster.rs
+++ b/tests/it/test_cluster.rs
@@ -159,9 +159,8 @@
         caller.send(to, Method::GET, path, None, Bytes::new()).await.unwrap()
     }
 
-    pub async fn chat(&self, body: &'static str) -> Reply {
-        let to = self.entries[0].data_addr();
-        let body = Bytes::from_static(body.as_bytes());
+    pub async fn chat(&self, body: impl Into<Bytes>) -> Reply {
+        let (to, body) = (self.entries[0].data_addr(), body.into());
         Caller::new(CALLER_KEY).send(to, Method::POST, "/chat", None, body).await.unwrap()
     }
 }
