With sidecars, a stream that ends inside an event is broken off also where it is not resumed

What callers saw: a stream without length or chunks that broke off inside an event ended like a whole one, if its service does not resume streams. Cause: only streams that may be resumed were looked at for the ends of their events. Change: all event streams are relayed by the same code; only the resume depends on the service.

--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -98,7 +98,7 @@
         let key = request.key.clone();
         let started = self.dispatcher.dispatch(&mut request).await?;
         self.meter.count(Event::Ran);
-        let mut answer = if request.service.resume && is_event_stream(&started.answer) {
+        let mut answer = if is_event_stream(&started.answer) {
             self.relay_stream(request, started, guard)
         } else {
             let (parts, body) = started.answer.into_parts();
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -18,7 +18,7 @@
 const CRASH_REPORT_TIME: Duration = Duration::from_millis(250);
 
 /// Relays a stream of server-sent events to the caller, whole events only, and resumes it at
-/// another upstream when it breaks off.
+/// another upstream when it breaks off, if the service allows that.
 #[derive(Debug)]
 pub(super) struct StreamRelay<C> {
     pub(super) dispatcher: Arc<Dispatcher<C>>,
@@ -89,7 +89,7 @@
     /// can't be resumed.
     async fn resume(&mut self) -> Option<StartedResponse> {
         self.broken_attempts += 1;
-        if self.broken_attempts > MAX_RESUMES {
+        if !self.request.service.resume || self.broken_attempts > MAX_RESUMES {
             return None;
         }
         if self.broken_attempts > 1 {
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -30,5 +30,6 @@
 mod suspects;
 mod term_store;
 mod test_cluster;
+mod unframed_streams;
 mod vote_search;
 mod whole_path;
