--- a/src/direct/prompt_parts.rs
+++ b/src/direct/prompt_parts.rs
@@ -5,7 +5,7 @@
 use super::quarantine::hex;
 
 /// Maximum number of parts that are read of one prompt.
-const MAX_PARTS: usize = 64;
+const MAX_PARTS: usize = 256;
 
 /// Ids of the parts of a request's prompt that other requests may share, in their order in the
 /// prompt. The last part belongs to the request or to its session, so it is left out.
