Clean-up: one way to reconnect, one test cluster with a bare upstream, imports by module

Cause: read as a newcomer: a field of StreamProgress that nobody read, the same reconnecting in two functions, the same cluster built in two tests, and up to five lines of imports from one module. Change: as said; only successes without a length are looked at again.

--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -10,9 +10,7 @@
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
-use crate::direct::attempts::FailedAttempt;
-use crate::direct::attempts::is_close_delimited;
-use crate::direct::attempts::{Connection, SendError};
+use crate::direct::attempts::{Connection, FailedAttempt, SendError, is_close_delimited};
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::{BegunStream, Dispatcher, Exchanged};
 use crate::direct::{Candidate, Load, Upstream, load_share};
@@ -88,7 +86,8 @@
                 return Err(FailedAttempt::silent("response body incomplete at the deadline"));
             }
         };
-        if ends_with_connection && !self.crash_recorder.outlives(upstream).await {
+        let may_be_cut = ends_with_connection && head.status.is_success();
+        if may_be_cut && !self.crash_recorder.outlives(upstream).await {
             upstream.record_loss();
             return Err(FailedAttempt::broken(&"the upstream ended with its response"));
         }
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -9,12 +9,10 @@
 use super::quarantine::CrashSign;
 use super::quarantine::hex;
 use super::{Candidate, EngineLoad, Quarantine, Upstream};
-use crate::direct::attempts::AttemptHistory;
-use crate::direct::attempts::FailedAttempt;
+use crate::direct::attempts::{AttemptHistory, FailedAttempt};
 use crate::direct::responses::StreamProgress;
 use crate::event_log::Level;
-use crate::units::BootTime;
-use crate::units::millis;
+use crate::units::{BootTime, millis};
 
 impl Dispatcher {
     pub(super) fn log_sent(
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -17,11 +17,9 @@
     BodyMemory, Delivery, DirectMeter, Freshness, HeaderNames, RetryLimits, Roster, Upstream,
 };
 use crate::direct::admission::Chosen;
-use crate::direct::attempts::AttemptHistory;
-use crate::direct::attempts::Connection;
-use crate::direct::attempts::FailedAttempt;
-use crate::direct::attempts::HeaderWatch;
-use crate::direct::attempts::OpenAttempt;
+use crate::direct::attempts::{
+    AttemptHistory, Connection, FailedAttempt, HeaderWatch, OpenAttempt,
+};
 use crate::direct::responses::StreamProgress;
 use crate::direct::upstreams::InFlight;
 use crate::entry::Failure;
--- a/src/direct/feeds/routing_follower.rs
+++ b/src/direct/feeds/routing_follower.rs
@@ -4,8 +4,7 @@
 use tokio::time::sleep;
 
 use crate::direct::event::Event;
-use crate::direct::feeds::PlatformHealth;
-use crate::direct::feeds::RoutingPublisher;
+use crate::direct::feeds::{PlatformHealth, RoutingPublisher};
 use crate::direct::{Changes, DirectMeter, Directory, DirectoryError, Freshness, RoutingChange};
 use crate::event_log::{EventLog, Level};
 use crate::units::BootTime;
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -16,9 +16,7 @@
 use super::{Account, DirectBody, DirectMeter, PromptParts, Route, Routing};
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::feeds::CurrentRouting;
-use crate::direct::responses::RequestTracker;
-use crate::direct::responses::refusal_response;
-use crate::direct::responses::{EventTiming, Relay};
+use crate::direct::responses::{EventTiming, Relay, RequestTracker, refusal_response};
 use crate::entry::{CrashKeys, fingerprint};
 use crate::id::AttemptId;
 use crate::net::{
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -23,10 +23,9 @@
 };
 use crate::cli::Node;
 use crate::direct::attempts::HeaderWatch;
-use crate::direct::feeds::RoutingFollower;
-use crate::direct::feeds::RoutingPublisher;
-use crate::direct::feeds::RowFollower;
-use crate::direct::feeds::{ListBounds, UpstreamFollower};
+use crate::direct::feeds::{
+    ListBounds, RoutingFollower, RoutingPublisher, RowFollower, UpstreamFollower,
+};
 use crate::event_log::{EventLog, Level};
 use crate::net::{H1Limits, Shutdown, serve_h1};
 use crate::platform::Table;
--- a/src/direct/quarantine/crash_recorder.rs
+++ b/src/direct/quarantine/crash_recorder.rs
@@ -95,32 +95,22 @@
         }
     }
 
-    /// Checks whether the upstream still listens. The connection is kept for later requests.
+    /// Checks whether the upstream still listens.
     pub(in crate::direct) async fn probe(&self, upstream: &Upstream) {
         sleep(PROBE_DELAY).await;
         upstream.suspects.end_probe();
         let begin = Instant::now();
-        match Connection::open(upstream.addr()).await {
-            Ok(conn) => {
-                upstream.put_idle(conn.into_idle(None));
-                self.record_survival(upstream, begin);
-            }
+        match reconnect(upstream).await {
+            Ok(()) => self.record_survival(upstream, begin),
             Err(err) if is_refused(&err) => self.record_refused(upstream).await,
             Err(_) => {}
         }
     }
 
-    /// Returns whether an upstream has outlived the end of a connection, as far as can be told. The
-    /// new connection is kept for later requests.
+    /// Returns whether an upstream has outlived the end of a connection, as far as can be told.
     pub(in crate::direct) async fn outlives(&self, upstream: &Upstream) -> bool {
         sleep(PROBE_DELAY).await;
-        match Connection::open(upstream.addr()).await {
-            Ok(conn) => {
-                upstream.put_idle(conn.into_idle(None));
-                true
-            }
-            Err(err) => !is_refused(&err),
-        }
+        reconnect(upstream).await.map_or_else(|err| !is_refused(&err), |()| true)
     }
 
     /// Records that the upstream outlived the answers that broke off before a time.
@@ -238,6 +228,13 @@
     }
 }
 
+/// Opens a connection to an upstream and keeps it for later requests.
+async fn reconnect(upstream: &Upstream) -> io::Result<()> {
+    let conn = Connection::open(upstream.addr()).await?;
+    upstream.put_idle(conn.into_idle(None));
+    Ok(())
+}
+
 /// Returns the parts of the prompts of attempts, each once, with the attempt that began first.
 /// Beyond [`MAX_PARTS`] those that are in fewest of the prompts are left out.
 fn shared_parts(attempts: &[SuspectedAttempt]) -> Vec<(u64, &SuspectedAttempt)> {
--- a/src/direct/quarantine/crashes.rs
+++ b/src/direct/quarantine/crashes.rs
@@ -19,7 +19,7 @@
 /// Maximum number of requests and parts on record; beyond it the oldest is dropped.
 const MAX_RECORDS: usize = 4_096;
 /// Number of crashes from which a part of prompts is quarantined with which requests have completed
-/// before: it has been sound for long, so it takes one more.
+/// before, more than of a new one.
 const PROVEN_PART_CRASHES: u32 = MAX_CRASHES + 1;
 /// Time for which a completion shows that a part of prompts has been sound.
 const PROOF_TIME: Duration = Duration::from_secs(600);
--- a/src/direct/responses/relay.rs
+++ b/src/direct/responses/relay.rs
@@ -5,9 +5,7 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-use crate::direct::attempts::AttemptHistory;
-use crate::direct::attempts::FailedAttempt;
-use crate::direct::attempts::is_close_delimited;
+use crate::direct::attempts::{AttemptHistory, FailedAttempt, is_close_delimited};
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::{BegunStream, Dispatcher, Stream, UpstreamResponse};
 use crate::direct::quarantine::CrashSign;
@@ -166,7 +164,7 @@
                 Ok(None) => continue,
                 Err(err) => return RelayEnd::Broken(err),
             };
-            progress.record_event(Instant::now());
+            progress.record_event();
             tracker.first_byte();
             event_timing.record_event(&request.state.stream_stats);
             // A caller that does not read must not hold up the upstream.
--- a/src/direct/responses/stream_progress.rs
+++ b/src/direct/responses/stream_progress.rs
@@ -1,12 +1,8 @@
-use tokio::time::Instant;
-
 /// How far the stream of one attempt has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(in crate::direct) struct StreamProgress {
     /// Number of times at which one or more events arrived.
     pub(in crate::direct) events: u32,
-    /// When the first event arrived.
-    pub(in crate::direct) first: Option<Instant>,
 }
 
 impl StreamProgress {
@@ -16,8 +12,7 @@
     }
 
     /// Records that one or more events have arrived.
-    pub(in crate::direct) fn record_event(&mut self, now: Instant) {
+    pub(in crate::direct) const fn record_event(&mut self) {
         self.events += 1;
-        self.first.get_or_insert(now);
     }
 }
--- a/tests/it/departed_callers.rs
+++ b/tests/it/departed_callers.rs
@@ -2,16 +2,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use ebonyusher::entry::PowerOfTwoChoices;
 use ebonyusher_bench::client::Caller;
-use ebonyusher_standin::Fleet;
 use http::Method;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::test_cluster::{CALLER_KEY, TEAM, TestCluster, team};
+use crate::test_cluster::{CALLER_KEY, TestCluster};
 
 /// Time after which the caller leaves.
 const PATIENCE: Duration = Duration::from_millis(300);
@@ -39,21 +37,8 @@
 
 #[tokio::test]
 async fn a_sidecar_takes_back_the_request_of_a_caller_that_has_left() {
-    let mut cluster = TestCluster {
-        fleet: Fleet::start().await.unwrap(),
-        engines: Vec::new(),
-        plain_upstreams: Vec::new(),
-        sidecars: Vec::new(),
-        entries: Vec::new(),
-    };
     let (addr, mut ends) = silent_upstream().await;
-    let file = cluster.fleet.sidecar_file("ledger-0", "akwaaba/ledger", addr);
-    cluster.sidecars.push(cluster.fleet.sidecar(file).await.unwrap());
-    let file = cluster.fleet.entry_file("entry-0", &[TEAM]);
-    cluster.entries.push(cluster.fleet.entry(file, PowerOfTwoChoices).await.unwrap());
-    let accepted = cluster.admin().replace(TEAM, &team(), 0).await.unwrap();
-    cluster.wait_for_revision(accepted.revision).await;
-    cluster.wait_for_links().await;
+    let cluster = TestCluster::start_before_ledger(addr).await;
 
     let caller = Caller::new(CALLER_KEY);
     let to = cluster.entries[0].data_addr();
--- a/tests/it/test_cluster.rs
+++ b/tests/it/test_cluster.rs
@@ -1,6 +1,7 @@
 //! Fixtures: a small cluster on loopback, its settings, and callers.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -144,6 +145,25 @@
         self.plain_upstreams.iter().map(|plain| plain.handler.run_count(key)).sum()
     }
 
+    /// Starts an entry and a sidecar of the ledger, whose upstream listens at an address.
+    pub async fn start_before_ledger(addr: SocketAddr) -> Self {
+        let mut cluster = Self {
+            fleet: Fleet::start().await.unwrap(),
+            engines: Vec::new(),
+            plain_upstreams: Vec::new(),
+            sidecars: Vec::new(),
+            entries: Vec::new(),
+        };
+        let file = cluster.fleet.sidecar_file("ledger-0", "akwaaba/ledger", addr);
+        cluster.sidecars.push(cluster.fleet.sidecar(file).await.unwrap());
+        let file = cluster.fleet.entry_file("entry-0", &[TEAM]);
+        cluster.entries.push(cluster.fleet.entry(file, PowerOfTwoChoices).await.unwrap());
+        let accepted = cluster.admin().replace(TEAM, &team(), 0).await.unwrap();
+        cluster.wait_for_revision(accepted.revision).await;
+        cluster.wait_for_links().await;
+        cluster
+    }
+
     /// Posts an order of the ledger service (not an order to a rank), which runs at most once for
     /// an idempotency key.
     pub async fn post_order(&self, key: &str, body: &'static str) -> Reply {
--- a/tests/it/unframed_streams.rs
+++ b/tests/it/unframed_streams.rs
@@ -1,15 +1,13 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
-use ebonyusher::entry::PowerOfTwoChoices;
 use ebonyusher_bench::client::Caller;
-use ebonyusher_standin::Fleet;
 use http::Method;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
-use crate::test_cluster::{CALLER_KEY, TEAM, TestCluster, team};
+use crate::test_cluster::{CALLER_KEY, TestCluster};
 
 /// Starts an upstream that answers each request with these events, with neither a length nor chunks.
 async fn unframed_upstream(events: &'static str) -> SocketAddr {
@@ -37,21 +35,8 @@
     #[case] events: &'static str,
     #[case] is_whole: bool,
 ) {
-    let mut cluster = TestCluster {
-        fleet: Fleet::start().await.unwrap(),
-        engines: Vec::new(),
-        plain_upstreams: Vec::new(),
-        sidecars: Vec::new(),
-        entries: Vec::new(),
-    };
     let addr = unframed_upstream(events).await;
-    let file = cluster.fleet.sidecar_file("ledger-0", "akwaaba/ledger", addr);
-    cluster.sidecars.push(cluster.fleet.sidecar(file).await.unwrap());
-    let file = cluster.fleet.entry_file("entry-0", &[TEAM]);
-    cluster.entries.push(cluster.fleet.entry(file, PowerOfTwoChoices).await.unwrap());
-    let accepted = cluster.admin().replace(TEAM, &team(), 0).await.unwrap();
-    cluster.wait_for_revision(accepted.revision).await;
-    cluster.wait_for_links().await;
+    let cluster = TestCluster::start_before_ledger(addr).await;
 
     let to = cluster.entries[0].data_addr();
     let caller = Caller::new(CALLER_KEY);
