--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod group;
 pub mod id;
 pub mod lease;
+pub mod membership;
 pub mod metrics;
 pub mod net;
 pub mod outcome;
