Each group of a service has its own leader, term and map

Cause: a leader took all upstreams of its service for one group. With several groups, ranks of different groups were mixed in one set and leaders of different groups deposed each other by one stored term.

Change: ranks report their group; a leader assembles only ranks of its group, the term row is per group, calls between sidecars carry group and term, and orders are given only to a rank that was seen in the leader's group. A leader whose order is refused as fenced claims a term further ahead. Members are published for the entries if the service has several groups.

--- a/src/remap/agent.rs
+++ b/src/remap/agent.rs
@@ -1,18 +1,18 @@
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use jsonrpsee::core::async_trait;
 use jsonrpsee::types::ErrorObjectOwned;
-use tokio::time::Instant;
 
 use super::event::Event;
+use super::leader_watch::LeaderWatch;
 use super::map_cache::MapCache;
 use super::sidecar_clients::SidecarClients;
 use super::{
-    HeldExperts, MapUpdate, PrepareOrder, RankClient, RankCommand, RankConnector, RankCounts,
-    RankError, RankOrder, RankRpcClient, RankRpcServer, RankState,
+    HeldExperts, LeaderTerm, MapUpdate, PrepareOrder, RankClient, RankCommand, RankConnector,
+    RankCounts, RankError, RankOrder, RankRpcClient, RankRpcServer, RankState,
 };
 use crate::event_log::{EventLog, Level};
 
@@ -21,45 +21,9 @@
 /// Max time for which a call waits until the rank has copied experts.
 const MAX_PREPARED_WAIT: Duration = Duration::from_millis(500);
 
-/// Term and time of the last call that a sidecar received from its group's leader.
-#[derive(Clone, Debug)]
-pub(super) struct LeaderWatch(Arc<Mutex<LastCall>>);
-
-#[derive(Clone, Copy, Debug)]
-struct LastCall {
-    term: u64,
-    at: Instant,
-}
-
-impl LeaderWatch {
-    pub(super) fn new() -> Self {
-        Self(Arc::new(Mutex::new(LastCall { term: 0, at: Instant::now() })))
-    }
-
-    /// Records a call from the leader of `term`, unless a later term is known. Returns whether the
-    /// call was recorded.
-    pub(super) fn record_call(&self, term: u64) -> bool {
-        let mut last = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if term < last.term {
-            return false;
-        }
-        *last = LastCall { term, at: Instant::now() };
-        true
-    }
-
-    /// Time since the last call from the leader of the latest known term.
-    pub(super) fn silence(&self) -> Duration {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).at.elapsed()
-    }
-
-    /// Latest known term.
-    pub(super) fn term(&self) -> u64 {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner).term
-    }
-}
-
-/// Serves the leader's RPC calls for the rank beside this sidecar. Reads are answered for every
-/// leader, orders are refused from the leader of an earlier term.
+/// Serves the leader's RPC calls for the rank beside this sidecar. States are read for every
+/// leader. Orders are refused from the leader of an earlier term or of a group that the rank is not
+/// in.
 #[derive(Debug)]
 pub(super) struct Agent<R: RankConnector> {
     pub(super) connector: Arc<R>,
@@ -90,10 +54,15 @@
     }
 
     /// Passes a map on to other sidecars. Returns how many of them do not know it afterwards.
-    async fn pass_on(&self, term: u64, update: &MapUpdate, others: &[SocketAddr]) -> usize {
+    async fn pass_on(
+        &self,
+        leader: &LeaderTerm,
+        update: &MapUpdate,
+        others: &[SocketAddr],
+    ) -> usize {
         let passed = others.iter().map(|addr| async move {
             let Some(other) = self.sidecars.get(*addr) else { return 1 };
-            let call = other.client.share_map(term, update.clone(), Vec::new());
+            let call = other.client.share_map(leader.clone(), update.clone(), Vec::new());
             match tokio::time::timeout(PASS_ON_TIMEOUT, call).await {
                 Ok(Ok(Ok(missing))) => missing,
                 _ => 1,
@@ -102,49 +71,92 @@
         join_all(passed).await.into_iter().sum()
     }
 
-    /// Refuses an order from the leader of an earlier term.
-    fn admit(&self, term: u64) -> Result<(), RankError> {
-        if self.watch.record_call(term) { Ok(()) } else { Err(RankError::Fenced) }
+    /// Reads the rank's state and records the call if the leader is that of the rank's group.
+    async fn own_state(&self, leader: &LeaderTerm) -> Result<RankState, RankError> {
+        self.watch.record_call(leader);
+        let state = self.rank.state().await?;
+        self.record_group(&state, leader);
+        Ok(state)
+    }
+
+    /// Records the rank's group. A call from the leader of a group that the rank has just been
+    /// found in counts as well.
+    fn record_group(&self, state: &RankState, leader: &LeaderTerm) {
+        let known = self.watch.is_in(&state.group);
+        self.watch.set_group(&state.group);
+        if !known {
+            self.watch.record_call(leader);
+        }
+    }
+
+    /// Refuses an order from the leader of an earlier term, or of a group that the rank is not in
+    /// now.
+    async fn admit(&self, leader: &LeaderTerm) -> Result<(), RankError> {
+        self.own_state(leader).await?;
+        self.admit_known(leader)
+    }
+
+    /// Like [`Agent::admit`], by the group that the rank was last seen in.
+    fn admit_known(&self, leader: &LeaderTerm) -> Result<(), RankError> {
+        if self.watch.record_call(leader) {
+            Ok(())
+        } else if self.watch.is_in(&leader.group) {
+            Err(RankError::Fenced)
+        } else {
+            Err(RankError::Refused)
+        }
+    }
+
+    /// Refuses a read for the leader of a group that the rank was last not seen in.
+    fn admit_read(&self, leader: &LeaderTerm) -> Result<(), RankError> {
+        self.watch.record_call(leader);
+        if self.watch.is_in(&leader.group) { Ok(()) } else { Err(RankError::Refused) }
     }
 }
 
 #[async_trait]
 impl<R: RankConnector> RankRpcServer for Agent<R> {
-    async fn state(&self, term: u64) -> Result<Result<RankState, RankError>, ErrorObjectOwned> {
-        self.watch.record_call(term);
-        Ok(self.rank.state().await)
+    async fn state(
+        &self,
+        leader: LeaderTerm,
+    ) -> Result<Result<RankState, RankError>, ErrorObjectOwned> {
+        Ok(self.own_state(&leader).await)
     }
 
     async fn prepared_state(
         &self,
-        term: u64,
+        leader: LeaderTerm,
         version: u64,
         max_wait_ms: u64,
     ) -> Result<Result<RankState, RankError>, ErrorObjectOwned> {
-        self.watch.record_call(term);
+        self.watch.record_call(&leader);
         let max_wait = Duration::from_millis(max_wait_ms).min(MAX_PREPARED_WAIT);
-        Ok(self.rank.prepared_state(version, max_wait).await)
+        let state = self.rank.prepared_state(version, max_wait).await;
+        if let Ok(state) = &state {
+            self.record_group(state, &leader);
+        }
+        Ok(state)
     }
 
     async fn share_map(
         &self,
-        term: u64,
+        leader: LeaderTerm,
         update: MapUpdate,
         others: Vec<SocketAddr>,
     ) -> Result<Result<usize, RankError>, ErrorObjectOwned> {
-        if let Err(err) = self.admit(term) {
+        if let Err(err) = self.admit_known(&leader) {
             return Ok(Err(err));
         }
-        let missing = self.pass_on(term, &update, &others).await;
+        let missing = self.pass_on(&leader, &update, &others).await;
         Ok(Ok(missing + usize::from(!self.learn(&update))))
     }
 
     async fn prepare(
         &self,
-        term: u64,
+        leader: LeaderTerm,
         order: PrepareOrder,
     ) -> Result<Result<(), RankError>, ErrorObjectOwned> {
-        if let Err(err) = self.admit(term) {
+        if let Err(err) = self.admit(&leader).await {
             return Ok(Err(err));
         }
         let Some(map) = self.maps.find(order.digest) else {
@@ -155,26 +167,33 @@
         Ok(self.rank.command(&RankCommand { order, epoch, fence }).await)
     }
 
-    async fn counts(&self, term: u64) -> Result<Result<RankCounts, RankError>, ErrorObjectOwned> {
-        self.watch.record_call(term);
+    async fn counts(
+        &self,
+        leader: LeaderTerm,
+    ) -> Result<Result<RankCounts, RankError>, ErrorObjectOwned> {
+        if let Err(err) = self.admit_read(&leader) {
+            return Ok(Err(err));
+        }
         Ok(self.rank.counts().await)
     }
 
     async fn held(
         &self,
-        term: u64,
+        leader: LeaderTerm,
     ) -> Result<Result<Vec<HeldExperts>, RankError>, ErrorObjectOwned> {
-        self.watch.record_call(term);
+        if let Err(err) = self.admit_read(&leader) {
+            return Ok(Err(err));
+        }
         Ok(self.rank.held().await)
     }
 
     async fn command_at(
         &self,
-        term: u64,
+        leader: LeaderTerm,
         rank: SocketAddr,
         command: RankCommand,
     ) -> Result<Result<(), RankError>, ErrorObjectOwned> {
-        if let Err(err) = self.admit(term) {
+        if let Err(err) = self.admit(&leader).await {
             return Ok(Err(err));
         }
         Ok(self.connector.client(rank).command(&command).await)
@@ -182,10 +201,10 @@
 
     async fn command(
         &self,
-        term: u64,
+        leader: LeaderTerm,
         command: RankCommand,
     ) -> Result<Result<(), RankError>, ErrorObjectOwned> {
-        if let Err(err) = self.admit(term) {
+        if let Err(err) = self.admit(&leader).await {
             return Ok(Err(err));
         }
         Ok(self.rank.command(&command).await)
--- a/src/remap/event.rs
+++ b/src/remap/event.rs
@@ -18,13 +18,18 @@
     /// Another sidecar began a term at the same time.
     NotClaimed,
     /// This process has become the group's leader.
-    Leads { term: u64, reason: &'a str, silence_ms: u64 },
+    Leads { group: &'a str, term: u64, reason: &'a str, silence_ms: u64 },
     /// This process no longer leads the group.
     Deposed { term: u64, reason: &'a str },
     /// All ranks of the group are known, and no switch is under way.
-    Group { epoch: u64, ranks: usize, map: u64 },
+    Group { group: &'a str, epoch: u64, ranks: usize, map: u64 },
     /// Not all ranks of the group are known or running.
-    GroupIncomplete { known: usize, size: usize },
+    GroupIncomplete { group: &'a str, known: usize, size: usize },
+    /// The members of the group were written for the entries, or rows of groups without listed
+    /// members were removed.
+    MembersPublished { group: &'a str, epoch: u64, members: usize, written: bool, removed: usize },
+    /// The rank is in another group than before.
+    RankMoved { from: &'a str, to: &'a str },
     /// A map was planned for the measured demand.
     Planned { version: u64, copies: usize, skew_before: f64, skew_after: f64 },
     /// A map was made known beside the ranks. `bytes` is the size of the update, `missing` the number
--- a/src/remap/leadership.rs
+++ b/src/remap/leadership.rs
@@ -6,11 +6,15 @@
 
 use super::assembly::{AssembleError, Group};
 use super::event::Event;
+use super::group_memory::GroupMemory;
 use super::map_plan::{MapPlan, plan_map};
 use super::sidecar_clients::SidecarClients;
 use super::switch::{SwitchError, armed_last, settle_switch, switch};
 use super::term_store::TermStore;
-use super::{MapUpdate, PeerRank, PlacementLimits, RankConnector, RankSet, SharedMap, first_fence};
+use super::{
+    LeaderTerm, MapUpdate, PeerRank, PlacementLimits, RankConnector, RankSet, SharedMap,
+    first_fence,
+};
 use crate::direct::{Directory, Experts, RoutingChange};
 use crate::event_log::{EventLog, Level};
 use crate::platform::Table;
@@ -30,6 +34,15 @@
 /// Backoff after a failed switch, since the fault that lost its orders may persist.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(1_500);
 
+/// Why a term has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LeadEnd {
+    /// Another leader has taken over, or there is nothing to lead.
+    Replaced,
+    /// A rank has refused an order as fenced.
+    Fenced,
+}
+
 /// Leads a group for one term: reads demand, plans maps and switches to them.
 #[derive(Debug)]
 pub(super) struct Leadership<'a, D, R: RankConnector> {
@@ -42,7 +55,8 @@
     /// Port on which every sidecar of the group listens.
     pub(super) peer_port: u16,
     pub(super) service: String,
-    pub(super) term: u64,
+    pub(super) leader: LeaderTerm,
+    pub(super) memory: &'a GroupMemory,
     /// Rank beside the leader that last recorded that it may begin a switch. Its machine may be
     /// frozen.
     pub(super) switcher: Option<usize>,
@@ -53,30 +67,40 @@
 impl<D: Table + Directory, R: RankConnector> Leadership<'_, D, R> {
     /// Leads until another leader takes over. Returns without leading if the settings state no
     /// sizes of the group.
-    pub(super) async fn run(self) {
-        let mut fence = first_fence(self.term);
-        let Some(experts) = self.experts().await else { return };
+    pub(super) async fn run(self) -> LeadEnd {
+        let mut fence = first_fence(self.leader.term);
+        let Some(experts) = self.experts().await else { return LeadEnd::Replaced };
         loop {
-            let mut group = match self.assemble(&experts, fence).await {
+            let mut group = match self.assemble(&experts, &mut fence).await {
                 Ok(group) => group,
                 Err(AssembleError::NotReady) => {
                     sleep(ASSEMBLE_INTERVAL).await;
                     continue;
                 }
                 Err(AssembleError::Superseded) => {
-                    return self.log_deposed("the stored term is another leader's");
+                    self.log_deposed("the stored term is another leader's");
+                    return LeadEnd::Replaced;
                 }
+                Err(AssembleError::Fenced) => {
+                    self.log_deposed("a rank has a newer leader");
+                    return LeadEnd::Fenced;
+                }
+            };
+            let row = group.row.clone();
+            let ended = tokio::select! {
+                ended = self.rebalance(&mut group, &experts) => ended,
+                never = self.publish_members(&row) => match never {},
             };
-            let ended = self.rebalance(&mut group, &experts).await;
             fence = group.ranks.fence();
             if ended == SwitchError::Deposed {
-                return self.log_deposed("a rank has a newer leader");
+                self.log_deposed("a rank has a newer leader");
+                return LeadEnd::Fenced;
             }
         }
     }
 
     fn log_deposed(&self, reason: &str) {
-        self.log.write(Level::Warn, &Event::Deposed { term: self.term, reason });
+        self.log.write(Level::Warn, &Event::Deposed { term: self.leader.term, reason });
     }
 
     /// Reads the sizes of the group from the service's settings, and retries until there are
--- a/src/remap/peer_rank.rs
+++ b/src/remap/peer_rank.rs
@@ -6,8 +6,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::{
-    HeldExperts, MapUpdate, PrepareOrder, RankClient, RankCommand, RankCounts, RankError,
-    RankOrder, RankRpcClient, RankState, Sidecar,
+    HeldExperts, LeaderTerm, MapUpdate, PrepareOrder, RankClient, RankCommand, RankCounts,
+    RankError, RankOrder, RankRpcClient, RankState, Sidecar,
 };
 use crate::units::millis;
 
@@ -27,6 +27,10 @@
 /// the leader before it presumes the leader lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(600);
 
+/// Max time since a rank was seen in the leader's group for an order that no sidecar beside the rank
+/// checks. A rank that moves takes longer than that to form another group.
+const MAX_CONFIRMED_AGE: Duration = Duration::from_secs(1);
+
 /// Client of a rank that calls it through the sidecar beside it, or directly if the sidecar does
 /// not answer. Reads from the rank's own machine cost the group nothing.
 #[derive(Debug)]
@@ -34,11 +38,13 @@
     connection: Connection,
     direct: Arc<P>,
     addr: SocketAddr,
-    /// Term of the leader that makes the calls.
-    term: u64,
+    /// Leader that makes the calls.
+    leader: LeaderTerm,
     call_timeout: Duration,
     /// Whether the sidecar is bypassed, and since when. Ends with a state that it reads.
     bypassed_since: Mutex<Option<Instant>>,
+    /// When the rank was last known to be in the leader's group.
+    confirmed_at: Mutex<Option<Instant>>,
 }
 
 /// How a rank is reached.
@@ -52,14 +58,15 @@
 
 impl<P: RankClient> PeerRank<P> {
     /// A client for the rank beside this process, which is called directly.
-    pub fn local(direct: Arc<P>, addr: SocketAddr, term: u64) -> Self {
+    pub fn local(direct: Arc<P>, addr: SocketAddr, leader: LeaderTerm) -> Self {
         Self {
             connection: Connection::Local,
             direct,
             addr,
-            term,
+            leader,
             call_timeout: CALL_TIMEOUT,
             bypassed_since: Mutex::default(),
+            confirmed_at: Mutex::default(),
         }
     }
 
@@ -68,20 +75,31 @@
         direct: Arc<P>,
         addr: SocketAddr,
         sidecar: Sidecar,
-        term: u64,
+        leader: LeaderTerm,
         ranks: usize,
     ) -> Self {
-        let ranks = u32::try_from(ranks).unwrap_or(u32::MAX);
         Self {
             connection: Connection::Sidecar(sidecar),
             direct,
             addr,
-            term,
-            call_timeout: CALL_TIMEOUT + CALL_TIME_PER_RANK * ranks,
+            leader,
+            call_timeout: call_timeout(ranks),
             bypassed_since: Mutex::default(),
+            confirmed_at: Mutex::default(),
         }
     }
 
+    /// Address of the rank.
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Limits the calls' time as for a group of this number of ranks.
+    #[must_use]
+    pub fn with_group_size(self, ranks: usize) -> Self {
+        if self.is_local() { self } else { Self { call_timeout: call_timeout(ranks), ..self } }
+    }
+
     /// Whether the rank is the one beside this process.
     pub const fn is_local(&self) -> bool {
         matches!(self.connection, Connection::Local)
@@ -109,6 +127,37 @@
         self.direct.state().await
     }
 
+    /// Records when the rank was in the leader's group.
+    fn confirm(&self, state: &RankState) {
+        let seen = Instant::now().checked_sub(Duration::from_millis(state.lag_ms));
+        let in_group = state.group == self.leader.group;
+        let confirmed = seen.filter(|_| in_group);
+        *self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner) = confirmed;
+    }
+
+    fn is_confirmed(&self) -> bool {
+        let at = *self.confirmed_at.lock().unwrap_or_else(PoisonError::into_inner);
+        at.is_some_and(|at| at.elapsed() < MAX_CONFIRMED_AGE)
+    }
+
+    /// Refuses an order that no sidecar beside the rank checks, unless the rank is in the leader's
+    /// group. The state of a rank on this machine is always read again.
+    async fn check_group(&self) -> Result<(), RankError> {
+        if !self.is_local() && self.is_confirmed() {
+            return Ok(());
+        }
+        let state = self.direct.state().await?;
+        let lag_ms = if self.is_local() { 0 } else { DIRECT_LAG_MS };
+        self.confirm(&RankState { lag_ms, ..state });
+        if self.is_confirmed() { Ok(()) } else { Err(RankError::Refused) }
+    }
+
+    /// Gives an order without the sidecar beside the rank.
+    async fn command_direct(&self, command: &RankCommand) -> Result<(), RankError> {
+        self.check_group().await?;
+        self.direct.command(command).await
+    }
+
     const fn sidecar_addr(&self) -> Option<SocketAddr> {
         match self.connection {
             Connection::Local => None,
@@ -125,7 +174,7 @@
         command: &RankCommand,
     ) -> Result<(), RankError> {
         let order = PrepareOrder { version, digest, epoch: command.epoch, fence: command.fence };
-        let given = timeout(self.call_timeout, sidecar.prepare(self.term, order)).await;
+        let given = timeout(self.call_timeout, sidecar.prepare(self.leader.clone(), order)).await;
         given.ok().and_then(Result::ok).unwrap_or_else(|| {
             self.bypass_sidecar();
             Err(RankError::Unknown)
@@ -142,20 +191,27 @@
     }
 }
 
+/// Max wait for the answers of the sidecars of a group.
+fn call_timeout(ranks: usize) -> Duration {
+    CALL_TIMEOUT + CALL_TIME_PER_RANK * u32::try_from(ranks).unwrap_or(u32::MAX)
+}
+
 impl<P: RankClient> RankClient for PeerRank<P> {
     async fn state(&self) -> Result<RankState, RankError> {
         if let Some(sidecar) = self.sidecar_to_probe() {
-            match timeout(self.call_timeout, sidecar.state(self.term)).await {
+            match timeout(self.call_timeout, sidecar.state(self.leader.clone())).await {
                 Ok(Ok(state)) => {
                     self.set_bypassed_since(None);
-                    return state;
+                    return state.inspect(|state| self.confirm(state));
                 }
                 Ok(Err(_)) | Err(_) => self.bypass_sidecar(),
             }
         }
         let state = self.direct.state().await?;
         let lag_ms = if self.is_local() { 0 } else { DIRECT_LAG_MS };
-        Ok(RankState { lag_ms, ..state })
+        let state = RankState { lag_ms, ..state };
+        self.confirm(&state);
+        Ok(state)
     }
 
     async fn prepared_state(
@@ -167,9 +223,9 @@
             return self.direct.prepared_state(version, max_wait).await;
         }
         let Some(sidecar) = self.sidecar() else { return self.state_from_now().await };
-        let call = sidecar.prepared_state(self.term, version, millis(max_wait));
+        let call = sidecar.prepared_state(self.leader.clone(), version, millis(max_wait));
         match timeout(max_wait + self.call_timeout, call).await {
-            Ok(Ok(state)) => state,
+            Ok(Ok(state)) => state.inspect(|state| self.confirm(state)),
             Ok(Err(_)) | Err(_) => {
                 self.bypass_sidecar();
                 self.state_from_now().await
@@ -180,7 +236,7 @@
     async fn share_map(&self, update: &MapUpdate, others: &[&Self]) -> Result<usize, RankError> {
         let sidecar = self.sidecar().ok_or(RankError::Unknown)?;
         let others = others.iter().filter_map(|other| other.sidecar_addr()).collect();
-        let call = sidecar.share_map(self.term, update.clone(), others);
+        let call = sidecar.share_map(self.leader.clone(), update.clone(), others);
         match timeout(SHARE_TIMEOUT, call).await {
             Ok(Ok(shared)) => shared,
             Ok(Err(_)) | Err(_) => Err(RankError::Unknown),
@@ -192,7 +248,7 @@
         // that. So there is no direct call if the sidecar does not answer.
         let Connection::Sidecar(_) = self.connection else { return self.direct.counts().await };
         let Some(sidecar) = self.sidecar() else { return Err(RankError::Unknown) };
-        let counted = timeout(self.call_timeout, sidecar.counts(self.term)).await;
+        let counted = timeout(self.call_timeout, sidecar.counts(self.leader.clone())).await;
         counted.ok().and_then(Result::ok).unwrap_or_else(|| {
             self.bypass_sidecar();
             Err(RankError::Unknown)
@@ -201,7 +257,7 @@
 
     async fn held(&self) -> Result<Vec<HeldExperts>, RankError> {
         if let Some(sidecar) = self.sidecar() {
-            match timeout(self.call_timeout, sidecar.held(self.term)).await {
+            match timeout(self.call_timeout, sidecar.held(self.leader.clone())).await {
                 Ok(Ok(held)) => return held,
                 Ok(Err(_)) | Err(_) => self.bypass_sidecar(),
             }
@@ -214,7 +270,7 @@
         // the machine of the rank that holds it is lost.
         let holds = matches!(command.order, RankOrder::Hold { .. } | RankOrder::Release { .. });
         let Some(sidecar) = self.sidecar().filter(|_| !holds) else {
-            return self.direct.command(command).await;
+            return self.command_direct(command).await;
         };
         let limit = if let RankOrder::Prepare { version, map } = &command.order {
             match self.prepare_known(sidecar, *version, map.digest(), command).await {
@@ -224,7 +280,7 @@
         } else {
             self.call_timeout
         };
-        let given = timeout(limit, sidecar.command(self.term, command.clone())).await;
+        let given = timeout(limit, sidecar.command(self.leader.clone(), command.clone())).await;
         given.ok().and_then(Result::ok).unwrap_or_else(|| {
             // The sidecar may have forwarded the order.
             self.bypass_sidecar();
@@ -234,9 +290,10 @@
 
     async fn command_at(&self, other: &Self, command: &RankCommand) -> Result<(), RankError> {
         let Some(sidecar) = self.sidecar() else {
-            return other.direct.command(command).await;
+            return other.command_direct(command).await;
         };
-        let call = sidecar.command_at(self.term, other.addr, command.clone());
+        other.check_group().await?;
+        let call = sidecar.command_at(self.leader.clone(), other.addr, command.clone());
         let given = timeout(self.call_timeout, call).await;
         given.ok().and_then(Result::ok).unwrap_or_else(|| {
             self.bypass_sidecar();
--- a/src/remap/rank_rpc.rs
+++ b/src/remap/rank_rpc.rs
@@ -4,7 +4,7 @@
 use jsonrpsee::types::ErrorObjectOwned;
 use serde::{Deserialize, Serialize};
 
-use super::{HeldExperts, MapUpdate, RankCommand, RankCounts, RankError, RankState};
+use super::{HeldExperts, LeaderTerm, MapUpdate, RankCommand, RankCounts, RankError, RankState};
 
 /// An order to copy the experts of a map that the sidecar knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,18 +21,21 @@
 }
 
 /// RPC interface of the sidecar beside a rank for the group's leader. Each call carries the
-/// leader's term.
+/// leader's group and term.
 #[rpc(server, client, namespace = "rank")]
 pub trait RankRpc {
     /// Reads the rank's state.
     #[method(name = "state")]
-    async fn state(&self, term: u64) -> Result<Result<RankState, RankError>, ErrorObjectOwned>;
+    async fn state(
+        &self,
+        leader: LeaderTerm,
+    ) -> Result<Result<RankState, RankError>, ErrorObjectOwned>;
 
     /// Reads the rank's state once it has copied the experts of a map, or after `max_wait_ms`.
     #[method(name = "prepared-state")]
     async fn prepared_state(
         &self,
-        term: u64,
+        leader: LeaderTerm,
         version: u64,
         max_wait_ms: u64,
     ) -> Result<Result<RankState, RankError>, ErrorObjectOwned>;
@@ -42,7 +45,7 @@
     #[method(name = "share-map")]
     async fn share_map(
         &self,
-        term: u64,
+        leader: LeaderTerm,
         update: MapUpdate,
         others: Vec<SocketAddr>,
     ) -> Result<Result<usize, RankError>, ErrorObjectOwned>;
@@ -52,26 +55,29 @@
     #[method(name = "prepare")]
     async fn prepare(
         &self,
-        term: u64,
+        leader: LeaderTerm,
         order: PrepareOrder,
     ) -> Result<Result<(), RankError>, ErrorObjectOwned>;
 
     /// Reads the rank's token counts.
     #[method(name = "counts")]
-    async fn counts(&self, term: u64) -> Result<Result<RankCounts, RankError>, ErrorObjectOwned>;
+    async fn counts(
+        &self,
+        leader: LeaderTerm,
+    ) -> Result<Result<RankCounts, RankError>, ErrorObjectOwned>;
 
     /// Reads which experts the rank holds.
     #[method(name = "held")]
     async fn held(
         &self,
-        term: u64,
+        leader: LeaderTerm,
     ) -> Result<Result<Vec<HeldExperts>, RankError>, ErrorObjectOwned>;
 
     /// Gives an order from this machine to another rank, named by its address.
     #[method(name = "command-at")]
     async fn command_at(
         &self,
-        term: u64,
+        leader: LeaderTerm,
         rank: SocketAddr,
         command: RankCommand,
     ) -> Result<Result<(), RankError>, ErrorObjectOwned>;
@@ -80,7 +86,7 @@
     #[method(name = "command")]
     async fn command(
         &self,
-        term: u64,
+        leader: LeaderTerm,
         command: RankCommand,
     ) -> Result<Result<(), RankError>, ErrorObjectOwned>;
 }
--- a/src/remap/rank_set.rs
+++ b/src/remap/rank_set.rs
@@ -6,11 +6,12 @@
 use super::{
     HeldExperts, MapUpdate, RankClient, RankCommand, RankCounts, RankError, RankOrder, RankState,
 };
+use crate::membership::GroupName;
 
 /// Number of ranks of a branch through which it is tried to reach the others.
 const MAX_HEADS: usize = 3;
 /// Number of orders that a leader can give before its fencing tokens reach those of the next term.
-const ORDERS_PER_TERM: u64 = 1 << 24;
+pub(super) const ORDERS_PER_TERM: u64 = 1 << 24;
 
 /// Outcome of a leader's own orders to one rank.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -33,6 +34,7 @@
 pub struct RankSet<P> {
     clients: Vec<P>,
     order_statuses: Vec<OrderStatus>,
+    group: GroupName,
     epoch: u64,
     fence: u64,
 }
@@ -52,11 +54,11 @@
 }
 
 impl<P: RankClient> RankSet<P> {
-    /// A set of ranks. `clients` has one client per rank, in the order of the ranks' positions. The
-    /// fencing tokens of the set's orders start after `fence`.
-    pub fn new(clients: Vec<P>, epoch: u64, fence: u64) -> Self {
+    /// The ranks of a group. `clients` has one client per rank, in the order of the ranks'
+    /// positions. The fencing tokens of the set's orders start after `fence`.
+    pub fn new(clients: Vec<P>, group: GroupName, epoch: u64, fence: u64) -> Self {
         let order_statuses = vec![OrderStatus::default(); clients.len()];
-        Self { clients, order_statuses, epoch, fence }
+        Self { clients, order_statuses, group, epoch, fence }
     }
 
     /// Epoch of the group.
@@ -84,8 +86,8 @@
         self.clients.is_empty()
     }
 
-    /// Reads the states of all ranks concurrently. A rank is `None` if it does not answer, or if
-    /// its state may be older than the last order to it.
+    /// Reads the states of all ranks concurrently. A rank is `None` if it does not answer, if its
+    /// state may be older than the last order to it, or if it is in another group.
     pub async fn states(&self) -> Vec<Option<RankState>> {
         let all: Vec<usize> = (0..self.clients.len()).collect();
         self.states_of(&all).await
@@ -99,7 +101,7 @@
             async move { client?.state().await.ok() }
         };
         let read = join_all(ranks.iter().map(read)).await;
-        self.drop_outdated(ranks, read, sent)
+        self.drop_unusable(ranks, read, sent)
     }
 
     /// Like [`RankSet::states`], once each rank has copied the experts of a map, or after
@@ -113,7 +115,7 @@
         let read = self.clients.iter().map(|client| client.prepared_state(version, max_wait));
         let read = join_all(read).await.into_iter().map(Result::ok).collect();
         let all: Vec<usize> = (0..self.clients.len()).collect();
-        self.drop_outdated(&all, read, sent)
+        self.drop_unusable(&all, read, sent)
     }
 
     /// Makes a map known beside all ranks but `local`. It is sent to some and passed on from there,
@@ -127,16 +129,16 @@
         join_all(shared).await.into_iter().sum()
     }
 
-    /// Drops the states that may be older than the last order to the rank. They were asked for at
-    /// `sent`.
-    fn drop_outdated(
+    /// Drops the states of another group and those that may be older than the last order to the
+    /// rank. They were asked for at `sent`.
+    fn drop_unusable(
         &self,
         ranks: &[usize],
         read: Vec<Option<RankState>>,
         sent: Instant,
     ) -> Vec<Option<RankState>> {
         let after = |(state, rank): (Option<RankState>, &usize)| {
-            let state = state?;
+            let state = state.filter(|state| state.group == self.group)?;
             let seen = sent.checked_sub(Duration::from_millis(state.lag_ms));
             let last_order = self.order_statuses.get(*rank)?.last_order_ended;
             last_order.is_none_or(|ended| seen >= Some(ended)).then_some(state)
@@ -146,13 +148,8 @@
 
     /// Reads the state of one rank, even if it may be older than the last order.
     pub async fn state_of(&self, rank: usize) -> Option<RankState> {
-        self.clients.get(rank)?.state().await.ok()
-    }
-
-    /// Reads the states of all ranks and returns each with the rank's client.
-    pub async fn states_and_clients(self) -> Vec<(Option<RankState>, P)> {
-        let states = self.states().await;
-        states.into_iter().zip(self.clients).collect()
+        let state = self.clients.get(rank)?.state().await.ok();
+        state.filter(|state| state.group == self.group)
     }
 
     /// Reads the token counts of some ranks.
--- a/src/remap/rank_state.rs
+++ b/src/remap/rank_state.rs
@@ -1,5 +1,7 @@
 use serde::{Deserialize, Serialize};
 
+use crate::membership::GroupName;
+
 /// A map that a rank is going to switch to by itself, without a further order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -11,9 +13,12 @@
 }
 
 /// State that a rank reports of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct RankState {
+    /// Name of the group, empty if the rank reports none.
+    #[serde(default)]
+    pub group: GroupName,
     /// Position in the group.
     pub rank: usize,
     /// Number of ranks of the group.
--- a/src/remap/settle_action.rs
+++ b/src/remap/settle_action.rs
@@ -49,8 +49,11 @@
         return SettleAction::Blocked;
     }
     let absent = absent.filter(|rank| !known_unarmed(*rank));
-    let known: Vec<(usize, RankState)> =
-        states.iter().enumerate().filter_map(|(rank, state)| Some((rank, (*state)?))).collect();
+    let known: Vec<(usize, &RankState)> = states
+        .iter()
+        .enumerate()
+        .filter_map(|(rank, state)| Some((rank, state.as_ref()?)))
+        .collect();
     let Some((_, first)) = known.first() else { return SettleAction::Blocked };
     if !known.iter().all(|(_, state)| state.open && state.epoch == first.epoch) {
         return SettleAction::Blocked;
@@ -62,7 +65,7 @@
     }
     if let Some(pass) = known.iter().filter_map(|(_, state)| next_pass(state)).min() {
         let held =
-            |(rank, state): &(usize, RankState)| statuses[*rank].holds && state.held == Some(pass);
+            |(rank, state): &(usize, &RankState)| statuses[*rank].holds && state.held == Some(pass);
         if !known.iter().any(held) {
             return hold(&known, pass, local);
         }
@@ -79,8 +82,8 @@
 /// Chooses the rank that is to hold the group: the local one, or another that does not hold it yet.
 /// If all do, as after orders without an answer, one that holds it is ordered again, so that it
 /// refuses an earlier leader's release.
-fn hold(known: &[(usize, RankState)], pass: u64, local: usize) -> SettleAction {
-    let not_holding = |(_, state): &&(usize, RankState)| state.held.is_none();
+fn hold(known: &[(usize, &RankState)], pass: u64, local: usize) -> SettleAction {
+    let not_holding = |(_, state): &&(usize, &RankState)| state.held.is_none();
     let local = known.iter().filter(not_holding).find(|(rank, _)| *rank == local);
     let target = local.or(known.iter().find(not_holding));
     let again = || known.iter().find(|(_, state)| state.held == Some(pass));
@@ -90,7 +93,7 @@
 
 /// Fences, then disarms, then releases the ranks, while the leader holds the group.
 fn undo(
-    known: &[(usize, RankState)],
+    known: &[(usize, &RankState)],
     statuses: &[OrderStatus],
     last_armed: &[usize],
     absent: Option<usize>,
--- a/standin/src/rank_group_standin.rs
+++ b/standin/src/rank_group_standin.rs
@@ -1,6 +1,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use ebonyusher::membership::GroupName;
 use ebonyusher::remap::{Armed, HeldExperts, RankCommand, RankError, RankOrder, RankState};
 use tokio::time::{Instant, sleep};
 
@@ -100,7 +101,7 @@
         let history = &state.ranks[rank].history;
         let state_then =
             history.iter().rev().find(|(since, _)| Some(*since) <= at).or(history.first());
-        state_then.map_or_else(|| state.report(rank), |(_, report)| *report)
+        state_then.map_or_else(|| state.report(rank), |(_, report)| report.clone())
     }
 
     /// Returns no experts: the maps of this group differ only by version.
@@ -134,6 +135,7 @@
     fn report(&self, rank: usize) -> RankState {
         let member = &self.ranks[rank];
         RankState {
+            group: GroupName::default(),
             rank,
             size: self.ranks.len(),
             epoch: EPOCH,
--- a/tests/it/remap_faults.rs
+++ b/tests/it/remap_faults.rs
@@ -9,6 +9,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use ebonyusher::membership::GroupName;
 use ebonyusher::remap::{
     GroupMap, RankClient, RankSet, SharedMap, SwitchError, armed_last, first_fence, settle_switch,
     switch,
@@ -85,7 +86,7 @@
     term: u64,
 ) {
     let last_armed = term_row.lock().unwrap().claim(term);
-    let mut ranks = RankSet::new(clients, 1, first_fence(term));
+    let mut ranks = RankSet::new(clients, GroupName::default(), 1, first_fence(term));
     let map = SharedMap::from(GroupMap { sets: Vec::new() });
     let mut version = term * 1_000;
     if settle_switch(&mut ranks, local, &last_armed).await.is_err() {
@@ -183,7 +184,7 @@
             seed,
         )
     });
-    let mut ranks = RankSet::new(clients.collect(), 1, first_fence(100));
+    let mut ranks = RankSet::new(clients.collect(), GroupName::default(), 1, first_fence(100));
     let last_armed = term_row.lock().unwrap().claim(100);
     let switched = timeout(MAX_SETTLE_TIME, switch_once(&mut ranks, last_armed)).await;
     assert!(matches!(switched, Ok(true)), "{:?}", ranks.states().await);
--- a/tests/it/remap_parts.rs
+++ b/tests/it/remap_parts.rs
@@ -1,5 +1,6 @@
 //! Parts of the planning and switching of expert maps.
 
+use ebonyusher::membership::GroupName;
 use ebonyusher::remap::{
     Armed, Demand, GroupMap, HeldExperts, OrderStatus, PlacementLimits, RankCommand, RankCounts,
     RankOrder, RankState, SettleAction, improve_set, next_settle_action,
@@ -97,6 +98,7 @@
 #[test]
 fn a_rank_that_was_never_armed_need_not_be_reached() {
     let state = |rank, held| RankState {
+        group: GroupName::default(),
         rank,
         size: 4,
         epoch: 1,
@@ -130,6 +132,7 @@
 #[test]
 fn a_group_held_by_every_rank_is_released() {
     let state = |rank| RankState {
+        group: GroupName::default(),
         rank,
         size: 2,
         epoch: 1,
--- a/tests/it/remap_search/report.rs
+++ b/tests/it/remap_search/report.rs
@@ -1,3 +1,4 @@
+use ebonyusher::membership::GroupName;
 use ebonyusher::remap::{Armed, RankState};
 
 use super::layout::{PASS, RANKS, VERSION};
@@ -13,6 +14,7 @@
     /// Converts this to the input of [`next_settle_action`](ebonyusher::remap::next_settle_action).
     pub(super) fn rank_state(self, rank: usize) -> RankState {
         RankState {
+            group: GroupName::default(),
             rank,
             size: RANKS,
             epoch: 1,
--- a/tests/it/term_store.rs
+++ b/tests/it/term_store.rs
@@ -4,14 +4,17 @@
 
 use ebonyusher::id::Incarnation;
 use ebonyusher::platform::{Row, Table, TableError, Txn};
-use ebonyusher::remap::{Claim, ClaimedTerm, TermStore};
+use ebonyusher::remap::{Claim, ClaimedTerm, TermStore, first_fence};
 use ebonyusher_standin::MemPlatform;
 
-const GROUP: &str = "group-1";
-const KEY: &str = "term/group-1";
+const KEY: &str = "term/chat/g-1";
 
 fn terms(table: &Arc<MemPlatform>) -> TermStore<MemPlatform> {
-    TermStore::new(Arc::clone(table), GROUP, Incarnation::random())
+    terms_of(table, "g-1")
+}
+
+fn terms_of(table: &Arc<MemPlatform>, group: &str) -> TermStore<MemPlatform> {
+    TermStore::new(Arc::clone(table), "chat", &group.into(), Incarnation::random())
 }
 
 /// Begins a term, given the latest one that the process knows.
@@ -87,3 +90,35 @@
     assert_eq!(ignorant, Claim::Newer(present.term));
     assert_eq!(informed.term, present.term + 1);
 }
+
+/// Guards against leaders of different groups that depose each other by one stored term.
+#[tokio::test]
+async fn each_group_of_a_service_has_its_own_term() {
+    let table = Arc::new(MemPlatform::new());
+    let (first, second, unnamed) =
+        (terms_of(&table, "g-1"), terms_of(&table, "g-2"), terms_of(&table, ""));
+    let claimed = begin(&first, 0).await;
+
+    let others = [begin(&second, 0).await.term, begin(&unnamed, 0).await.term];
+
+    assert_eq!(others, [1, 1]);
+    assert_eq!(first.record_switcher(claimed.term, 0).await, Ok(()));
+    assert!(table.get("term/chat").await.unwrap().is_some());
+}
+
+/// Guards against a leader that stays fenced by a rank that came from a group with greater terms.
+#[tokio::test]
+async fn a_claim_after_a_fenced_order_exceeds_the_terms_of_all_groups_and_keeps_tokens_exact() {
+    let table = Arc::new(MemPlatform::new());
+    let (first, second) = (terms_of(&table, "g-1"), terms_of(&table, "g-2"));
+    begin(&first, 700).await;
+    let known = begin(&second, 2).await.term;
+
+    let above = second.claim_ahead(known).await.unwrap();
+    let doubled = second.claim_ahead(1_000).await.unwrap();
+    let last = second.claim_ahead(300_000_000).await.unwrap();
+
+    let begun = |term| Claim::Begun(ClaimedTerm { term, switcher: None });
+    assert_eq!((above, doubled, last), (begun(702), begun(2_000), begun(300_000_001)));
+    assert!(first_fence(300_000_002) < 1 << 53);
+}
