--- a/standin/src/rank_group_standin.rs
+++ b/standin/src/rank_group_standin.rs
@@ -14,6 +14,10 @@
 
 #[derive(Debug)]
 struct State {
+    name: GroupName,
+    epoch: u64,
+    /// Whether the group runs. It does not while it forms a new epoch.
+    open: bool,
     pass: u64,
     ranks: Vec<Rank>,
     /// Passes that began while two ranks had different maps.
@@ -34,14 +38,22 @@
     history: Vec<(Instant, RankState)>,
 }
 
-/// The only epoch of the group.
-const EPOCH: u64 = 1;
-
 impl RankGroupStandin {
-    /// Creates a group of `ranks` ranks, all with map 0.
+    /// Creates a group of `ranks` ranks without a name, all with map 0, in epoch 1.
     pub fn new(ranks: usize) -> Self {
-        let state =
-            State { pass: 0, ranks: vec![Rank::default(); ranks], split_passes: Vec::new() };
+        Self::named("", 1, ranks)
+    }
+
+    /// Creates a group with a name, in an epoch.
+    pub fn named(name: &str, epoch: u64, ranks: usize) -> Self {
+        let state = State {
+            name: name.into(),
+            epoch,
+            open: true,
+            pass: 0,
+            ranks: vec![Rank::default(); ranks],
+            split_passes: Vec::new(),
+        };
         let group = Self { state: Arc::new(Mutex::new(state)) };
         group.lock().record_states();
         group
@@ -51,10 +63,46 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Begins the next pass unless a rank holds it, and returns whether it began.
+    /// Begins to form the next epoch. The group does not run until [`Self::open`]. Unfinished
+    /// switches are dropped; the map stays.
+    pub fn reform(&self) {
+        let mut state = self.lock();
+        state.epoch += 1;
+        state.open = false;
+        let map = state.ranks[0].map;
+        for rank in &mut state.ranks {
+            let (fence, max_prepared) = (rank.fence, rank.max_prepared);
+            let history = std::mem::take(&mut rank.history);
+            *rank = Rank { fence, map, max_prepared, history, ..Rank::default() };
+        }
+        state.record_states();
+    }
+
+    /// Lets the group run after [`Self::reform`].
+    pub fn open(&self) {
+        let mut state = self.lock();
+        state.open = true;
+        state.record_states();
+    }
+
+    /// Returns the fencing token that a rank knows.
+    pub fn fence(&self, rank: usize) -> u64 {
+        self.lock().ranks[rank].fence
+    }
+
+    /// Replaces the fencing token that a rank knows, as if another process had become this rank.
+    pub fn set_fence(&self, rank: usize, fence: u64) {
+        self.lock().ranks[rank].fence = fence;
+    }
+
+    /// Begins the next pass unless a rank holds it or the group does not run, and returns whether
+    /// it began.
     pub fn begin_pass(&self) -> bool {
         let mut state = self.lock();
         let next = state.pass + 1;
+        if !state.open {
+            return false;
+        }
         if state.ranks.iter().any(|rank| rank.held == Some(next)) {
             return false;
         }
@@ -116,9 +164,9 @@
     /// [`RankError::Fenced`] if its fencing token is old.
     pub fn apply(&self, rank: usize, command: &RankCommand) -> Result<(), RankError> {
         let mut state = self.lock();
-        let pass = state.pass;
+        let (pass, epoch, open) = (state.pass, state.epoch, state.open);
         let member = &mut state.ranks[rank];
-        if command.epoch != EPOCH {
+        if command.epoch != epoch || !open {
             return Err(RankError::Refused);
         }
         if command.fence < member.fence {
@@ -135,11 +183,11 @@
     fn report(&self, rank: usize) -> RankState {
         let member = &self.ranks[rank];
         RankState {
-            group: GroupName::default(),
+            group: self.name.clone(),
             rank,
             size: self.ranks.len(),
-            epoch: EPOCH,
-            open: true,
+            epoch: self.epoch,
+            open: self.open,
             pass: self.pass,
             map: member.map,
             prepared: member.prepared,
--- a/tests/it/large_group.rs
+++ b/tests/it/large_group.rs
@@ -24,7 +24,7 @@
 
 const RANKS: usize = 129;
 const EXPERTS: usize = 258;
-const SETS: usize = 2;
+pub(super) const SETS: usize = 2;
 const PASS_TIME: Duration = Duration::from_millis(100);
 /// Passes after which other experts are in demand.
 const PASSES_PER_SHIFT: u64 = 25;
@@ -124,15 +124,16 @@
     }
 }
 
-fn changes<T>(items: Vec<T>) -> Changes<T> {
+pub(super) fn changes<T>(items: Vec<T>) -> Changes<T> {
     Changes { items, cursor: Cursor { era: 0, version: 1 } }
 }
 
-fn routing() -> Routing {
+/// Returns the settings of a service whose groups have this number of experts and places.
+pub(super) fn routing(count: usize, places: usize) -> Routing {
     let experts = Experts {
         sets: SETS,
-        count: EXPERTS,
-        places: 3,
+        count,
+        places,
         spare: 1,
         share: 0.8,
         form_time: Duration::from_secs(2),
@@ -155,13 +156,24 @@
     Routing::new(1, limits, [], [service], None)
 }
 
+pub(super) fn listed(id: &str, addr: SocketAddr) -> ListedUpstream {
+    ListedUpstream {
+        id: id.to_owned(),
+        service: "desk".to_owned(),
+        addr,
+        domain: "osu".to_owned(),
+        draining: false,
+        started_at_ms: Some(1),
+    }
+}
+
 impl Directory for Platform {
     async fn routing(
         &self,
         _after: Option<Cursor>,
         _wait: Duration,
     ) -> Result<Changes<RoutingChange>, DirectoryError> {
-        Ok(changes(vec![RoutingChange::Written(Box::new(routing()))]))
+        Ok(changes(vec![RoutingChange::Written(Box::new(routing(EXPERTS, 3)))]))
     }
 
     async fn upstreams(
@@ -169,15 +181,8 @@
         _after: Option<Cursor>,
         _wait: Duration,
     ) -> Result<Changes<ListChange>, DirectoryError> {
-        let listed = |rank| ListedUpstream {
-            id: format!("u-{rank}"),
-            service: "desk".to_owned(),
-            addr: rank_addr(rank),
-            domain: "osu".to_owned(),
-            draining: false,
-            started_at_ms: Some(1),
-        };
-        Ok(changes((0..RANKS).map(|rank| ListChange::Listed(listed(rank))).collect()))
+        let listed = |rank| ListChange::Listed(listed(&format!("u-{rank}"), rank_addr(rank)));
+        Ok(changes((0..RANKS).map(listed).collect()))
     }
 
     async fn rows(
@@ -230,7 +235,7 @@
     RankNode::start(&file, Arc::clone(platform), connector, log).await.expect("starts")
 }
 
-async fn until(what: &str, holds: impl AsyncFn() -> bool) {
+pub(super) async fn until(what: &str, holds: impl AsyncFn() -> bool) {
     let began = Instant::now();
     while !holds().await {
         assert!(began.elapsed() < MAX_WAIT, "{what}");
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -27,6 +27,7 @@
 mod remap_search;
 mod routing;
 mod settings_order;
+mod several_groups;
 mod suspects;
 mod term_store;
 mod test_cluster;
