--- a/tests/it/remap_faults.rs
+++ b/tests/it/remap_faults.rs
@@ -285,5 +285,5 @@
         FaultyRankClient::new(&group, rank, faults, reachable, seed * 1_000 + rank as u64)
     };
     let clients = (0..size).map(client).collect();
-    (group, RankSet::new(clients, 1, first_fence(1)))
+    (group, RankSet::new(clients, GroupName::default(), 1, first_fence(1)))
 }
