--- a/tests/it/several_groups/sidecars.rs
+++ b/tests/it/several_groups/sidecars.rs
@@ -19,13 +19,17 @@
 const GROUPS: [(u64, usize); 3] = [(4, 3), (4, 3), (9, 4)];
 
 /// Returns a port that is free on the first host.
-fn free_port() -> u16 {
+pub(super) fn free_port() -> u16 {
     let listener = TcpListener::bind(SocketAddr::new(host_addr(0).ip(), 0)).expect("binds");
     listener.local_addr().expect("an address").port()
 }
 
 /// Starts the sidecars beside some hosts. All sidecars listen on one port.
-async fn start_sidecars(world: &Arc<World>, hosts: &[usize], port: u16) -> Vec<RankNode> {
+pub(super) async fn start_sidecars(
+    world: &Arc<World>,
+    hosts: &[usize],
+    port: u16,
+) -> Vec<RankNode> {
     let mut nodes = Vec::new();
     for host in hosts {
         let addr = host_addr(*host);
