A leader plans no map while its ranks have yet to switch

Cause: a shift of demand soon after a switch led to a plan while ranks were still armed. They refused to prepare, the switch was undone, and the next plan came 1.5 s later. With passes further ahead after lost orders this comes more often. Change: the leader remembers the pass of the last switch, and plans again once its own rank has begun it. Result: tests of maps pass (55).

--- a/src/remap/assembly.rs
+++ b/src/remap/assembly.rs
@@ -46,6 +46,8 @@
     pub(super) demand: Demand,
     pub(super) next_plan: Instant,
     pub(super) next_states: Instant,
+    /// Pass at which the ranks last switched, or are going to.
+    pub(super) switch_pass: u64,
     /// Ranks whose counts are read.
     pub(super) sampled: Vec<usize>,
 }
@@ -139,6 +141,7 @@
             demand,
             next_plan,
             next_states,
+            switch_pass: 0,
             sampled,
         })
     }
--- a/src/remap/leadership.rs
+++ b/src/remap/leadership.rs
@@ -151,13 +151,13 @@
         loop {
             sleep(OBSERVE_INTERVAL).await;
             let own = group.ranks.state_of(group.local).await;
-            let unchanged = own.is_some_and(|own| own.epoch == group.ranks.epoch() && own.open);
-            if !unchanged {
+            let own = own.filter(|own| own.epoch == group.ranks.epoch() && own.open);
+            let Some(own) = own else {
                 return SwitchError::Failed(
                     "observe",
                     "the group is in a new epoch or not running".to_owned(),
                 );
-            }
+            };
             if group.next_states <= Instant::now() {
                 group.next_states = Instant::now() + STATES_INTERVAL;
                 if group.ranks.states().await.contains(&None) {
@@ -169,7 +169,9 @@
             if shifted {
                 group.next_plan = group.next_plan.min(Instant::now());
             }
-            if counts.contains(&None) || Instant::now() < group.next_plan {
+            // Ranks that have yet to switch refuse to prepare another map.
+            let is_switching = own.pass < group.switch_pass;
+            if is_switching || counts.contains(&None) || Instant::now() < group.next_plan {
                 continue;
             }
             if let Err(err) = self.plan(group, experts).await {
@@ -203,6 +205,7 @@
             Ok(pass) => {
                 let epoch = group.ranks.epoch();
                 group.map = map;
+                group.switch_pass = pass;
                 let event =
                     Event::Switched { version, pass, epoch, took_ms: millis(started.elapsed()) };
                 self.log.write(Level::Info, &event);
