Direct entry: evacuated failure domains get nothing new

Change: the rows arrive in the feed of the settings as RoutingChange::Evacuated and Restored and are applied to Evacuations before settings of the same answer are published. Dispatcher::pick drops upstreams of evacuated domains for every attempt, build_request checks again before the send; if none is left the request is refused (Reason::Evacuated). An evacuation that a restored store lacks is kept for 2.3 s and until a later answer.

--- a/src/direct/admission/mod.rs
+++ b/src/direct/admission/mod.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod engine_load;
+mod evacuated;
 mod pick;
 mod retry_budget;
 mod return_queue;
--- a/src/direct/admission/pick.rs
+++ b/src/direct/admission/pick.rs
@@ -36,6 +36,7 @@
             .iter()
             .filter(|upstream| !upstream.is_draining() && !history.has_tried(&upstream.listed.id))
             .collect();
+        self.drop_evacuated(&mut eligible, history)?;
         self.drop_limited(&mut eligible, request, history, now)?;
         let candidates: SmallVec<[Candidate; 16]> = eligible
             .iter()
--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -266,7 +266,7 @@
     }
 
     /// Builds the HTTP request, unless the upstream has meanwhile started draining or asked for a
-    /// pause.
+    /// pause, or its failure domain is evacuated.
     fn build_request(
         &self,
         request: &CheckedRequest,
@@ -279,6 +279,12 @@
                 "upstream is draining",
             ));
         }
+        if self.evacuations.contains(&upstream.listed.domain) {
+            return Err(FailedAttempt::new(
+                Failure::not_run(Reason::UpstreamDown),
+                "failure domain is evacuated",
+            ));
+        }
         if upstream.paused_until(Instant::now()).is_some() {
             return Err(FailedAttempt::new(
                 Failure::not_run(Reason::UpstreamDown),
--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -43,6 +43,7 @@
     in_flight: Gauge,
     revision: Gauge,
     limited_upstreams: Gauge,
+    evacuated_domains: Gauge,
 }
 
 impl fmt::Debug for DirectMeter {
@@ -84,6 +85,9 @@
         let limited_upstreams = Gauge::default();
         let help = "Upstreams that name a limit of requests per second";
         registry.register("limited_upstreams", help, limited_upstreams.clone());
+        let evacuated_domains = Gauge::default();
+        let help = "Failure domains that are evacuated";
+        registry.register("evacuated_domains", help, evacuated_domains.clone());
         Self {
             registry,
             ended,
@@ -93,6 +97,7 @@
             in_flight,
             revision,
             limited_upstreams,
+            evacuated_domains,
         }
     }
 
@@ -132,6 +137,11 @@
         self.limited_upstreams.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Records how many failure domains are evacuated.
+    pub fn evacuated_domains(&self, number: usize) {
+        self.evacuated_domains.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -14,7 +14,8 @@
 use super::quarantine::CrashRecorder;
 use super::service_state::ServiceState;
 use super::{
-    BodyMemory, Delivery, DirectMeter, Freshness, HeaderNames, RetryLimits, Roster, Upstream,
+    BodyMemory, Delivery, DirectMeter, Evacuations, Freshness, HeaderNames, RetryLimits, Roster,
+    Upstream,
 };
 use crate::direct::admission::Chosen;
 use crate::direct::attempts::{
@@ -39,6 +40,7 @@
     pub(super) header_watch: HeaderWatch,
     pub(super) domain: String,
     pub(super) roster: Arc<Roster>,
+    pub(super) evacuations: Arc<Evacuations>,
     pub(super) freshness: Arc<Freshness>,
     pub(super) retry_limits: RetryLimits,
     pub(super) service_states: Mutex<HashMap<String, Arc<ServiceState>>>,
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -25,6 +25,16 @@
     Platform { topic: &'a str, up: bool, detail: &'a str, down_ms: u64 },
     /// The platform's store came back from an older copy. The topic is read as a whole.
     StoreRewound { topic: &'a str, era: u64 },
+    /// The operator evacuated a failure domain or restored it, or the store has lost the
+    /// evacuation, which is then kept for a time. The age is that of the answer that told of it.
+    Evacuation {
+        domain: &'a str,
+        change: &'a str,
+        version: u64,
+        age_ms: u64,
+        /// For how long this entry has known of the evacuation.
+        known_ms: u64,
+    },
     /// The list of upstreams changed.
     Upstream { upstream: &'a str, service: &'a str, change: &'a str, cursor: u64 },
     /// An upstream crashed while it ran the request with this fingerprint.
--- a/src/direct/feeds/directory.rs
+++ b/src/direct/feeds/directory.rs
@@ -43,6 +43,10 @@
     Written(Box<Routing>),
     /// Settings were written that can't be used, for this reason.
     Unusable(String),
+    /// The operator wants no requests sent to upstreams of this failure domain.
+    Evacuated(String),
+    /// The failure domain is no longer evacuated.
+    Restored(String),
 }
 
 /// A change of ebonyusher's own table.
@@ -99,8 +103,8 @@
 
 /// Source of the settings and of the list of upstreams.
 pub trait Directory: Send + Sync + 'static {
-    /// Returns the current settings or, if there is a cursor, those written after it. In that case
-    /// it waits until there are some or `wait` has passed.
+    /// Returns the current settings and evacuated failure domains or, if there is a cursor, what
+    /// changed after it. In that case it waits until there are changes or `wait` has passed.
     ///
     /// # Errors
     /// As [`DirectoryError`] says.
--- a/src/direct/feeds/mod.rs
+++ b/src/direct/feeds/mod.rs
@@ -1,6 +1,7 @@
 //! Settings, upstreams and shared rows, as the platform tells of them.
 
 mod directory;
+mod evacuation_updates;
 mod freshness;
 mod platform_health;
 mod routing_follower;
@@ -12,6 +13,7 @@
     Changes, Cursor, Directory, DirectoryError, ListChange, ListedUpstream, RoutingChange,
     RowChange,
 };
+pub(super) use evacuation_updates::EvacuationUpdates;
 pub use freshness::Freshness;
 pub(super) use platform_health::PlatformHealth;
 pub(super) use routing_follower::RoutingFollower;
--- a/src/direct/feeds/routing_follower.rs
+++ b/src/direct/feeds/routing_follower.rs
@@ -1,11 +1,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::direct::event::Event;
-use crate::direct::feeds::{PlatformHealth, RoutingPublisher};
-use crate::direct::{Changes, DirectMeter, Directory, DirectoryError, Freshness, RoutingChange};
+use crate::direct::feeds::evacuation_updates::Reading;
+use crate::direct::feeds::upstream_follower::RELIST_GRACE;
+use crate::direct::feeds::{EvacuationUpdates, PlatformHealth, RoutingPublisher};
+use crate::direct::{
+    Changes, Cursor, DirectMeter, Directory, DirectoryError, Freshness, RoutingChange,
+};
 use crate::event_log::{EventLog, Level};
 use crate::units::BootTime;
 
@@ -14,15 +18,19 @@
 const MAX_WAIT: Duration = Duration::from_millis(1_900);
 /// Minimum number of calls within the maximum age of fresh settings, so that one may fail.
 const CALLS_PER_MAX_AGE: u32 = 2;
-/// Time after which a call without a response is given up, beyond the time that it waits.
+/// Time after which a call without a response is given up and the next one sent, beyond the time
+/// that it waits.
 const LOSS_TIME: Duration = Duration::from_millis(1_050);
 
-/// Keeps the settings in force up to date with the platform.
+/// Keeps the settings in force and the evacuated failure domains up to date with the platform.
 #[derive(Debug)]
 pub(in crate::direct) struct RoutingFollower<D> {
     pub(in crate::direct) directory: Arc<D>,
     pub(in crate::direct) publisher: RoutingPublisher,
+    pub(in crate::direct) evacuation_updates: EvacuationUpdates,
     pub(in crate::direct) freshness: Arc<Freshness>,
+    /// Time in which an evacuation must take effect, if it is limited.
+    pub(in crate::direct) evacuation_time: Option<Duration>,
     pub(in crate::direct) meter: Arc<DirectMeter>,
     pub(in crate::direct) log: EventLog,
 }
@@ -32,14 +40,24 @@
     pub(in crate::direct) async fn run(self) {
         let mut health = PlatformHealth::new("settings", self.log.clone());
         let mut cursor = None;
-        let wait = self.freshness.max_age().map_or(MAX_WAIT, |max_age| {
-            MAX_WAIT.min(max_age.saturating_sub(LOSS_TIME) / CALLS_PER_MAX_AGE)
-        });
+        let mut version = 0;
+        let max_wait = self.max_wait();
         loop {
-            let sent_at = BootTime::now();
+            let (sent_at, sent) = (BootTime::now(), Instant::now());
+            let wait = self.evacuation_updates.next_wait(max_wait, sent);
             match self.directory.routing(cursor, health.next_wait(wait)).await {
                 Ok(changes) => {
                     health.record_success();
+                    let Cursor { era, version: read } = changes.cursor;
+                    if read < version {
+                        // A store that states no era has come back from an older copy.
+                        health.record_rewind(era);
+                    }
+                    let grace = grace_left(&health, sent);
+                    let reading = Reading { sent, is_whole: cursor.is_none(), grace };
+                    // Requests that arrive with the new settings must know of evacuations.
+                    self.evacuation_updates.apply(&changes, &reading);
+                    version = read;
                     cursor = Some(changes.cursor);
                     if self.apply(changes) {
                         self.freshness.confirm(sent_at);
@@ -48,13 +66,22 @@
                 Err(DirectoryError::HistoryGone) => cursor = None,
                 Err(DirectoryError::Rewound(era)) => {
                     health.record_rewind(era);
-                    cursor = None;
+                    (cursor, version) = (None, 0);
                 }
                 Err(err) => sleep(health.record_failure(&err.to_string())).await,
             }
         }
     }
 
+    /// Returns the maximum time that one call waits for changes.
+    fn max_wait(&self) -> Duration {
+        let max_age = self.freshness.max_age();
+        let for_age = max_age.map(|age| age.saturating_sub(LOSS_TIME) / CALLS_PER_MAX_AGE);
+        // One call may be lost, and the next one slow.
+        let for_evacuations = self.evacuation_time.map(|time| time.saturating_sub(LOSS_TIME * 2));
+        [for_age, for_evacuations].into_iter().flatten().fold(MAX_WAIT, Duration::min)
+    }
+
     /// Puts the newest usable settings in force. Returns whether they are the newest ones written.
     fn apply(&self, changes: Changes<RoutingChange>) -> bool {
         let mut is_newest = true;
@@ -75,8 +102,15 @@
                     let event = Event::SettingsUnusable { reason: &reason, in_force };
                     self.log.write(Level::Error, &event);
                 }
+                RoutingChange::Evacuated(_) | RoutingChange::Restored(_) => {}
             }
         }
         is_newest
     }
 }
+
+/// Returns for how long from the sending of a call the evacuations are kept that its answer lacks.
+fn grace_left(health: &PlatformHealth, sent: Instant) -> Option<Duration> {
+    let since = health.since_recovery()?.saturating_sub(sent.elapsed());
+    RELIST_GRACE.checked_sub(since)
+}
--- a/src/direct/feeds/upstream_follower.rs
+++ b/src/direct/feeds/upstream_follower.rs
@@ -20,9 +20,9 @@
 const GATHER_SHARE: f64 = 0.25;
 /// Maximum time for which changes are gathered, since new upstreams are wanted soon as well.
 const MAX_GATHER_TIME: Duration = Duration::from_millis(1_000);
-/// Time after an outage of the platform within which the upstreams that its list has lost are
-/// listed again.
-const RELIST_GRACE: Duration = Duration::from_millis(2_300);
+/// Time after an outage of the platform within which the upstreams and evacuations that its store has
+/// lost are written again.
+pub(super) const RELIST_GRACE: Duration = Duration::from_millis(2_300);
 
 /// How late an entry may know of changes of the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -213,7 +213,9 @@
         return refusal;
     }
     let wait = match refusal.reason {
-        Reason::Overload | Reason::UpstreamDown | Reason::NoUpstream => UPSTREAM_RETRY_AFTER,
+        Reason::Overload | Reason::UpstreamDown | Reason::NoUpstream | Reason::Evacuated => {
+            UPSTREAM_RETRY_AFTER
+        }
         _ => ENTRY_RETRY_AFTER,
     };
     let jitter = rand::random_range(1.0..1.0 + RETRY_AFTER_JITTER);
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -41,6 +41,6 @@
 pub use responses::{BodyMemory, BodyShare, DirectBody};
 pub use routes::{Account, Delivery, Engine, Experts, Limits, Route, Routing, Service, Split};
 pub use upstreams::{
-    GroupOutage, Inactivity, Liveness, Load, Roster, RosterChange, SilenceLimit, Upstream,
-    Upstreams,
+    Evacuation, Evacuations, GroupOutage, Inactivity, Liveness, Load, Roster, RosterChange,
+    SilenceLimit, Upstream, Upstreams,
 };
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -19,12 +19,13 @@
 use super::quarantine::CrashSharing;
 use super::quarantine::Trials;
 use super::{
-    BodyMemory, Crashes, DirectMeter, Directory, Freshness, HeaderNames, RetryLimits, Roster,
+    BodyMemory, Crashes, DirectMeter, Directory, Evacuations, Freshness, HeaderNames, RetryLimits,
+    Roster,
 };
 use crate::cli::Node;
 use crate::direct::attempts::HeaderWatch;
 use crate::direct::feeds::{
-    ListBounds, RoutingFollower, RoutingPublisher, RowFollower, UpstreamFollower,
+    EvacuationUpdates, ListBounds, RoutingFollower, RoutingPublisher, RowFollower, UpstreamFollower,
 };
 use crate::event_log::{EventLog, Level};
 use crate::net::{H1Limits, Shutdown, serve_h1};
@@ -48,6 +49,8 @@
 const TRIAL_QUEUE: usize = 16;
 /// Maximum size of a request head. The limit in the settings is not applied.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Limits of connections to the entry.
+const HTTP_LIMITS: H1Limits = H1Limits { idle_time: IDLE_TIME, head_bytes: MAX_HEAD_BYTES };
 
 /// An entry that sends requests directly to upstreams.
 #[derive(Debug)]
@@ -115,6 +118,7 @@
         let key_age = key_age.map(|age| age.saturating_sub(KEY_AGE_MARGIN));
         let freshness = Arc::new(Freshness::new(key_age));
         let roster = Arc::new(Roster::default());
+        let evacuations = Arc::new(Evacuations::default());
         let meter = Arc::new(DirectMeter::new());
         let (publisher, routing) = RoutingPublisher::new();
         let first_quarantine = Duration::from_secs_f64(file.quarantine_seconds);
@@ -126,6 +130,7 @@
             header_names,
             domain: file.domain.clone(),
             roster: Arc::clone(&roster),
+            evacuations: Arc::clone(&evacuations),
             freshness: Arc::clone(&freshness),
             retry_limits: retry_limits(&file.retries),
             service_states: std::sync::Mutex::default(),
@@ -156,10 +161,14 @@
             limit_sharing,
             log: self.log.clone(),
         };
+        let evacuation_updates =
+            EvacuationUpdates { evacuations, meter: Arc::clone(&meter), log: self.log.clone() };
         let routing_follower = RoutingFollower {
             directory: Arc::clone(&directory),
             publisher,
+            evacuation_updates,
             freshness: Arc::clone(&freshness),
+            evacuation_time: file.evacuate_ms.map(|ms| Duration::from_secs_f64(ms / 1e3)),
             meter: Arc::clone(&meter),
             log: self.log.clone(),
         };
@@ -188,28 +197,35 @@
             tasks: self.tasks.clone(),
             leaving: Arc::clone(&self.leaving),
         };
-        let limits = H1Limits { idle_time: IDLE_TIME, head_bytes: MAX_HEAD_BYTES };
         let Listeners { listener, readiness, metrics } = listeners;
-        let (caller_shutdown, monitoring_shutdown) =
-            (self.caller_shutdown.clone(), self.monitoring_shutdown.clone());
         tokio::spawn(serve_h1(
             listener,
             Arc::new(handler),
-            limits,
-            caller_shutdown,
+            HTTP_LIMITS,
+            self.caller_shutdown.clone(),
             self.tasks.clone(),
         ));
-        let monitoring_tasks = TaskTracker::new();
+        self.spawn_monitoring(readiness, metrics, ready, meter);
+    }
+
+    fn spawn_monitoring(
+        &self,
+        readiness: TcpListener,
+        metrics: Option<TcpListener>,
+        ready: ReadinessHandler,
+        meter: Arc<DirectMeter>,
+    ) {
+        let (shutdown, tasks) = (self.monitoring_shutdown.clone(), TaskTracker::new());
         tokio::spawn(serve_h1(
             readiness,
             Arc::new(ready),
-            limits,
-            monitoring_shutdown.clone(),
-            monitoring_tasks.clone(),
+            HTTP_LIMITS,
+            shutdown.clone(),
+            tasks.clone(),
         ));
         if let Some(metrics) = metrics {
             let handler = Arc::new(MetricsHandler { meter });
-            tokio::spawn(serve_h1(metrics, handler, limits, monitoring_shutdown, monitoring_tasks));
+            tokio::spawn(serve_h1(metrics, handler, HTTP_LIMITS, shutdown, tasks));
         }
     }
 
--- a/src/direct/upstreams/mod.rs
+++ b/src/direct/upstreams/mod.rs
@@ -1,5 +1,6 @@
 //! What an entry knows of the upstreams of a service, and judges of them.
 
+mod evacuations;
 mod group_outage;
 mod inactivity;
 mod liveness;
@@ -8,6 +9,7 @@
 mod silence_limit;
 mod upstream;
 
+pub use evacuations::{Evacuation, Evacuations};
 pub use group_outage::GroupOutage;
 pub(super) use group_outage::retry_after_stall;
 pub use inactivity::Inactivity;
--- a/src/outcome/reason.rs
+++ b/src/outcome/reason.rs
@@ -64,11 +64,13 @@
     UpstreamFailed,
     /// every upstream of the service gets as many requests as it accepts at present
     UpstreamLimit,
+    /// every upstream of the service that is left is in an evacuated failure domain
+    Evacuated,
 }
 
 impl Reason {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 29] = [
+    pub const ALL: [Self; 30] = [
         Self::BadKey,
         Self::NoRoute,
         Self::BadHeader,
@@ -98,6 +100,7 @@
         Self::CallerGone,
         Self::UpstreamFailed,
         Self::UpstreamLimit,
+        Self::Evacuated,
     ];
 
     /// Returns the stable name of the reason.
@@ -132,6 +135,7 @@
             Self::CallerGone => "caller-gone",
             Self::UpstreamFailed => "upstream-failed",
             Self::UpstreamLimit => "upstream-limit",
+            Self::Evacuated => "evacuated",
         }
     }
 
@@ -165,6 +169,7 @@
             | Self::StoreDown
             | Self::UpstreamDown
             | Self::UpstreamLimit
+            | Self::Evacuated
             | Self::WrongService
             | Self::NoSettings
             | Self::StaleSettings
--- a/src/remap/leadership.rs
+++ b/src/remap/leadership.rs
@@ -94,7 +94,9 @@
             };
             let routing = changes.items.into_iter().find_map(|change| match change {
                 RoutingChange::Written(routing) => Some(routing),
-                RoutingChange::Unusable(_) => None,
+                RoutingChange::Unusable(_)
+                | RoutingChange::Evacuated(_)
+                | RoutingChange::Restored(_) => None,
             });
             if let Some(routing) = routing {
                 let service = routing.service(&self.service);
--- a/src/settings/direct_file.rs
+++ b/src/settings/direct_file.rs
@@ -30,6 +30,10 @@
     /// has gone silent.
     #[serde(default)]
     pub detection_ms: f64,
+    /// Milliseconds after the operator evacuates a failure domain within which its upstreams must get
+    /// no more requests. Shortens the calls that wait for changes, if it has to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuate_ms: Option<f64>,
     /// Maximum age in milliseconds of the settings by which keys are checked, no limit if absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub key_age_ms: Option<f64>,
--- a/tests/it/large_fleet.rs
+++ b/tests/it/large_fleet.rs
@@ -123,6 +123,7 @@
         grace_seconds: 1.0,
         drain_ms: 4_000.0,
         detection_ms: 5_000.0,
+        evacuate_ms: None,
         key_age_ms: Some(5_000.0),
         retries: RetrySettings { share: 0.2, window_seconds: 10.0, slack: 264.0, entries: 512.0 },
         quarantine_seconds: 60.0,
