Entry: state, admission and choice of upstreams by group

Cause: one slow, stalled or broken group of ranks counted as the whole service's. Without rows there is one group as before.

--- a/src/direct/admission/engine_load.rs
+++ b/src/direct/admission/engine_load.rs
@@ -120,14 +120,23 @@
         if self.is_stalled() {
             return Admission::Refuse(retry_after_stall(self.inactive_for.unwrap_or_default()));
         }
-        let capacity = self.capacity(targets);
-        let stream_duration = self.stream_duration.unwrap_or(DEFAULT_STREAM_DURATION).as_secs_f64();
-        let ahead = (self.min + 1.0 - capacity).max(0.0);
-        let wait = ahead * stream_duration / capacity;
+        let wait = self.wait_seconds(targets);
         if wait <= targets.first_byte.as_secs_f64() * MAX_WAIT_SHARE {
             return Admission::Admit;
         }
         let retry_after = Duration::from_secs_f64(wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         Admission::Refuse(retry_after)
     }
+
+    /// Returns the expected wait for a slot at the least loaded engine.
+    pub fn expected_wait(&self, targets: &LatencyTargets) -> Duration {
+        Duration::try_from_secs_f64(self.wait_seconds(targets)).unwrap_or(Duration::MAX)
+    }
+
+    fn wait_seconds(&self, targets: &LatencyTargets) -> f64 {
+        let capacity = self.capacity(targets);
+        let stream_duration = self.stream_duration.unwrap_or(DEFAULT_STREAM_DURATION).as_secs_f64();
+        let ahead = (self.min + 1.0 - capacity).max(0.0);
+        ahead * stream_duration / capacity
+    }
 }
--- a/src/direct/admission/mod.rs
+++ b/src/direct/admission/mod.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod engine_load;
 mod pick;
+mod pick_group;
 mod retry_budget;
 mod return_queue;
 mod stream_stats;
--- a/src/direct/admission/pick.rs
+++ b/src/direct/admission/pick.rs
@@ -6,9 +6,8 @@
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::Dispatcher;
-use crate::direct::{
-    Admission, Candidate, EngineLoad, LatencyTargets, Upstream, choose, estimate_loads,
-};
+use crate::direct::groups::{EligibleGroup, GroupState};
+use crate::direct::{Admission, Candidate, EngineLoad, Upstream, choose};
 use crate::outcome::{Reason, Refusal};
 
 /// Upper bound of the random amount, in requests, that breaks ties between equally loaded
@@ -20,6 +19,9 @@
 pub(in crate::direct) struct Chosen {
     pub(in crate::direct) upstream: Arc<Upstream>,
     pub(in crate::direct) candidate: Candidate,
+    pub(in crate::direct) group: Arc<GroupState>,
+    /// When the row that lists the group was read; `None` for the group without a row.
+    pub(in crate::direct) row_time: Option<Instant>,
 }
 
 impl Dispatcher {
@@ -32,26 +34,23 @@
     ) -> Result<Chosen, Refusal> {
         let upstreams = self.roster.service_upstreams(&request.service.name);
         let now = Instant::now();
-        let mut eligible: SmallVec<[&Arc<Upstream>; 16]> = upstreams
-            .iter()
-            .filter(|upstream| !upstream.is_draining() && !history.has_tried(&upstream.listed.id))
-            .collect();
+        let mut eligible: SmallVec<[&Arc<Upstream>; 16]> =
+            upstreams.iter().filter(|upstream| history.may_try(upstream)).collect();
         self.drop_limited(&mut eligible, request, history, now)?;
-        let candidates: SmallVec<[Candidate; 16]> = eligible
-            .iter()
-            .map(|upstream| upstream.candidate(&request.state.liveness, now))
-            .collect();
-        let loads = estimate_loads(&candidates);
-        if history.attempts == 0 {
-            let own_requests = candidates.iter().map(|candidate| candidate.own).sum();
-            self.admit(request, &loads, own_requests, now)?;
-        }
-        let is_local = |at: usize| eligible[at].listed.domain == self.domain;
+        let groups = self.divide(request, &eligible, now);
+        let group = self.pick_group(request, history, &groups, now)?;
+        let EligibleGroup { upstreams, candidates, loads, .. } = group;
+        let is_local = |at: usize| upstreams[at].listed.domain == self.domain;
         let chosen =
-            choose(&candidates, &loads, is_local, |_| rand::random_range(0.0..TIE_BREAK_SPREAD));
+            choose(candidates, loads, is_local, |_| rand::random_range(0.0..TIE_BREAK_SPREAD));
         let chosen = chosen.ok_or(history.refusal(Reason::NoUpstream))?;
-        self.limits.record_send(&eligible[chosen].listed, now);
-        Ok(Chosen { upstream: Arc::clone(eligible[chosen]), candidate: candidates[chosen] })
+        self.limits.record_send(&upstreams[chosen].listed, now);
+        Ok(Chosen {
+            upstream: Arc::clone(upstreams[chosen]),
+            candidate: candidates[chosen],
+            group: Arc::clone(&group.state),
+            row_time: group.row_time,
+        })
     }
 
     /// Drops the upstreams that may not get another request from this entry yet, by their limits or
@@ -68,50 +67,57 @@
         eligible.retain(|upstream| {
             let limited = has_limits.then(|| self.limits.next_send(&upstream.listed, now));
             let next = limited.max(upstream.paused_until(now)).unwrap_or(now);
-            first = first.into_iter().chain([next]).min();
+            first = first.into_iter().chain([(next, *upstream)]).min_by_key(|(next, _)| *next);
             next <= now
         });
-        let Some(first) = first.filter(|_| eligible.is_empty()) else {
+        let Some((first, upstream)) = first.filter(|_| eligible.is_empty()) else {
             return Ok(());
         };
-        let retry_after = request.state.return_queue.enqueue(first, now);
+        let memberships = self.group_directory.memberships();
+        let membership = memberships
+            .as_ref()
+            .and_then(|memberships| memberships.get(&request.service.name, &upstream.listed.id));
+        let retry_after = request.state.group(membership).return_queue.enqueue(first, now);
         Err(history.refusal(Reason::UpstreamLimit).retry_after(retry_after))
     }
 
-    fn admit(
+    /// Returns the load of a group whose upstreams are engines. `share` is the share of its slots
+    /// that it may use.
+    pub(super) fn engine_load(
         &self,
         request: &CheckedRequest,
-        loads: &[f64],
-        own_requests: u32,
+        group: &EligibleGroup<'_>,
+        share: f64,
         now: Instant,
-    ) -> Result<(), Refusal> {
-        let Some(engine) = request.service.engine.filter(|_| !loads.is_empty()) else {
-            return Ok(());
-        };
-        let stream_stats = &request.state.stream_stats;
-        let mut load = EngineLoad {
+    ) -> Option<EngineLoad> {
+        let mut engine = request.service.engine.filter(|_| !group.loads.is_empty())?;
+        let stream_stats = &group.state.stream_stats;
+        if share < 1.0 {
+            engine.slots = (f64::from(engine.slots) * share).round().max(1.0) as u32;
+        }
+        Some(EngineLoad {
             engine,
-            mean: loads.iter().sum::<f64>() / loads.len() as f64,
-            min: loads.iter().copied().fold(f64::INFINITY, f64::min),
+            mean: group.mean_load(),
+            min: group.loads.iter().copied().fold(f64::INFINITY, f64::min),
             gap: stream_stats.mean_gap(now),
             stream_duration: stream_stats.mean_duration(),
-            own_requests,
-            inactive_for: request.state.liveness.inactive_for(now),
-        };
-        if load.is_stalled() && request.state.liveness.may_probe(now) {
+            own_requests: group.own_requests(),
+            inactive_for: group.state.liveness.inactive_for(now),
+        })
+    }
+
+    /// Decides whether a group with this load admits a request.
+    pub(super) fn admit(
+        &self,
+        request: &CheckedRequest,
+        group: &EligibleGroup<'_>,
+        load: &mut EngineLoad,
+        now: Instant,
+    ) -> Admission {
+        if load.is_stalled() && group.state.liveness.may_probe(now) {
             // Lets this request through as a probe.
             load.inactive_for = None;
         }
-        let targets = LatencyTargets {
-            first_byte: request.route.first_byte_target,
-            gap: request.route.gap_target,
-        };
-        match load.decide(&targets) {
-            Admission::Admit => Ok(()),
-            Admission::Refuse(retry_after) => {
-                self.log_not_admitted(request, &load, load.capacity(&targets));
-                Err(Refusal::not_run(Reason::Overload).retry_after(retry_after))
-            }
-        }
+        load.decide(&request.route.latency_targets())
     }
 }
--- a/src/direct/attempts/attempt_history.rs
+++ b/src/direct/attempts/attempt_history.rs
@@ -1,6 +1,8 @@
 use smallvec::SmallVec;
 
+use crate::direct::Upstream;
 use crate::entry::Failure;
+use crate::membership::GroupName;
 use crate::outcome::{Outcome, Reason, Refusal};
 
 /// Maximum number of attempts that did not reach the intended upstream.
@@ -21,6 +23,8 @@
     may_have_run: bool,
     /// Ids of the upstreams that were tried.
     tried: SmallVec<[String; 4]>,
+    /// Group that failed the last attempt, if it may no longer run.
+    failed_group: Option<GroupName>,
 }
 
 impl AttemptHistory {
@@ -31,9 +35,19 @@
         self.tried.push(upstream.to_owned());
     }
 
-    /// Returns whether an upstream was tried.
-    pub(in crate::direct) fn has_tried(&self, upstream: &str) -> bool {
-        self.tried.iter().any(|tried| tried == upstream)
+    /// Returns whether an upstream is not draining and was not tried yet.
+    pub(in crate::direct) fn may_try(&self, upstream: &Upstream) -> bool {
+        !upstream.is_draining() && !self.tried.contains(&upstream.listed.id)
+    }
+
+    /// Records that the last attempt failed in a way that shows that the group may no longer run.
+    pub(in crate::direct) fn record_group_failure(&mut self, group: &GroupName) {
+        self.failed_group = Some(group.clone());
+    }
+
+    /// Returns whether this group failed the last attempt and may no longer run.
+    pub(in crate::direct) fn has_failed_in(&self, group: &GroupName) -> bool {
+        self.failed_group.as_ref() == Some(group)
     }
 
     /// Returns whether any attempt reached the intended upstream.
--- a/src/direct/attempts/failed_attempt.rs
+++ b/src/direct/attempts/failed_attempt.rs
@@ -15,11 +15,20 @@
     pub(in crate::direct) sign: Option<CrashSign>,
     /// Time after which the caller is to return, if no other upstream would run the request either.
     pub(in crate::direct) retry_after: Option<Duration>,
+    /// Whether a rank refused the request although nothing runs or waits there.
+    pub(in crate::direct) refused_idle: bool,
 }
 
 impl FailedAttempt {
     pub(in crate::direct) fn new(failure: Failure, detail: impl Into<String>) -> Self {
-        Self { failure, detail: detail.into(), sign: None, retry_after: None }
+        Self { failure, detail: detail.into(), sign: None, retry_after: None, refused_idle: false }
+    }
+
+    /// Returns whether the failure may come from the loss of a rank, which takes its group away.
+    pub(in crate::direct) fn is_group_sign(&self) -> bool {
+        self.refused_idle
+            || self.sign == Some(CrashSign::ConnectionBroken)
+            || self.failure.reason == Reason::UpstreamDown
     }
 
     /// Returns the failure of an attempt whose connection broke while the request ran.
--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -13,6 +13,7 @@
 use crate::direct::attempts::{Connection, FailedAttempt, SendError, is_close_delimited};
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::{BegunStream, Dispatcher, Exchanged};
+use crate::direct::groups::GroupState;
 use crate::direct::{Candidate, Load, Upstream, load_share};
 use crate::entry::Failure;
 use crate::net::header_str;
@@ -34,9 +35,10 @@
         &self,
         request: &CheckedRequest,
         upstream: &Arc<Upstream>,
+        group: &Arc<GroupState>,
         last_event: Option<&Bytes>,
     ) -> Result<Exchanged, FailedAttempt> {
-        let in_flight = upstream.begin_request(&request.state.liveness);
+        let in_flight = upstream.begin_request(group);
         let exchange = self.exchange(request, upstream, last_event);
         let (mut conn, response) = match timeout_at(request.deadline, exchange).await {
             Ok(exchanged) => exchanged?,
@@ -63,8 +65,8 @@
         if request.route.delivery.is_stream() && head.status.is_success() {
             self.check_success(upstream, &head)?;
             upstream.record_success();
-            request.state.outage.record_response();
-            self.record_load_share(request);
+            group.record_response();
+            self.record_load_share(request, group);
             return Ok(Exchanged::Begun(BegunStream { head, body, conn, in_flight }));
         }
         let ends_with_connection = is_close_delimited(&head.headers, &body);
@@ -94,7 +96,7 @@
         self.is_reusable(&mut conn, upstream, &head.headers).await.then(|| {
             upstream.put_idle(conn.into_idle(keep_alive_timeout(&head.headers)));
         });
-        self.check_response(request, upstream, head, body)
+        self.check_response(request, upstream, group, head, body)
     }
 
     /// Reads a whole body, as far as there is memory for it.
@@ -118,6 +120,7 @@
         &self,
         request: &CheckedRequest,
         upstream: &Arc<Upstream>,
+        group: &GroupState,
         head: Parts,
         body: Bytes,
     ) -> Result<Exchanged, FailedAttempt> {
@@ -136,9 +139,10 @@
             let refused = FailedAttempt::new(Failure::not_run(Reason::Overload), detail);
             let is_idle = text.and_then(Load::parse).is_some_and(|load| load.is_idle());
             let is_rank = request.service.engine.is_some_and(|engine| engine.experts.is_some());
-            let retry_after = (is_idle && is_rank)
-                .then(|| request.state.outage.record_refusal(&upstream.listed.id, Instant::now()));
-            return Err(FailedAttempt { retry_after: retry_after.flatten(), ..refused });
+            let refused_idle = is_idle && is_rank;
+            let retry_after = refused_idle.then(|| group.record_refusal(&upstream.listed.id));
+            let retry_after = retry_after.flatten();
+            return Err(FailedAttempt { retry_after, refused_idle, ..refused });
         }
         if implies_not_run(head.status) {
             // The upstream does not confirm that the request did not run, so this status must not
@@ -151,7 +155,8 @@
         }
         if head.status.is_success() {
             self.clear_crashes(request);
-            self.record_load_share(request);
+            group.record_response();
+            self.record_load_share(request, group);
         }
         upstream.record_success();
         Ok(Exchanged::Complete(Response::from_parts(head, body)))
@@ -159,8 +164,8 @@
 
     /// Records this entry's share of the service's load, once a request has run: reports of upstreams
     /// that only refuse tell nothing of what other entries send.
-    fn record_load_share(&self, request: &CheckedRequest) {
-        let (now, liveness) = (Instant::now(), &request.state.liveness);
+    fn record_load_share(&self, request: &CheckedRequest, group: &GroupState) {
+        let (now, liveness) = (Instant::now(), &group.liveness);
         let upstreams = self.roster.service_upstreams(&request.service.name);
         let candidates: SmallVec<[Candidate; 16]> =
             upstreams.iter().map(|upstream| upstream.candidate(liveness, now)).collect();
--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -43,6 +43,7 @@
     in_flight: Gauge,
     revision: Gauge,
     limited_upstreams: Gauge,
+    groups: Gauge,
 }
 
 impl fmt::Debug for DirectMeter {
@@ -84,6 +85,9 @@
         let limited_upstreams = Gauge::default();
         let help = "Upstreams that name a limit of requests per second";
         registry.register("limited_upstreams", help, limited_upstreams.clone());
+        let groups = Gauge::default();
+        let help = "Groups that share a service with others, of all services";
+        registry.register("groups", help, groups.clone());
         Self {
             registry,
             ended,
@@ -93,6 +97,7 @@
             in_flight,
             revision,
             limited_upstreams,
+            groups,
         }
     }
 
@@ -132,6 +137,11 @@
         self.limited_upstreams.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Records how many groups are known.
+    pub fn groups(&self, number: usize) {
+        self.groups.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -12,6 +12,7 @@
 use crate::direct::attempts::{AttemptHistory, FailedAttempt};
 use crate::direct::responses::StreamProgress;
 use crate::event_log::Level;
+use crate::membership::GroupName;
 use crate::units::{BootTime, millis};
 
 impl Dispatcher {
@@ -21,8 +22,9 @@
         history: &AttemptHistory,
         upstream: &Upstream,
         candidate: &Candidate,
-        now: Instant,
+        (group, row_age): (&GroupName, Option<Duration>),
     ) {
+        let now = Instant::now();
         let age = self.freshness.age(BootTime::now()).unwrap_or_default();
         let event = Event::Sent {
             id: request.id.to_str().unwrap_or_default(),
@@ -31,6 +33,8 @@
             account: request.account.as_ref().map_or("", |account| &account.name),
             parts: request.prompt.to_string(),
             upstream: &upstream.listed.id,
+            group: row_age.map(|_| group.as_str()),
+            group_age_ms: row_age.map(millis),
             revision: request.revision,
             settings_age_ms: millis(age),
             own: candidate.own,
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -14,7 +14,8 @@
 use super::quarantine::CrashRecorder;
 use super::service_state::ServiceState;
 use super::{
-    BodyMemory, Delivery, DirectMeter, Freshness, HeaderNames, RetryLimits, Roster, Upstream,
+    BodyMemory, Delivery, DirectMeter, Freshness, GroupDirectory, HeaderNames, Liveness,
+    RetryLimits, Roster, Upstream,
 };
 use crate::direct::admission::Chosen;
 use crate::direct::attempts::{
@@ -39,6 +40,7 @@
     pub(super) header_watch: HeaderWatch,
     pub(super) domain: String,
     pub(super) roster: Arc<Roster>,
+    pub(super) group_directory: Arc<GroupDirectory>,
     pub(super) freshness: Arc<Freshness>,
     pub(super) retry_limits: RetryLimits,
     pub(super) service_states: Mutex<HashMap<String, Arc<ServiceState>>>,
@@ -107,7 +109,7 @@
         let mut fallback = None;
         loop {
             let chosen = self.choose_upstream(request, history).await;
-            let Chosen { upstream, candidate } = match chosen {
+            let Chosen { upstream, candidate, group, row_time } = match chosen {
                 Ok(chosen) => chosen,
                 Err(refusal) => {
                     return fallback
@@ -117,10 +119,11 @@
             history.record_start(&upstream.listed.id);
             let attempt = OpenAttempt::start(&self.log, &request.id, history.attempts, &upstream);
             let started = attempt.started();
-            self.log_sent(request, history, &upstream, &candidate, started);
+            let row_age = row_time.map(|read_at| started.saturating_duration_since(read_at));
+            self.log_sent(request, history, &upstream, &candidate, (&group.name, row_age));
             let (result, is_charged) = tokio::select! {
-                result = self.send(request, &upstream, last_event) => (result, false),
-                stuck = self.wait_until_stuck(request, history, &upstream) => (Err(stuck), true),
+                result = self.send(request, &upstream, &group, last_event) => (result, false),
+                stuck = self.wait_until_stuck(request, history, &upstream, &group.liveness) => (Err(stuck), true),
             };
             let failed = match result {
                 Ok(Exchanged::Begun(begun)) => {
@@ -145,18 +148,23 @@
                 return Ok(UpstreamResponse::Complete(response));
             }
             history.record_failure(failed.failure);
+            if failed.is_group_sign() || group.is_down() {
+                history.record_group_failure(&group.name);
+            }
             self.log_failed(request, history, &upstream, &failed, started);
             if let Some(sign) = failed.sign {
                 self.suspect(request, &upstream, started, sign, StreamProgress::default());
                 self.await_verdict(request, history, &upstream, sign).await;
             }
-            if let Some(wait) = failed.retry_after {
+            // Another rank of a group that does not run would refuse as well.
+            let has_upstream =
+                failed.retry_after.is_none() || self.has_running_group(request, history);
+            let goes_on =
+                is_charged || (has_upstream && self.may_retry(request, history, failed.failure));
+            if !goes_on {
                 let refusal = history.refusal(failed.failure.reason);
-                let has_not_run = refusal.outcome == Outcome::NotRun;
-                return Err(if has_not_run { refusal.retry_after(wait) } else { refusal });
-            }
-            if !is_charged && !self.may_retry(request, history, failed.failure) {
-                return Err(history.refusal(failed.failure.reason));
+                let wait = failed.retry_after.filter(|_| refusal.outcome == Outcome::NotRun);
+                return Err(wait.map_or(refusal, |wait| refusal.retry_after(wait)));
             }
             self.meter.retried(failed.failure.reason);
         }
@@ -215,15 +223,15 @@
         request: &CheckedRequest,
         history: &AttemptHistory,
         upstream: &Upstream,
+        liveness: &Liveness,
     ) -> FailedAttempt {
         if !request.route.delivery.may_rerun() {
             return pending().await;
         }
         loop {
             sleep(STUCK_CHECK_INTERVAL).await;
-            if upstream.is_stuck(&request.state.liveness) && self.may_resume(request, history) {
+            if upstream.is_stuck(liveness) && self.may_resume(request, history) {
                 upstream.record_loss();
-                let liveness = &request.state.liveness;
                 let silence = upstream.inactive_for(liveness);
                 let limit_ms = millis(liveness.silence_limit());
                 liveness.record_response_time(silence);
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -27,6 +27,18 @@
     StoreRewound { topic: &'a str, era: u64 },
     /// The list of upstreams changed.
     Upstream { upstream: &'a str, service: &'a str, change: &'a str, cursor: u64 },
+    /// The entry has learned of a group of a service, or that its members changed or that it is
+    /// gone.
+    Group {
+        service: &'a str,
+        group: &'a str,
+        change: &'a str,
+        epoch: u64,
+        term: u64,
+        members: usize,
+    },
+    /// The row of a group can't be used; what was known of the group still holds.
+    GroupUnusable { key: &'a str, reason: &'a str },
     /// An upstream crashed while it ran the request with this fingerprint.
     Crashed {
         upstream: &'a str,
@@ -118,6 +130,11 @@
         /// Ids of the shared parts of the prompt.
         parts: String,
         upstream: &'a str,
+        /// Group of the upstream, if the service has several, and age of the row that says so.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        group: Option<&'a str>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        group_age_ms: Option<u64>,
         revision: u64,
         settings_age_ms: u64,
         own: u32,
--- a/src/direct/feeds/row_follower.rs
+++ b/src/direct/feeds/row_follower.rs
@@ -4,6 +4,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::direct::feeds::PlatformHealth;
+use crate::direct::groups::GroupFeed;
 use crate::direct::limits::LimitSharing;
 use crate::direct::quarantine::CrashSharing;
 use crate::direct::{Directory, DirectoryError, RowChange};
@@ -20,6 +21,7 @@
     pub(in crate::direct) directory: Arc<D>,
     pub(in crate::direct) crash_sharing: CrashSharing,
     pub(in crate::direct) limit_sharing: Arc<LimitSharing>,
+    pub(in crate::direct) group_feed: GroupFeed,
     pub(in crate::direct) log: EventLog,
 }
 
@@ -35,6 +37,7 @@
                     changes.items.iter().for_each(|change| self.apply(change));
                     if cursor.is_none() {
                         self.crash_sharing.share_missing(&changes.items);
+                        self.group_feed.retain(&changes.items);
                     }
                     cursor = Some(changes.cursor);
                     let interval = self.limit_sharing.limits.read_interval(Instant::now());
@@ -53,5 +56,6 @@
     fn apply(&self, change: &RowChange) {
         self.crash_sharing.apply(change);
         self.limit_sharing.apply(change);
+        self.group_feed.apply(change);
     }
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -12,6 +12,7 @@
 mod dispatcher;
 mod event;
 mod feeds;
+mod groups;
 mod handler;
 mod header_names;
 mod limits;
@@ -33,6 +34,10 @@
     Changes, Cursor, Directory, DirectoryError, Freshness, ListChange, ListedUpstream,
     RoutingChange, RowChange,
 };
+pub use groups::{
+    GroupChange, GroupCondition, GroupDirectory, GroupLoad, GroupRecovery, Membership, Memberships,
+    choose_group,
+};
 pub use header_names::HeaderNames;
 pub use limits::{LimitChange, LimitRow, NamedLimit, RowLimit, UpstreamLimits};
 pub use node::DirectNode;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -19,13 +19,15 @@
 use super::quarantine::CrashSharing;
 use super::quarantine::Trials;
 use super::{
-    BodyMemory, Crashes, DirectMeter, Directory, Freshness, HeaderNames, RetryLimits, Roster,
+    BodyMemory, Crashes, DirectMeter, Directory, Freshness, GroupDirectory, HeaderNames,
+    RetryLimits, Roster,
 };
 use crate::cli::Node;
 use crate::direct::attempts::HeaderWatch;
 use crate::direct::feeds::{
     ListBounds, RoutingFollower, RoutingPublisher, RowFollower, UpstreamFollower,
 };
+use crate::direct::groups::GroupFeed;
 use crate::event_log::{EventLog, Level};
 use crate::net::{H1Limits, Shutdown, serve_h1};
 use crate::platform::Table;
@@ -120,12 +122,14 @@
         let first_quarantine = Duration::from_secs_f64(file.quarantine_seconds);
         let crashes = Arc::new(Crashes::new(first_quarantine));
         let limits = Arc::new(UpstreamLimits::new(&file.name, file.retries.entries));
+        let group_directory = Arc::new(GroupDirectory::default());
         let (trials, trial_claims) = mpsc::channel(TRIAL_QUEUE);
         let dispatcher = Arc::new(Dispatcher {
             header_watch: HeaderWatch::new(&header_names),
             header_names,
             domain: file.domain.clone(),
             roster: Arc::clone(&roster),
+            group_directory: Arc::clone(&group_directory),
             freshness: Arc::clone(&freshness),
             retry_limits: retry_limits(&file.retries),
             service_states: std::sync::Mutex::default(),
@@ -154,6 +158,11 @@
             directory: Arc::clone(&directory),
             crash_sharing,
             limit_sharing,
+            group_feed: GroupFeed {
+                directory: group_directory,
+                meter: Arc::clone(&meter),
+                log: self.log.clone(),
+            },
             log: self.log.clone(),
         };
         let routing_follower = RoutingFollower {
@@ -199,18 +208,8 @@
             caller_shutdown,
             self.tasks.clone(),
         ));
-        let monitoring_tasks = TaskTracker::new();
-        tokio::spawn(serve_h1(
-            readiness,
-            Arc::new(ready),
-            limits,
-            monitoring_shutdown.clone(),
-            monitoring_tasks.clone(),
-        ));
-        if let Some(metrics) = metrics {
-            let handler = Arc::new(MetricsHandler { meter });
-            tokio::spawn(serve_h1(metrics, handler, limits, monitoring_shutdown, monitoring_tasks));
-        }
+        let metrics = metrics.map(|listener| (listener, MetricsHandler { meter }));
+        serve_monitoring((readiness, ready), metrics, limits, &monitoring_shutdown);
     }
 
     /// Address for callers.
@@ -271,6 +270,22 @@
     }
 }
 
+/// Serves the readiness check and, if they are exported, the metrics.
+fn serve_monitoring(
+    (readiness, ready): (TcpListener, ReadinessHandler),
+    metrics: Option<(TcpListener, MetricsHandler)>,
+    limits: H1Limits,
+    shutdown: &Shutdown,
+) {
+    let tasks = TaskTracker::new();
+    let ready = Arc::new(ready);
+    tokio::spawn(serve_h1(readiness, ready, limits, shutdown.clone(), tasks.clone()));
+    if let Some((listener, handler)) = metrics {
+        let handler = Arc::new(handler);
+        tokio::spawn(serve_h1(listener, handler, limits, shutdown.clone(), tasks));
+    }
+}
+
 /// The listeners of an entry.
 struct Listeners {
     listener: TcpListener,
--- a/src/direct/responses/relay.rs
+++ b/src/direct/responses/relay.rs
@@ -5,13 +5,14 @@
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
+use crate::direct::Upstream;
 use crate::direct::attempts::{AttemptHistory, FailedAttempt, is_close_delimited};
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::{BegunStream, Dispatcher, Stream, UpstreamResponse};
+use crate::direct::groups::GroupState;
 use crate::direct::quarantine::CrashSign;
 use crate::direct::responses::{RequestTracker, StreamProgress};
 use crate::direct::upstreams::InFlight;
-use crate::direct::{StreamStats, Upstream};
 use crate::net::{BodyError, BodySender, EventSplitter};
 use crate::outcome::Reason;
 
@@ -32,14 +33,18 @@
 pub(in crate::direct) struct EventTiming {
     first: Option<Instant>,
     last: Option<Instant>,
+    /// Whether the stream goes on in another group, of whose speed the next gap tells nothing.
+    is_moved: bool,
 }
 
 impl EventTiming {
-    fn record_event(&mut self, stream_stats: &StreamStats) {
+    fn record_event(&mut self, group: &GroupState) {
         let now = Instant::now();
         self.first.get_or_insert(now);
-        if let Some(last) = self.last.replace(now) {
-            stream_stats.record_gap(now - last, now);
+        group.recovery.record_response(now);
+        let is_moved = std::mem::take(&mut self.is_moved);
+        if let Some(last) = self.last.replace(now).filter(|_| !is_moved) {
+            group.stream_stats.record_gap(now - last, now);
         }
     }
 }
@@ -63,6 +68,7 @@
             let Stream { begun, upstream, attempt } = *stream;
             let BegunStream { head, mut body, conn, in_flight } = begun;
             let started = attempt.started();
+            let group = Arc::clone(in_flight.group());
             let ends_with_connection = is_close_delimited(&head.headers, &body);
             let mut progress = StreamProgress::default();
             let end = self.forward(&mut body, &in_flight, &upstream, &sender, &mut progress).await;
@@ -77,7 +83,7 @@
                     sender.close().await;
                     self.dispatcher.clear_crashes(&self.request);
                     if let Some(first) = self.event_timing.first {
-                        self.request.state.stream_stats.record_duration(first.elapsed());
+                        group.stream_stats.record_duration(first.elapsed());
                     }
                     self.tracker.finish_answered(head.status.as_u16());
                     return self.dispatcher.release(conn, &upstream, &head.headers).await;
@@ -98,6 +104,9 @@
                         self.dispatcher.suspect(request, &upstream, started, sign, progress);
                     }
                     upstream.record_loss();
+                    if broken.is_group_sign() || group.is_down() {
+                        self.history.record_group_failure(&group.name);
+                    }
                     if let Some(sign) = broken.sign {
                         let (request, history) = (&self.request, &mut self.history);
                         self.dispatcher.await_verdict(request, history, &upstream, sign).await;
@@ -115,7 +124,11 @@
             };
             drop(conn);
             match self.resume(&sender, is_charged).await {
-                Some(next) => stream = next,
+                Some(next) => {
+                    let is_same = Arc::ptr_eq(next.begun.in_flight.group(), &group);
+                    self.event_timing.is_moved |= !is_same;
+                    stream = next;
+                }
                 None => {
                     self.tracker.finish_broken(Reason::UpstreamLost);
                     return sender.fail(err).await;
@@ -141,8 +154,10 @@
         progress: &mut StreamProgress,
     ) -> RelayEnd {
         let Self { dispatcher, request, history, tracker, splitter, event_timing } = self;
+        let group = in_flight.group();
         splitter.drop_partial();
-        let mut stuck = pin!(dispatcher.wait_until_stuck(request, history, upstream));
+        let mut stuck =
+            pin!(dispatcher.wait_until_stuck(request, history, upstream, &group.liveness));
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -166,7 +181,7 @@
             };
             progress.record_event();
             tracker.first_byte();
-            event_timing.record_event(&request.state.stream_stats);
+            event_timing.record_event(group);
             // A caller that does not read must not hold up the upstream.
             match timeout_at(request.deadline, sender.send(events)).await {
                 Ok(true) => {}
--- a/src/direct/routes/route.rs
+++ b/src/direct/routes/route.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use crate::direct::Delivery;
+use crate::direct::{Delivery, LatencyTargets};
 
 /// One of the services among which a route splits its requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,6 +41,11 @@
 }
 
 impl Route {
+    /// Returns the latency targets of the requests.
+    pub const fn latency_targets(&self) -> LatencyTargets {
+        LatencyTargets { first_byte: self.first_byte_target, gap: self.gap_target }
+    }
+
     /// Chooses a service by weight. `draw` is a random number from 0 to 1.
     pub fn pick_service(&self, draw: f64) -> Option<&str> {
         let total: f64 = self.splits.iter().map(|split| f64::from(split.weight)).sum();
--- a/src/direct/service_state.rs
+++ b/src/direct/service_state.rs
@@ -1,27 +1,55 @@
-use std::sync::Arc;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
 
-use super::{GroupOutage, Liveness, RetryBudget, RetryLimits, ReturnQueue, StreamStats};
+use super::groups::GroupState;
+use super::{Membership, Memberships, RetryBudget, RetryLimits};
+use crate::membership::GroupName;
 
 /// State that an entry keeps for a service across requests.
 #[derive(Debug)]
 pub(super) struct ServiceState {
     pub(super) retry_budget: RetryBudget,
-    pub(super) stream_stats: StreamStats,
-    pub(super) liveness: Arc<Liveness>,
-    pub(super) return_queue: ReturnQueue,
-    pub(super) outage: GroupOutage,
+    /// State of the upstreams that no row of a group lists.
+    unlisted: Arc<GroupState>,
+    groups: Mutex<Groups>,
+}
+
+/// States of the groups that rows list.
+#[derive(Debug, Default)]
+struct Groups {
+    by_name: HashMap<GroupName, Arc<GroupState>>,
+    /// Memberships by which the states of former groups were dropped.
+    checked: Option<Arc<Memberships>>,
 }
 
 impl ServiceState {
     /// Creates the state of a service without any requests yet.
     pub(super) fn new(limits: RetryLimits) -> Self {
         let retry_budget = RetryBudget::new(limits);
-        Self {
-            retry_budget,
-            stream_stats: StreamStats::default(),
-            liveness: Arc::default(),
-            return_queue: ReturnQueue::default(),
-            outage: GroupOutage::default(),
+        Self { retry_budget, unlisted: Arc::default(), groups: Mutex::default() }
+    }
+
+    /// Returns the state of the group of an upstream, which is created on first use.
+    pub(super) fn group(&self, membership: Option<&Membership>) -> Arc<GroupState> {
+        let Some(Membership { group, .. }) = membership else {
+            return Arc::clone(&self.unlisted);
+        };
+        let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(state) = groups.by_name.get(group) {
+            return Arc::clone(state);
+        }
+        let state = Arc::new(GroupState::new(group.clone()));
+        groups.by_name.insert(group.clone(), Arc::clone(&state));
+        state
+    }
+
+    /// Drops the states of groups that have no members any more.
+    pub(super) fn drop_gone(&self, service: &str, memberships: &Arc<Memberships>) {
+        let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
+        if groups.checked.as_ref().is_some_and(|checked| Arc::ptr_eq(checked, memberships)) {
+            return;
         }
+        groups.by_name.retain(|name, _| memberships.has_group(service, name));
+        groups.checked = Some(Arc::clone(memberships));
     }
 }
--- a/src/direct/upstreams/upstream.rs
+++ b/src/direct/upstreams/upstream.rs
@@ -7,6 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::direct::attempts::Connection;
+use crate::direct::groups::GroupState;
 use crate::direct::quarantine::UpstreamSuspects;
 use crate::direct::upstreams::LoadReport;
 use crate::direct::{Candidate, Inactivity, ListedUpstream, Liveness, Load};
@@ -51,6 +52,8 @@
     /// Until when the upstream wants no requests from this entry.
     paused_until: Option<Instant>,
     inactivity: Inactivity,
+    /// Liveness of the group in whose active time the inactivity is measured.
+    liveness: Option<Arc<Liveness>>,
     /// When the upstream last sent anything.
     last_activity: Option<Instant>,
     idle: Vec<Connection>,
@@ -60,7 +63,8 @@
 #[derive(Debug)]
 pub(in crate::direct) struct InFlight {
     upstream: Arc<Upstream>,
-    liveness: Arc<Liveness>,
+    /// State of the group in which the upstream was as the request was sent.
+    group: Arc<GroupState>,
     /// Active time at which the request was sent.
     sent: Duration,
     /// Whether the upstream has responded to the request.
@@ -71,23 +75,32 @@
     /// Records activity of the upstream.
     pub(in crate::direct) fn record_activity(&self) {
         let now = Instant::now();
-        let active_time = self.liveness.record_activity(now);
+        let liveness = &self.group.liveness;
+        let active_time = liveness.record_activity(now);
         if !self.responded.swap(true, Ordering::Relaxed) {
-            self.liveness.record_response_time(active_time.saturating_sub(self.sent));
+            liveness.record_response_time(active_time.saturating_sub(self.sent));
         }
         let mut state = self.upstream.lock();
-        state.inactivity.record_activity(active_time);
+        if state.is_measured_in(liveness) {
+            state.inactivity.record_activity(active_time);
+        }
         state.last_activity = Some(now);
     }
+
+    /// Returns the state of the group in which the request runs.
+    pub(in crate::direct) const fn group(&self) -> &Arc<GroupState> {
+        &self.group
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut state = self.upstream.lock();
         state.in_flight = state.in_flight.saturating_sub(1);
-        if state.in_flight == 0 {
-            let limit = self.liveness.silence_limit();
-            state.inactivity.record_idle(self.liveness.active_time(), limit, Instant::now());
+        let liveness = &self.group.liveness;
+        if state.in_flight == 0 && state.is_measured_in(liveness) {
+            let limit = liveness.silence_limit();
+            state.inactivity.record_idle(liveness.active_time(), limit, Instant::now());
         }
     }
 }
@@ -150,14 +163,20 @@
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
-    pub(in crate::direct) fn begin_request(self: &Arc<Self>, liveness: &Arc<Liveness>) -> InFlight {
+    pub(in crate::direct) fn begin_request(self: &Arc<Self>, group: &Arc<GroupState>) -> InFlight {
+        let liveness = &group.liveness;
         let sent = liveness.active_time();
         let mut state = self.lock();
         state.in_flight += 1;
+        if !state.is_measured_in(liveness) {
+            // The active times of two groups can't be compared.
+            state.inactivity = Inactivity::default();
+            state.liveness = Some(Arc::clone(liveness));
+        }
         state.inactivity.record_request(sent);
         InFlight {
             upstream: Arc::clone(self),
-            liveness: Arc::clone(liveness),
+            group: Arc::clone(group),
             sent,
             responded: AtomicBool::new(false),
         }
@@ -165,12 +184,18 @@
 
     /// Returns whether requests that may run again should be moved to another upstream.
     pub(in crate::direct) fn is_stuck(&self, liveness: &Liveness) -> bool {
-        self.lock().inactivity.is_stuck(liveness.active_time(), liveness.silence_limit())
+        let state = self.lock();
+        state.is_measured_in(liveness)
+            && state.inactivity.is_stuck(liveness.active_time(), liveness.silence_limit())
     }
 
     /// Returns for how much active time the upstream has been silent although it has requests.
     pub(in crate::direct) fn inactive_for(&self, liveness: &Liveness) -> Duration {
-        self.lock().inactivity.duration(liveness.active_time())
+        let state = self.lock();
+        if !state.is_measured_in(liveness) {
+            return Duration::ZERO;
+        }
+        state.inactivity.duration(liveness.active_time())
     }
 
     /// Returns for how long the upstream has sent nothing, or `None` if it never sent anything.
@@ -241,12 +266,16 @@
     /// Returns the state on which the choice of an upstream is based.
     pub fn candidate(&self, liveness: &Liveness, now: Instant) -> Candidate {
         let state = self.lock();
-        let inactive_until =
-            state.inactivity.avoid_until(liveness.active_time(), liveness.silence_limit(), now);
+        let inactive_until = state.is_measured_in(liveness).then(|| {
+            state.inactivity.avoid_until(liveness.active_time(), liveness.silence_limit(), now)
+        });
         Candidate {
             own: state.in_flight,
             others: state.load.map(|report| report.others(now)),
-            avoid_until: state.avoid_until.filter(|until| *until > now).max(inactive_until),
+            avoid_until: state
+                .avoid_until
+                .filter(|until| *until > now)
+                .max(inactive_until.flatten()),
         }
     }
 
@@ -268,6 +297,11 @@
 }
 
 impl State {
+    /// Returns whether the inactivity is measured in the active time of this liveness.
+    fn is_measured_in(&self, liveness: &Liveness) -> bool {
+        self.liveness.as_deref().is_some_and(|own| std::ptr::eq(own, liveness))
+    }
+
     fn begin_backoff(&mut self) {
         self.backoff = (self.backoff * 2).clamp(INITIAL_BACKOFF, MAX_BACKOFF);
         self.avoid_until = Some(Instant::now() + self.backoff);
