--- a/src/direct/admission/engine_load.rs
+++ b/src/direct/admission/engine_load.rs
@@ -21,6 +21,8 @@
 /// Time without activity from any engine after which the engines count as stalled. A switch of
 /// expert maps takes less.
 const STALL_THRESHOLD: Duration = Duration::from_millis(600);
+/// Time without activity that is usual for engines with requests, which is several passes.
+const USUAL_SILENCE: Duration = Duration::from_millis(250);
 /// Minimum number of requests in flight for the engines to count as stalled.
 const STALL_MIN_REQUESTS: u32 = 4;
 
@@ -77,6 +79,13 @@
         if capacity < MIN_CAPACITY { slots } else { capacity.min(slots) }
     }
 
+    /// Returns for how long no engine has shown activity, if that is longer than usual. A group that
+    /// switches expert maps, or is about to stall, serves the next request no sooner than that.
+    pub fn silence(&self) -> Option<Duration> {
+        let is_busy = self.own_requests >= STALL_MIN_REQUESTS;
+        self.inactive_for.filter(|inactive_for| is_busy && *inactive_for > USUAL_SILENCE)
+    }
+
     /// Returns whether the engines are stalled, for example because their group has lost a rank.
     pub fn is_stalled(&self) -> bool {
         self.own_requests >= STALL_MIN_REQUESTS
--- a/src/direct/admission/pick_group.rs
+++ b/src/direct/admission/pick_group.rs
@@ -130,10 +130,12 @@
     let targets = request.route.latency_targets();
     let gap = engine_load.and_then(|load| load.gap);
     let gap_ratio = gap.zip(targets.gap).map(|(gap, target)| gap.div_duration_f64(target));
+    let wait = engine_load.map(|load| load.expected_wait(&targets)).unwrap_or_default();
+    let silence = engine_load.and_then(|load| load.silence()).unwrap_or_default();
     GroupLoad {
         condition: GroupCondition::Running,
         admits: true,
-        wait: engine_load.map(|load| load.expected_wait(&targets)).unwrap_or_default(),
+        wait: wait.max(silence),
         gap_ratio: gap_ratio.unwrap_or_default(),
         load: (group.mean_load() + rand::random_range(0.0..TIE_BREAK_SPREAD)) / share,
     }
--- a/src/direct/groups/group_directory.rs
+++ b/src/direct/groups/group_directory.rs
@@ -25,7 +25,7 @@
 #[derive(Debug, Default)]
 struct State {
     rows: HashMap<String, KnownRow>,
-    /// Derived from the rows; `None` without rows.
+    /// Derived from the rows; `None` before the first one.
     memberships: Option<Arc<Memberships>>,
 }
 
@@ -42,7 +42,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns which upstream is in which group, or `None` if no groups are known.
+    /// Returns which upstream is in which group, or `None` if there never was a group.
     pub fn memberships(&self) -> Option<Arc<Memberships>> {
         self.lock().memberships.clone()
     }
@@ -158,8 +158,9 @@
             row.members.iter().map(move |member| (member.clone(), membership.clone()))
         });
         let memberships = Memberships(memberships.collect());
-        if self.memberships.as_deref() != Some(&memberships) {
-            self.memberships = (!rows.is_empty()).then(|| Arc::new(memberships));
+        let known = self.memberships.as_deref();
+        if known.map_or(!rows.is_empty(), |known| *known != memberships) {
+            self.memberships = Some(Arc::new(memberships));
         }
     }
 }
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod crash_parts;
 mod departed_callers;
 mod direct_parts;
+mod entry_groups;
 mod explain;
 mod fault_table;
 mod group_run;
