--- a/src/direct/admission/pick_group.rs
+++ b/src/direct/admission/pick_group.rs
@@ -74,9 +74,9 @@
             // Without a group that can take the load, a recovering one takes what it can.
             let share = if has_full { group.state.recovery.share(now) } else { 1.0 };
             let mut engine_load = self.engine_load(request, group, share, now);
-            let is_stalled = engine_load.is_some_and(|load| load.is_stalled());
-            if is_stalled {
-                group.state.recovery.record_failure(now);
+            let stalled = engine_load.filter(EngineLoad::is_stalled);
+            if let Some(load) = stalled {
+                self.record_stall(request, &group.state, load.inactive_for, now);
             }
             let mut load = group_load(request, group, engine_load, share);
             if let Some(engine_load) = engine_load.as_mut().filter(|_| is_first)
@@ -86,7 +86,7 @@
                 let refused = [(wait, *engine_load)];
                 least = least.into_iter().chain(refused).min_by_key(|(wait, _)| *wait);
             }
-            let may_probe = has_running && is_first && load.admits && !is_stalled;
+            let may_probe = has_running && is_first && load.admits && stalled.is_none();
             load.condition = condition(request, history, group, may_probe, now);
             loads.push(load);
         }
--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -65,7 +65,8 @@
         if request.route.delivery.is_stream() && head.status.is_success() {
             self.check_success(upstream, &head)?;
             upstream.record_success();
-            group.record_response();
+            group.outage.record_response();
+            self.record_progress(request, group);
             self.record_load_share(request, group);
             return Ok(Exchanged::Begun(BegunStream { head, body, conn, in_flight }));
         }
@@ -140,8 +141,9 @@
             let is_idle = text.and_then(Load::parse).is_some_and(|load| load.is_idle());
             let is_rank = request.service.engine.is_some_and(|engine| engine.experts.is_some());
             let refused_idle = is_idle && is_rank;
-            let retry_after = refused_idle.then(|| group.record_refusal(&upstream.listed.id));
-            let retry_after = retry_after.flatten();
+            let retry_after = refused_idle
+                .then(|| self.record_idle_refusal(request, group, &upstream.listed.id))
+                .flatten();
             return Err(FailedAttempt { retry_after, refused_idle, ..refused });
         }
         if implies_not_run(head.status) {
@@ -155,7 +157,10 @@
         }
         if head.status.is_success() {
             self.clear_crashes(request);
-            group.record_response();
+            if !self.group_directory.is_empty() {
+                group.outage.record_response();
+            }
+            self.record_progress(request, group);
             self.record_load_share(request, group);
         }
         upstream.record_success();
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -37,6 +37,15 @@
         term: u64,
         members: usize,
     },
+    /// A group of several has stalled, refuses requests although nothing runs there, or runs again.
+    /// `for_ms` is for how long it has been silent or was down.
+    GroupState {
+        service: &'a str,
+        group: &'a str,
+        state: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        for_ms: Option<u64>,
+    },
     /// The row of a group can't be used; what was known of the group still holds.
     GroupUnusable { key: &'a str, reason: &'a str },
     /// An upstream crashed while it ran the request with this fingerprint.
--- a/src/direct/groups/group_recovery.rs
+++ b/src/direct/groups/group_recovery.rs
@@ -39,14 +39,17 @@
 
 impl GroupRecovery {
     /// Records that the group stalls, or that its ranks refuse requests although nothing runs there.
-    pub fn record_failure(&self, now: Instant) {
+    /// Returns whether this was not known.
+    pub fn record_failure(&self, now: Instant) -> bool {
         let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if !matches!(state.phase, Phase::Down(_)) {
+        let is_new = !matches!(state.phase, Phase::Down(_));
+        if is_new {
             *state = State { phase: Phase::Down(now), last_probe: Some(now) };
         }
+        is_new
     }
 
-    /// Records that the group runs a request.
+    /// Records that the group runs a request. Returns for how long it was down, if it was.
     ///
     /// ```
     /// # use std::time::Duration;
@@ -60,13 +63,17 @@
     /// assert_eq!(recovery.share(now + Duration::from_millis(1_500)), 0.5);
     /// assert_eq!(recovery.share(now + Duration::from_secs(3)), 1.0);
     /// ```
-    pub fn record_response(&self, now: Instant) {
+    pub fn record_response(&self, now: Instant) -> Option<Duration> {
         let mut state = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        state.phase = match state.phase {
-            Phase::Unknown => Phase::Running,
-            Phase::Down(_) => Phase::Recovering(now),
-            phase => phase,
+        let (phase, down_time) = match state.phase {
+            Phase::Unknown => (Phase::Running, None),
+            Phase::Down(since) => {
+                (Phase::Recovering(now), Some(now.saturating_duration_since(since)))
+            }
+            phase => (phase, None),
         };
+        state.phase = phase;
+        down_time
     }
 
     /// Returns the condition of the group.
--- a/src/direct/groups/group_state.rs
+++ b/src/direct/groups/group_state.rs
@@ -1,7 +1,4 @@
 use std::sync::Arc;
-use std::time::Duration;
-
-use tokio::time::Instant;
 
 use super::{GroupCondition, GroupRecovery};
 use crate::direct::{GroupOutage, Liveness, ReturnQueue, StreamStats};
@@ -24,25 +21,8 @@
         Self { name, ..Self::default() }
     }
 
-    /// Records that a rank on which nothing runs or waits has refused a request. Returns after which
-    /// time the caller is to return, if this shows that the group does not run.
-    pub(in crate::direct) fn record_refusal(&self, upstream: &str) -> Option<Duration> {
-        let now = Instant::now();
-        let retry_after = self.outage.record_refusal(upstream, now);
-        if retry_after.is_some() {
-            self.recovery.record_failure(now);
-        }
-        retry_after
-    }
-
     /// Returns whether the group stalls or its ranks refuse requests, as far as is known.
     pub(in crate::direct) fn is_down(&self) -> bool {
         self.recovery.condition() == GroupCondition::Down
     }
-
-    /// Records that the group runs a request.
-    pub(in crate::direct) fn record_response(&self) {
-        self.outage.record_response();
-        self.recovery.record_response(Instant::now());
-    }
 }
--- a/src/direct/groups/mod.rs
+++ b/src/direct/groups/mod.rs
@@ -5,6 +5,7 @@
 mod group_directory;
 mod group_feed;
 mod group_load;
+mod group_log;
 mod group_recovery;
 mod group_state;
 mod memberships;
--- a/src/direct/responses/relay.rs
+++ b/src/direct/responses/relay.rs
@@ -41,7 +41,6 @@
     fn record_event(&mut self, group: &GroupState) {
         let now = Instant::now();
         self.first.get_or_insert(now);
-        group.recovery.record_response(now);
         let is_moved = std::mem::take(&mut self.is_moved);
         if let Some(last) = self.last.replace(now).filter(|_| !is_moved) {
             group.stream_stats.record_gap(now - last, now);
@@ -182,6 +181,7 @@
             progress.record_event();
             tracker.first_byte();
             event_timing.record_event(group);
+            dispatcher.record_progress(request, group);
             // A caller that does not read must not hold up the upstream.
             match timeout_at(request.deadline, sender.send(events)).await {
                 Ok(true) => {}
