Merge: groups in entries, evacuated failure domains

Cause: both parts add fields to the dispatcher, the meter and the node. Change: both kept; the readiness and metrics listeners are served by the free function of one of them.

--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -44,6 +44,7 @@
     revision: Gauge,
     limited_upstreams: Gauge,
     evacuated_domains: Gauge,
+    groups: Gauge,
 }
 
 impl fmt::Debug for DirectMeter {
@@ -88,6 +89,9 @@
         let evacuated_domains = Gauge::default();
         let help = "Failure domains that are evacuated";
         registry.register("evacuated_domains", help, evacuated_domains.clone());
+        let groups = Gauge::default();
+        let help = "Groups that share a service with others, of all services";
+        registry.register("groups", help, groups.clone());
         Self {
             registry,
             ended,
@@ -98,6 +102,7 @@
             revision,
             limited_upstreams,
             evacuated_domains,
+            groups,
         }
     }
 
@@ -142,6 +147,11 @@
         self.evacuated_domains.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Records how many groups are known.
+    pub fn groups(&self, number: usize) {
+        self.groups.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -19,14 +19,15 @@
 use super::quarantine::CrashSharing;
 use super::quarantine::Trials;
 use super::{
-    BodyMemory, Crashes, DirectMeter, Directory, Evacuations, Freshness, HeaderNames, RetryLimits,
-    Roster,
+    BodyMemory, Crashes, DirectMeter, Directory, Evacuations, Freshness, GroupDirectory,
+    HeaderNames, RetryLimits, Roster,
 };
 use crate::cli::Node;
 use crate::direct::attempts::HeaderWatch;
 use crate::direct::feeds::{
     EvacuationUpdates, ListBounds, RoutingFollower, RoutingPublisher, RowFollower, UpstreamFollower,
 };
+use crate::direct::groups::GroupFeed;
 use crate::event_log::{EventLog, Level};
 use crate::net::{H1Limits, Shutdown, serve_h1};
 use crate::platform::Table;
@@ -124,6 +125,7 @@
         let first_quarantine = Duration::from_secs_f64(file.quarantine_seconds);
         let crashes = Arc::new(Crashes::new(first_quarantine));
         let limits = Arc::new(UpstreamLimits::new(&file.name, file.retries.entries));
+        let group_directory = Arc::new(GroupDirectory::default());
         let (trials, trial_claims) = mpsc::channel(TRIAL_QUEUE);
         let dispatcher = Arc::new(Dispatcher {
             header_watch: HeaderWatch::new(&header_names),
@@ -131,6 +133,7 @@
             domain: file.domain.clone(),
             roster: Arc::clone(&roster),
             evacuations: Arc::clone(&evacuations),
+            group_directory: Arc::clone(&group_directory),
             freshness: Arc::clone(&freshness),
             retry_limits: retry_limits(&file.retries),
             service_states: std::sync::Mutex::default(),
@@ -159,6 +162,11 @@
             directory: Arc::clone(&directory),
             crash_sharing,
             limit_sharing,
+            group_feed: GroupFeed {
+                directory: group_directory,
+                meter: Arc::clone(&meter),
+                log: self.log.clone(),
+            },
             log: self.log.clone(),
         };
         let evacuation_updates =
@@ -205,28 +213,8 @@
             self.caller_shutdown.clone(),
             self.tasks.clone(),
         ));
-        self.spawn_monitoring(readiness, metrics, ready, meter);
-    }
-
-    fn spawn_monitoring(
-        &self,
-        readiness: TcpListener,
-        metrics: Option<TcpListener>,
-        ready: ReadinessHandler,
-        meter: Arc<DirectMeter>,
-    ) {
-        let (shutdown, tasks) = (self.monitoring_shutdown.clone(), TaskTracker::new());
-        tokio::spawn(serve_h1(
-            readiness,
-            Arc::new(ready),
-            HTTP_LIMITS,
-            shutdown.clone(),
-            tasks.clone(),
-        ));
-        if let Some(metrics) = metrics {
-            let handler = Arc::new(MetricsHandler { meter });
-            tokio::spawn(serve_h1(metrics, handler, HTTP_LIMITS, shutdown, tasks));
-        }
+        let metrics = metrics.map(|listener| (listener, MetricsHandler { meter }));
+        serve_monitoring((readiness, ready), metrics, &self.monitoring_shutdown);
     }
 
     /// Address for callers.
@@ -287,6 +275,21 @@
     }
 }
 
+/// Serves the readiness check and, if they are exported, the metrics.
+fn serve_monitoring(
+    (readiness, ready): (TcpListener, ReadinessHandler),
+    metrics: Option<(TcpListener, MetricsHandler)>,
+    shutdown: &Shutdown,
+) {
+    let tasks = TaskTracker::new();
+    let ready = Arc::new(ready);
+    tokio::spawn(serve_h1(readiness, ready, HTTP_LIMITS, shutdown.clone(), tasks.clone()));
+    if let Some((listener, handler)) = metrics {
+        let handler = Arc::new(handler);
+        tokio::spawn(serve_h1(listener, handler, HTTP_LIMITS, shutdown.clone(), tasks));
+    }
+}
+
 /// The listeners of an entry.
 struct Listeners {
     listener: TcpListener,
