--- a/tests/it/remap_faults.rs
+++ b/tests/it/remap_faults.rs
@@ -32,9 +32,9 @@
 const MAX_SETTLE_TIME: Duration = Duration::from_secs(30);
 
 /// A future that makes no progress while `frozen` is set.
-struct Freezing<F> {
-    inner: Pin<Box<F>>,
-    frozen: Arc<AtomicBool>,
+pub(super) struct Freezing<F> {
+    pub(super) inner: Pin<Box<F>>,
+    pub(super) frozen: Arc<AtomicBool>,
 }
 
 impl<F: Future> Future for Freezing<F> {
--- a/tests/it/several_groups/orders.rs
+++ b/tests/it/several_groups/orders.rs
@@ -2,6 +2,7 @@
 //! reaches a running rank of another group, and no pass begins under two maps.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use ebonyusher::remap::{
@@ -14,6 +15,7 @@
 
 use super::host_client::HostClient;
 use super::world::{PASS_TIME, World, host_addr, name};
+use crate::remap_faults::Freezing;
 
 const RANKS: usize = 4;
 const GROUPS: usize = 3;
@@ -73,16 +75,25 @@
     }
 }
 
-/// Spawns a leader that goes on with a greater term when it is deposed.
-fn spawn_leader(world: &Arc<World>, group: usize, local: usize, all_local: bool) {
+/// Spawns a leader that goes on with a greater term when it is deposed. Returns the flag that
+/// freezes it.
+fn spawn_leader(
+    world: &Arc<World>,
+    group: usize,
+    local: usize,
+    all_local: bool,
+) -> Arc<AtomicBool> {
     let world = Arc::clone(world);
-    tokio::spawn(async move {
+    let inner = Box::pin(async move {
         for round in 1.. {
             let term = round * 10 * GROUPS as u64 + group as u64;
             lead(Arc::clone(&world), group, local, term, all_local).await;
             sleep(SWITCH_PAUSE).await;
         }
     });
+    let frozen = Arc::new(AtomicBool::new(false));
+    tokio::spawn(Freezing { inner, frozen: Arc::clone(&frozen) });
+    frozen
 }
 
 fn runtime() -> tokio::runtime::Runtime {
@@ -90,22 +101,25 @@
     builder.enable_all().start_paused(true).build().expect("runtime")
 }
 
-/// A rank that moves between two groups.
+/// A rank that moves between two groups, while the leader of the first one is frozen.
 #[derive(Clone, Copy, Debug)]
 struct Move {
     groups: (usize, usize),
     rank: usize,
     wait_ms: u64,
+    /// Time for which the leader stays frozen after the groups have formed.
+    frozen_ms: u64,
 }
 
 fn moves() -> impl Strategy<Value = Vec<Move>> {
-    let one = (0..GROUPS, 1..GROUPS, 0..RANKS, 0..1_500_u64);
-    let one = one.prop_map(|(group, by, rank, wait_ms)| Move {
+    let one = (0..GROUPS, 1..GROUPS, 0..RANKS, 0..1_500_u64, 0..900_u64);
+    let one = one.prop_map(|(group, by, rank, wait_ms, frozen_ms)| Move {
         groups: (group, (group + by) % GROUPS),
         rank,
         wait_ms,
+        frozen_ms,
     });
-    prop::collection::vec(one, 1..6)
+    prop::collection::vec(one, 1..8)
 }
 
 proptest! {
@@ -127,13 +141,17 @@
         let (strays, splits, switched) = runtime().block_on(async {
             let groups: Vec<(u64, usize)> = epochs.iter().map(|epoch| (*epoch, RANKS)).collect();
             let world = World::new(&groups);
+            let mut frozen = Vec::new();
             for (at, group) in world.groups.iter().enumerate() {
                 group.run_passes(PASS_TIME);
-                spawn_leader(&world, at, at, all_local);
+                frozen.push(spawn_leader(&world, at, at, all_local));
             }
-            for Move { groups: (one, other), rank, wait_ms } in moves {
+            for Move { groups: (one, other), rank, wait_ms, frozen_ms } in moves {
                 sleep(Duration::from_millis(wait_ms)).await;
+                frozen[one].store(true, Ordering::Relaxed);
                 world.exchange(one, other, rank).await;
+                sleep(Duration::from_millis(frozen_ms)).await;
+                frozen[one].store(false, Ordering::Relaxed);
             }
             let before = maps(&world);
             let advance = async {
