--- a/tests/it/several_groups/sidecars.rs
+++ b/tests/it/several_groups/sidecars.rs
@@ -12,6 +12,7 @@
 use ebonyusher::settings::{RankFile, RebalanceSettings};
 use rstest::rstest;
 use serde_json::Value;
+use tokio::time::sleep;
 
 use super::world::{Connector, PASS_TIME, World, host_addr, host_id, name};
 use crate::large_group::until;
@@ -139,6 +140,26 @@
     assert_no_harm(&world);
 }
 
+/// Guards against reads and rows that a service with one group does not need.
+#[tokio::test]
+async fn one_group_reads_only_its_term_and_publishes_nothing() {
+    let world = World::new(&[(4, 3)]);
+    run_passes(&world);
+    let _nodes = start_sidecars(&world, &[0], free_port()).await;
+
+    until("a switcher", async || {
+        let (_, writes) = world.platform.call_counts();
+        writes == 2
+    })
+    .await;
+    // Past the first check for other groups.
+    sleep(Duration::from_millis(2_500)).await;
+
+    // The term is read at the start, when it is claimed and when the switcher is recorded.
+    assert_eq!(world.platform.call_counts(), (3, 2));
+    assert_eq!(row(&world, 0).await, None);
+}
+
 /// Guards against a rank that keeps a group from running because its fencing token comes from a
 /// group with greater terms, and against sidecars that stay with the leader of the earlier group.
 #[tokio::test]
