--- a/src/remap/mod.rs
+++ b/src/remap/mod.rs
@@ -1,5 +1,5 @@
 //! Rebalancing of expert maps in groups whose ranks take orders. The sidecars beside the ranks
-//! elect a leader, which reads the ranks' token counts, plans maps, and has all ranks switch to a
+//! elect a leader for each group, which reads the ranks' token counts, plans maps, and has all ranks switch to a
 //! new map at the start of the same pass. Groups whose ranks ask their sidecar before each step use
 //! [`crate::switch`] instead.
 
--- a/src/remap/peer_rank.rs
+++ b/src/remap/peer_rank.rs
@@ -89,11 +89,6 @@
         }
     }
 
-    /// Address of the rank.
-    pub const fn addr(&self) -> SocketAddr {
-        self.addr
-    }
-
     /// Limits the calls' time as for a group of this number of ranks.
     #[must_use]
     pub fn with_group_size(self, ranks: usize) -> Self {
--- a/tests/it/several_groups/orders.rs
+++ b/tests/it/several_groups/orders.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use ebonyusher::remap::{
-    GroupMap, LeaderTerm, PeerRank, RankClient, RankSet, SharedMap, Sidecar, SwitchError,
-    armed_last, first_fence, settle_switch, switch,
+    GroupMap, LeaderTerm, PeerRank, RankClient, RankError, RankOrder, RankSet, SharedMap, Sidecar,
+    SwitchError, armed_last, first_fence, settle_switch, switch,
 };
 use jsonrpsee::http_client::HttpClientBuilder;
 use proptest::prelude::*;
@@ -204,9 +204,9 @@
 
     world.exchange(0, 1, 1).await;
     let mut ranks = RankSet::new(vec![moved], leader.group, 2, first_fence(2));
-    let order = ebonyusher::remap::RankOrder::Hold { pass: 100 };
+    let order = RankOrder::Hold { pass: 100 };
     let ended = ranks.command(vec![(0, order)]).await.unwrap();
 
-    assert_eq!(ended, [Err(ebonyusher::remap::RankError::Refused)]);
+    assert_eq!(ended, [Err(RankError::Refused)]);
     assert_eq!(world.groups[1].state(1, Duration::ZERO).held, None);
 }
