--- a/src/remap/mod.rs
+++ b/src/remap/mod.rs
@@ -1,7 +1,7 @@
-//! Rebalancing of expert maps in groups whose ranks take orders. The sidecars beside the ranks
-//! elect a leader for each group, which reads the ranks' token counts, plans maps, and has all ranks switch to a
-//! new map at the start of the same pass. Groups whose ranks ask their sidecar before each step use
-//! [`crate::switch`] instead.
+//! Rebalancing of expert maps in groups whose ranks take orders. The sidecars beside the ranks of a
+//! group elect a leader, which reads the ranks' token counts, plans maps, and has all ranks switch
+//! to a new map at the start of the same pass. A service may have several groups, each with its own
+//! leader. Groups whose ranks ask their sidecar before each step use [`crate::switch`] instead.
 
 mod agent;
 mod assembly;
