Direct entry: cold upstreams get a bounded rate from all entries

UpstreamLimits holds cold upstreams as a source of a rate with an end, shared by the same rows; the computation of a share moved to Share. First requests of entries are staggered, and entries that don't know the others send by turns, since without that nine of them sent in one instant (9 of 8.7 allowed in the property test).

--- a/src/direct/admission/pick.rs
+++ b/src/direct/admission/pick.rs
@@ -55,8 +55,8 @@
         Ok(Chosen { upstream: Arc::clone(eligible[chosen]), candidate: candidates[chosen] })
     }
 
-    /// Drops the upstreams that may not get another request from this entry yet, by their limits or
-    /// the pauses that they asked for. Refuses the request if that leaves none.
+    /// Drops the upstreams that may not get another request from this entry yet, by their limits,
+    /// since they are cold, or by the pauses that they asked for. Refuses the request if that leaves none.
     fn drop_limited(
         &self,
         eligible: &mut SmallVec<[&Arc<Upstream>; 16]>,
@@ -65,7 +65,7 @@
         now: Instant,
     ) -> Result<(), Refusal> {
         let mut first = None;
-        let has_limits = !self.limits.is_empty();
+        let has_limits = !self.limits.is_idle(now);
         eligible.retain(|upstream| {
             let limited = has_limits.then(|| self.limits.next_send(&upstream.listed, now));
             let next = limited.max(upstream.paused_until(now)).unwrap_or(now);
--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -44,6 +44,7 @@
     revision: Gauge,
     limited_upstreams: Gauge,
     evacuated_domains: Gauge,
+    cold_upstreams: Gauge,
 }
 
 impl fmt::Debug for DirectMeter {
@@ -88,6 +89,8 @@
         let evacuated_domains = Gauge::default();
         let help = "Failure domains that are evacuated";
         registry.register("evacuated_domains", help, evacuated_domains.clone());
+        let cold_upstreams = Gauge::default();
+        registry.register("cold_upstreams", "Upstreams that are cold", cold_upstreams.clone());
         Self {
             registry,
             ended,
@@ -98,6 +101,7 @@
             revision,
             limited_upstreams,
             evacuated_domains,
+            cold_upstreams,
         }
     }
 
@@ -142,6 +146,11 @@
         self.evacuated_domains.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Records how many upstreams are cold.
+    pub fn cold_upstreams(&self, number: usize) {
+        self.cold_upstreams.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/direct/feeds/directory.rs
+++ b/src/direct/feeds/directory.rs
@@ -23,6 +23,8 @@
     pub draining: bool,
     /// Unix time of its start in milliseconds, if the platform knows it.
     pub started_at_ms: Option<u64>,
+    /// How long it stays cold from the time of the listing, zero if the listing does not say.
+    pub cold: Duration,
 }
 
 /// A change of the platform's list of upstreams.
--- a/src/direct/feeds/mod.rs
+++ b/src/direct/feeds/mod.rs
@@ -1,5 +1,6 @@
 //! Settings, upstreams and shared rows, as the platform tells of them.
 
+mod cold_updates;
 mod directory;
 mod evacuation_updates;
 mod freshness;
@@ -9,6 +10,7 @@
 mod upstream_follower;
 mod watch;
 
+pub(super) use cold_updates::ColdUpdates;
 pub use directory::{
     Changes, Cursor, Directory, DirectoryError, ListChange, ListedUpstream, RoutingChange,
     RowChange,
--- a/src/direct/feeds/routing_follower.rs
+++ b/src/direct/feeds/routing_follower.rs
@@ -6,7 +6,7 @@
 use crate::direct::event::Event;
 use crate::direct::feeds::evacuation_updates::Reading;
 use crate::direct::feeds::upstream_follower::RELIST_GRACE;
-use crate::direct::feeds::{EvacuationUpdates, PlatformHealth, RoutingPublisher};
+use crate::direct::feeds::{ColdUpdates, EvacuationUpdates, PlatformHealth, RoutingPublisher};
 use crate::direct::{
     Changes, Cursor, DirectMeter, Directory, DirectoryError, Freshness, RoutingChange,
 };
@@ -28,6 +28,7 @@
     pub(in crate::direct) directory: Arc<D>,
     pub(in crate::direct) publisher: RoutingPublisher,
     pub(in crate::direct) evacuation_updates: EvacuationUpdates,
+    pub(in crate::direct) cold_updates: ColdUpdates,
     pub(in crate::direct) freshness: Arc<Freshness>,
     /// Time in which an evacuation must take effect, if it is limited.
     pub(in crate::direct) evacuation_time: Option<Duration>,
@@ -90,6 +91,9 @@
                 RoutingChange::Written(routing) => {
                     is_newest = true;
                     let revision = routing.revision;
+                    if revision > self.publisher.revision() {
+                        self.cold_updates.set_starts(&routing);
+                    }
                     if let Some(before) = self.publisher.publish(*routing) {
                         self.meter.revision(revision);
                         let event = Event::SettingsInForce { revision, before };
--- a/src/direct/feeds/upstream_follower.rs
+++ b/src/direct/feeds/upstream_follower.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::direct::event::Event;
-use crate::direct::feeds::PlatformHealth;
+use crate::direct::feeds::{ColdUpdates, PlatformHealth};
 use crate::direct::{Changes, Cursor, Directory, DirectoryError, ListChange, Roster, RosterChange};
 use crate::event_log::{EventLog, Level};
 
@@ -39,6 +39,7 @@
 pub(in crate::direct) struct UpstreamFollower<D> {
     directory: Arc<D>,
     roster: Arc<Roster>,
+    cold_updates: ColdUpdates,
     log: EventLog,
     health: PlatformHealth,
     /// Upstreams that disappeared from the list in an outage of the platform, and when to remove
@@ -56,14 +57,16 @@
     pub(in crate::direct) fn new(
         directory: Arc<D>,
         roster: Arc<Roster>,
+        cold_updates: ColdUpdates,
         bounds: ListBounds,
-        log: EventLog,
     ) -> Self {
+        let log = cold_updates.log.clone();
         let health = PlatformHealth::new("upstreams", log.clone());
         let interval = bounds.drain.mul_f64(GATHER_SHARE).min(MAX_GATHER_TIME);
         let max_wait = (bounds.drain + bounds.detection).mul_f64(WAIT_SHARE).min(MAX_WAIT);
         let missing = HashMap::new();
-        Self { directory, roster, log, health, missing, cursor: None, interval, max_wait }
+        let cursor = None;
+        Self { directory, roster, cold_updates, log, health, missing, cursor, interval, max_wait }
     }
 
     /// Follows the list until the process ends.
@@ -88,6 +91,7 @@
                 Err(err) => sleep(self.health.record_failure(&err.to_string())).await,
             }
             self.remove_expired();
+            self.cold_updates.count();
         }
     }
 
@@ -111,6 +115,8 @@
                     self.missing.remove(&upstream.id);
                     listed.insert(upstream.id.clone());
                     let (id, service) = (upstream.id.clone(), upstream.service.clone());
+                    // Requests must not reach a cold upstream before it is known as one.
+                    self.cold_updates.list(&upstream);
                     let change = self.roster.apply(upstream);
                     self.log_change(&id, &service, change, version);
                 }
--- a/src/direct/limits/limit_sharing.rs
+++ b/src/direct/limits/limit_sharing.rs
@@ -16,7 +16,7 @@
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Tells the other entries of the limits that this one knows, through the platform's table. Nothing
-/// is written while no upstream names a limit.
+/// is written while no upstream names a limit or is cold.
 #[derive(Debug)]
 pub(in crate::direct) struct LimitSharing {
     pub(in crate::direct) limits: Arc<UpstreamLimits>,
@@ -45,7 +45,7 @@
         let mut health = PlatformHealth::new("limits", self.log.clone());
         let key = format!("{KEY_PREFIX}{}", self.limits.entry());
         loop {
-            if self.limits.is_empty() {
+            if self.limits.is_idle(Instant::now()) {
                 self.limits.changed().await;
             } else {
                 let interval = self.limits.renewal_interval(Instant::now());
--- a/src/direct/limits/upstream_limits.rs
+++ b/src/direct/limits/upstream_limits.rs
@@ -6,9 +6,11 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use super::limited_upstream::{LimitedUpstream, Sharers};
-use super::{LimitRow, NamedLimit, RowLimit};
-use crate::direct::ListedUpstream;
+use super::cold_upstreams::ColdUpstreams;
+use super::limited_upstream::LimitedUpstream;
+use super::share::{Share, Sharers};
+use super::{ColdChange, LimitRow, NamedLimit, RowLimit};
+use crate::direct::{ColdStart, ListedUpstream};
 use crate::units::unix_millis;
 
 /// Time between two renewals of an entry's row, at least.
@@ -36,7 +38,8 @@
     pub rate: Option<f64>,
 }
 
-/// The limits that upstreams name, and when this entry may send its part of the requests.
+/// The limits that upstreams name or have while they are cold, and when this entry may send its part
+/// of the requests.
 #[derive(Debug)]
 pub struct UpstreamLimits {
     /// Name of this entry.
@@ -51,6 +54,7 @@
 #[derive(Debug, Default)]
 struct State {
     upstreams: HashMap<String, LimitedUpstream>,
+    cold: ColdUpstreams,
     /// Last renewal of each other entry, and when it was read.
     others: HashMap<String, (u64, Instant)>,
     /// Number of the last renewal that this entry has begun to write.
@@ -78,11 +82,12 @@
     /// Records what a response of an upstream says of its limit.
     ///
     /// ```
+    /// # use std::time::Duration;
     /// # use ebonyusher::direct::{ListedUpstream, NamedLimit, UpstreamLimits};
     /// # use tokio::time::Instant;
     /// # let listed = ListedUpstream {
     /// #     id: "u-1".into(), service: "ledger".into(), addr: "127.0.0.1:80".parse().unwrap(),
-    /// #     domain: "osu".into(), draining: false, started_at_ms: Some(1),
+    /// #     domain: "osu".into(), draining: false, started_at_ms: Some(1), cold: Duration::ZERO,
     /// # };
     /// let (limits, now) = (UpstreamLimits::new("entry-1", 1.0), Instant::now());
     /// assert!(limits.next_send(&listed, now) <= now);
@@ -118,28 +123,110 @@
 
     /// Returns when this entry may send an upstream the next request, which may be past.
     pub fn next_send(&self, listed: &ListedUpstream, now: Instant) -> Instant {
-        let state = self.lock();
+        let mut state = self.lock();
+        let limited = self.next_limited(&state, listed, now);
+        let cold = self.next_cold(&mut state, listed, now);
+        limited.max(cold).unwrap_or(now)
+    }
+
+    fn next_limited(
+        &self,
+        state: &State,
+        listed: &ListedUpstream,
+        now: Instant,
+    ) -> Option<Instant> {
         let known = state.upstreams.get(&listed.id);
-        let Some(known) = known.filter(|known| known.incarnation == listed.started_at_ms) else {
-            return now;
-        };
+        let known = known.filter(|known| known.incarnation == listed.started_at_ms)?;
         let others = state.live_others(now);
-        let proof_age = state.renewal_interval(now) * PROOF_RENEWALS;
-        let is_proven =
-            state.proven.is_some_and(|at| now.saturating_duration_since(at) < proof_age);
-        let sharers = if is_proven {
-            Sharers::Known(&self.entry, &others)
-        } else {
-            Sharers::AtMost(self.max_entries)
+        known.next(&listed.id, self.sharers(state.is_proven(now), &others))
+    }
+
+    fn next_cold(
+        &self,
+        state: &mut State,
+        listed: &ListedUpstream,
+        now: Instant,
+    ) -> Option<Instant> {
+        if !state.cold.contains(listed, now) {
+            return None;
+        }
+        let State { cold, others, proven, .. } = state;
+        let share = |rate, most_sharers| {
+            let live = live_others(others, now);
+            let sharers = self.sharers(is_proven(*proven, live.len(), now), &live);
+            Share::new(rate, most_sharers, &listed.id, sharers)
         };
-        known.next(&listed.id, sharers).unwrap_or(now)
+        cold.next(&listed.id, share, now)
+    }
+
+    fn sharers<'a>(&'a self, is_proven: bool, others: &'a [&'a str]) -> Sharers<'a> {
+        if is_proven {
+            Sharers::Known(&self.entry, others)
+        } else {
+            Sharers::AtMost(&self.entry, self.max_entries)
+        }
+    }
+
+    /// Replaces the settings of services whose upstreams can be cold, by service.
+    pub fn set_cold_starts(&self, starts: HashMap<String, ColdStart>) {
+        let mut state = self.lock();
+        state.cold.set_starts(starts);
+        if state.cold.len(Instant::now()) > 0 {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Applies what a listing says of how long an upstream is cold. One that is new is cold as well
+    /// if this entry has sent requests of its service. Returns how the upstream has become cold, if
+    /// it was not.
+    ///
+    /// ```
+    /// # use std::collections::HashMap;
+    /// # use std::time::Duration;
+    /// # use ebonyusher::direct::{ColdStart, ListedUpstream, UpstreamLimits};
+    /// # use tokio::time::Instant;
+    /// # let listed = ListedUpstream {
+    /// #     id: "u-1".into(), service: "ledger".into(), addr: "127.0.0.1:80".parse().unwrap(),
+    /// #     domain: "osu".into(), draining: false, started_at_ms: Some(1), cold: Duration::ZERO,
+    /// # };
+    /// let (limits, now) = (UpstreamLimits::new("entry-1", 1.0), Instant::now());
+    /// let start = ColdStart { duration: Duration::from_secs(9), per_second: 2.0 };
+    /// limits.set_cold_starts(HashMap::from([("ledger".to_owned(), start)]));
+    /// let cold = ListedUpstream { cold: Duration::from_secs(3), ..listed };
+    /// assert!(limits.list(&cold, now).is_some());
+    /// assert!(limits.next_send(&cold, now) > now);
+    /// assert!(limits.next_send(&cold, now) <= now + cold.cold);
+    /// ```
+    pub fn list(&self, listed: &ListedUpstream, now: Instant) -> Option<ColdChange> {
+        let mut state = self.lock();
+        let was_idle = state.cold.len(now) == 0;
+        let change = state.cold.list(listed, now);
+        // Only entries that renew their rows count among those that share the rate.
+        if was_idle && state.cold.len(now) > 0 {
+            self.changed.notify_one();
+        }
+        change
+    }
+
+    /// Returns the number of upstreams that are cold.
+    pub fn cold_len(&self, now: Instant) -> usize {
+        self.lock().cold.len(now)
+    }
+
+    /// Returns whether no upstream names a limit or is cold.
+    pub(in crate::direct) fn is_idle(&self, now: Instant) -> bool {
+        let mut state = self.lock();
+        state.cold.expire(now);
+        !state.has_limits() && state.cold.len(now) == 0
     }
 
     /// Records that a request is sent to an upstream.
     pub fn record_send(&self, listed: &ListedUpstream, now: Instant) {
-        if let Some(known) = self.lock().upstreams.get_mut(&listed.id) {
+        let mut state = self.lock();
+        if let Some(known) = state.upstreams.get_mut(&listed.id) {
             known.last = now;
         }
+        state.cold.record_send(listed, now);
     }
 
     /// Returns the number of upstreams that name a limit.
@@ -264,19 +351,36 @@
     }
 
     fn live_others(&self, now: Instant) -> SmallVec<[&str; 16]> {
-        let number = u32::try_from(self.others.len()).unwrap_or(u32::MAX);
-        let lease = renewal_interval(number) * LEASE_RENEWALS;
-        let is_live = |at: &Instant| now.saturating_duration_since(*at) < lease;
-        let live = self.others.iter().filter(|(_, (_, at))| is_live(at));
-        live.map(|(entry, _)| entry.as_str()).collect()
+        live_others(&self.others, now)
+    }
+
+    /// Returns whether this entry knows the others for certain.
+    fn is_proven(&self, now: Instant) -> bool {
+        is_proven(self.proven, self.live_others(now).len(), now)
     }
 
     fn renewal_interval(&self, now: Instant) -> Duration {
-        renewal_interval(u32::try_from(self.live_others(now).len()).unwrap_or(u32::MAX))
+        renewal_interval(self.live_others(now).len())
     }
 }
 
+/// Returns the other entries whose rows were renewed lately.
+fn live_others(others: &HashMap<String, (u64, Instant)>, now: Instant) -> SmallVec<[&str; 16]> {
+    let lease = renewal_interval(others.len()) * LEASE_RENEWALS;
+    let is_live = |at: &Instant| now.saturating_duration_since(*at) < lease;
+    let live = others.iter().filter(|(_, (_, at))| is_live(at));
+    live.map(|(entry, _)| entry.as_str()).collect()
+}
+
+/// Returns whether an entry that last read its own row at `proven` knows the others, of which it
+/// counts this number.
+fn is_proven(proven: Option<Instant>, others: usize, now: Instant) -> bool {
+    let max_age = renewal_interval(others) * PROOF_RENEWALS;
+    proven.is_some_and(|at| now.saturating_duration_since(at) < max_age)
+}
+
 /// Returns the time between two renewals of an entry among this number of others.
-fn renewal_interval(others: u32) -> Duration {
+fn renewal_interval(others: usize) -> Duration {
+    let others = u32::try_from(others).unwrap_or(u32::MAX);
     MIN_RENEWAL_INTERVAL.max(RENEWAL_SPACING * others.saturating_add(1))
 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -34,12 +34,16 @@
     RoutingChange, RowChange,
 };
 pub use header_names::HeaderNames;
-pub use limits::{LimitChange, LimitRow, NamedLimit, RowLimit, UpstreamLimits};
+pub use limits::{
+    ColdChange, ColdSource, LimitChange, LimitRow, NamedLimit, RowLimit, UpstreamLimits,
+};
 pub use node::DirectNode;
 pub use prompt_parts::PromptParts;
 pub use quarantine::{Crash, CrashSet, CrashStatus, Crashes, Quarantine, SharedCrashes, Survivals};
 pub use responses::{BodyMemory, BodyShare, DirectBody};
-pub use routes::{Account, Delivery, Engine, Experts, Limits, Route, Routing, Service, Split};
+pub use routes::{
+    Account, ColdStart, Delivery, Engine, Experts, Limits, Route, Routing, Service, Split,
+};
 pub use upstreams::{
     Evacuation, Evacuations, GroupOutage, Inactivity, Liveness, Load, Roster, RosterChange,
     SilenceLimit, Upstream, Upstreams,
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -25,7 +25,8 @@
 use crate::cli::Node;
 use crate::direct::attempts::HeaderWatch;
 use crate::direct::feeds::{
-    EvacuationUpdates, ListBounds, RoutingFollower, RoutingPublisher, RowFollower, UpstreamFollower,
+    ColdUpdates, EvacuationUpdates, ListBounds, RoutingFollower, RoutingPublisher, RowFollower,
+    UpstreamFollower,
 };
 use crate::event_log::{EventLog, Level};
 use crate::net::{H1Limits, Shutdown, serve_h1};
@@ -148,6 +149,11 @@
         let crash_sharing = CrashSharing { crashes, log: self.log.clone() };
         let publish_crashes = crash_sharing.clone().publish(Arc::clone(&directory));
         let grant_trials = crash_sharing.clone().grant_trials(Arc::clone(&directory), trial_claims);
+        let cold_updates = ColdUpdates {
+            limits: Arc::clone(&limits),
+            meter: Arc::clone(&meter),
+            log: self.log.clone(),
+        };
         let limit_sharing = Arc::new(LimitSharing {
             limits,
             roster: Arc::clone(&roster),
@@ -167,6 +173,7 @@
             directory: Arc::clone(&directory),
             publisher,
             evacuation_updates,
+            cold_updates: cold_updates.clone(),
             freshness: Arc::clone(&freshness),
             evacuation_time: file.evacuate_ms.map(|ms| Duration::from_secs_f64(ms / 1e3)),
             meter: Arc::clone(&meter),
@@ -174,7 +181,7 @@
         };
         let bounds = ListBounds::from(file);
         let upstream_follower =
-            UpstreamFollower::new(directory, Arc::clone(&roster), bounds, self.log.clone());
+            UpstreamFollower::new(directory, Arc::clone(&roster), cold_updates, bounds);
         let stop = &self.background_stop;
         tokio::spawn(stop.clone().run_until_cancelled_owned(routing_follower.run()));
         tokio::spawn(stop.clone().run_until_cancelled_owned(upstream_follower.run()));
--- a/src/direct/quarantine/crashes.rs
+++ b/src/direct/quarantine/crashes.rs
@@ -207,7 +207,7 @@
     /// # use ebonyusher::{direct::{Crashes, ListedUpstream}, entry::CrashKeys};
     /// # let upstream = ListedUpstream {
     /// #     id: "u-1".into(), service: "drafts".into(), addr: "127.0.0.1:80".parse().unwrap(),
-    /// #     domain: "osu".into(), draining: false, started_at_ms: None,
+    /// #     domain: "osu".into(), draining: false, started_at_ms: None, cold: Duration::ZERO,
     /// # };
     /// let crashes = Crashes::new(Duration::from_secs(60));
     /// crashes.record_survival(&CrashKeys { request: 7, parts: [1].into_iter().collect() }, &upstream);
--- a/src/direct/routes/routing.rs
+++ b/src/direct/routes/routing.rs
@@ -88,6 +88,11 @@
         self.services.get(name)
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
     /// Returns whether requests need an API key, unless their route is anonymous.
     pub const fn needs_key(&self) -> bool {
         self.accounts.is_some()
--- a/src/direct/routes/service.rs
+++ b/src/direct/routes/service.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::direct::ColdStart;
+
 /// Settings of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -9,6 +11,8 @@
     pub max_connections: u32,
     /// Sizes and speeds of its engines, if they are model engines.
     pub engine: Option<Engine>,
+    /// How upstreams are spared after a start, if they are.
+    pub cold: Option<ColdStart>,
 }
 
 /// Sizes and speeds of the model engines of a service.
--- a/src/direct/upstreams/roster.rs
+++ b/src/direct/upstreams/roster.rs
@@ -49,6 +49,7 @@
     /// a power cut, stay listed until their registration expires.
     ///
     /// ```
+    /// # use std::time::Duration;
     /// # use ebonyusher::direct::{ListedUpstream, Roster, RosterChange};
     /// let listed = ListedUpstream {
     ///     id: "u-1".into(),
@@ -57,6 +58,7 @@
     ///     domain: "osu".into(),
     ///     draining: false,
     ///     started_at_ms: Some(1),
+    ///     cold: Duration::ZERO,
     /// };
     /// let roster = Roster::default();
     /// assert_eq!(roster.apply(listed.clone()), RosterChange::Added);
--- a/tests/it/crash_parts.rs
+++ b/tests/it/crash_parts.rs
@@ -64,6 +64,7 @@
         domain: "osu".into(),
         draining: false,
         started_at_ms: Some(starts as u64),
+        cold: Duration::ZERO,
     }
 }
 
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -35,6 +35,7 @@
         domain: "osu".into(),
         draining,
         started_at_ms: Some(started_at_ms),
+        cold: Duration::ZERO,
     }
 }
 
--- a/tests/it/large_fleet.rs
+++ b/tests/it/large_fleet.rs
@@ -81,6 +81,7 @@
             domain: "osu".to_owned(),
             draining: false,
             started_at_ms: Some(version),
+            cold: Duration::ZERO,
         };
         let cursor = Cursor { era: 0, version };
         let has_changed = after.is_none_or(|after| after.version != version);
--- a/tests/it/limit_shares.rs
+++ b/tests/it/limit_shares.rs
@@ -23,6 +23,7 @@
         domain: "osu".to_owned(),
         draining: false,
         started_at_ms: Some(started_at_ms),
+        cold: Duration::ZERO,
     }
 }
 
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod admin_api;
 mod at_most_once;
 mod budget;
+mod cold_upstreams;
 mod crash_parts;
 mod departed_callers;
 mod direct_parts;
