Cold upstreams are logged as well if the list is read before the settings

Cause: settings and list are read side by side as an entry starts; an upstream that was cold by a list read first took effect with the settings without a line in the log, and without a write by which others count the entry. Change: UpstreamLimits::set_cold_starts returns what has become cold by the settings.

--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -116,7 +116,7 @@
     /// An upstream is cold for a time: it gets this rate of requests per second from all entries
     /// together. The source is "listing", or "new" for one that started while its service had
     /// requests.
-    Cold { upstream: &'a str, for_ms: u64, rate: Option<f64>, source: &'a str },
+    Cold { upstream: &'a str, for_ms: u64, rate: f64, source: &'a str },
     /// An upstream says in the response to this request that it drains.
     Draining { id: &'a str, upstream: &'a str },
     /// An upstream that refused this request wants no more from this entry for a time.
--- a/src/direct/feeds/cold_updates.rs
+++ b/src/direct/feeds/cold_updates.rs
@@ -3,7 +3,7 @@
 use tokio::time::Instant;
 
 use crate::direct::event::Event;
-use crate::direct::{DirectMeter, ListedUpstream, Routing, UpstreamLimits};
+use crate::direct::{ColdChange, DirectMeter, ListedUpstream, Routing, UpstreamLimits};
 use crate::event_log::{EventLog, Level};
 use crate::units::millis;
 
@@ -22,22 +22,23 @@
             let start = service.cold?;
             Some((service.name.clone(), start))
         });
-        self.limits.set_cold_starts(starts.collect());
+        let changes = self.limits.set_cold_starts(starts.collect(), Instant::now());
+        changes.iter().for_each(|change| self.log_change(change));
     }
 
     /// Applies a listing.
     pub(super) fn list(&self, listed: &ListedUpstream) {
         if let Some(change) = self.limits.list(listed, Instant::now()) {
-            let event = Event::Cold {
-                upstream: &listed.id,
-                for_ms: millis(change.time),
-                rate: change.rate,
-                source: change.source.as_str(),
-            };
-            self.log.write(Level::Info, &event);
+            self.log_change(&change);
         }
     }
 
+    fn log_change(&self, change: &ColdChange) {
+        let ColdChange { upstream, time, rate, source } = change;
+        let (for_ms, source) = (millis(*time), source.as_str());
+        self.log.write(Level::Info, &Event::Cold { upstream, for_ms, rate: *rate, source });
+    }
+
     /// Counts the cold upstreams.
     pub(super) fn count(&self) {
         self.meter.cold_upstreams(self.limits.cold_len(Instant::now()));
--- a/src/direct/limits/cold_upstreams.rs
+++ b/src/direct/limits/cold_upstreams.rs
@@ -37,12 +37,14 @@
 }
 
 /// An upstream that has become cold.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ColdChange {
+    /// Id of the upstream.
+    pub upstream: String,
     /// For how long.
     pub time: Duration,
-    /// Requests per second from all entries together, if the settings are known.
-    pub rate: Option<f64>,
+    /// Requests per second from all entries together.
+    pub rate: f64,
     /// Why it is taken for cold.
     pub source: ColdSource,
 }
@@ -75,12 +77,25 @@
 }
 
 impl ColdUpstreams {
-    /// Replaces the settings.
-    pub(super) fn set_starts(&mut self, starts: HashMap<String, ColdStart>) {
-        if self.starts != starts {
-            self.starts = starts;
-            self.upstreams.values_mut().for_each(|cold| cold.share = None);
+    /// Replaces the settings. Returns the upstreams whose listings say that they are cold and that
+    /// had no settings before.
+    pub(super) fn set_starts(
+        &mut self,
+        starts: HashMap<String, ColdStart>,
+        now: Instant,
+    ) -> Vec<ColdChange> {
+        let before = std::mem::replace(&mut self.starts, starts);
+        let mut changes = Vec::new();
+        for (id, cold) in &mut self.upstreams {
+            cold.share = None;
+            let start = self.starts.get(&cold.service).filter(|_| cold.until > now);
+            if let Some(start) = start.filter(|_| !before.contains_key(&cold.service)) {
+                let (time, source) = (cold.until.duration_since(now), cold.source);
+                let (upstream, rate) = (id.clone(), start.per_second);
+                changes.push(ColdChange { upstream, time, rate, source });
+            }
         }
+        changes
     }
 
     /// Applies a listing. Returns how the upstream has become cold, if it was not.
@@ -103,8 +118,12 @@
             }
             return None;
         };
-        let change = ColdChange { time, rate: start.map(|start| start.per_second), source };
-        let was_cold = known.is_some();
+        let change = start.filter(|_| known.is_none()).map(|start| ColdChange {
+            upstream: listed.id.clone(),
+            time,
+            rate: start.per_second,
+            source,
+        });
         let cold = ColdUpstream {
             service: listed.service.clone(),
             incarnation: listed.started_at_ms,
@@ -115,7 +134,7 @@
             share: known.and_then(|known| known.share),
         };
         self.upstreams.insert(listed.id.clone(), cold);
-        (!was_cold && start.is_some()).then_some(change)
+        change
     }
 
     /// Records an incarnation. Returns whether it was not known.
--- a/src/direct/limits/upstream_limits.rs
+++ b/src/direct/limits/upstream_limits.rs
@@ -167,13 +167,18 @@
         }
     }
 
-    /// Replaces the settings of services whose upstreams can be cold, by service.
-    pub fn set_cold_starts(&self, starts: HashMap<String, ColdStart>) {
-        let mut state = self.lock();
-        state.cold.set_starts(starts);
-        if state.cold.len(Instant::now()) > 0 {
+    /// Replaces the settings of services whose upstreams can be cold, by service. Returns the
+    /// upstreams that are cold by these settings and were not by the former ones.
+    pub fn set_cold_starts(
+        &self,
+        starts: HashMap<String, ColdStart>,
+        now: Instant,
+    ) -> Vec<ColdChange> {
+        let changes = self.lock().cold.set_starts(starts, now);
+        if !changes.is_empty() {
             self.changed.notify_one();
         }
+        changes
     }
 
     /// Applies what a listing says of how long an upstream is cold. One that is new is cold as well
@@ -191,7 +196,7 @@
     /// # };
     /// let (limits, now) = (UpstreamLimits::new("entry-1", 1.0), Instant::now());
     /// let start = ColdStart { duration: Duration::from_secs(9), per_second: 2.0 };
-    /// limits.set_cold_starts(HashMap::from([("ledger".to_owned(), start)]));
+    /// limits.set_cold_starts(HashMap::from([("ledger".to_owned(), start)]), now);
     /// let cold = ListedUpstream { cold: Duration::from_secs(3), ..listed };
     /// assert!(limits.list(&cold, now).is_some());
     /// assert!(limits.next_send(&cold, now) > now);
--- a/tests/it/cold_upstreams.rs
+++ b/tests/it/cold_upstreams.rs
@@ -35,12 +35,16 @@
     }
 }
 
+fn settings(per_second: f64) -> HashMap<String, ColdStart> {
+    let start = ColdStart { duration: COLD_TIME, per_second };
+    HashMap::from([("ledger".to_owned(), start)])
+}
+
 /// Creates entries that have the settings.
 fn entries(number: usize, per_second: f64) -> Vec<UpstreamLimits> {
     let entry = |at| {
         let limits = UpstreamLimits::new(&format!("entry-{at}"), MAX_ENTRIES as f64);
-        let start = ColdStart { duration: COLD_TIME, per_second };
-        limits.set_cold_starts(HashMap::from([("ledger".to_owned(), start)]));
+        limits.set_cold_starts(settings(per_second), Instant::now());
         limits
     };
     (0..number).map(entry).collect()
@@ -186,6 +190,21 @@
     assert!(unset.next_send(&upstream(2, 1, COLD_TIME), now) <= now);
 }
 
+/// Guards against an entry that reads the list before the settings and forgets what the list says.
+#[test]
+fn a_listing_read_before_the_settings_takes_effect_with_them() {
+    let (limits, now) = (UpstreamLimits::new("entry-1", 1.0), Instant::now());
+    let cold = upstream(1, 1, COLD_TIME);
+    limits.list(&cold, now);
+    let before = limits.next_send(&cold, now);
+
+    let changes = limits.set_cold_starts(settings(4.0), now);
+    let again = limits.set_cold_starts(settings(4.0), now);
+
+    assert!(before <= now && limits.next_send(&cold, now) > now);
+    assert_eq!((changes.len(), again.len()), (1, 0));
+}
+
 /// Guards against an upstream that starts under load and gets its full part at once.
 #[rstest]
 #[case::listing_says_nothing(Duration::ZERO, COLD_TIME, ColdSource::New)]
