--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -45,6 +45,7 @@
     limited_upstreams: Gauge,
     evacuated_domains: Gauge,
     groups: Gauge,
+    cold_upstreams: Gauge,
 }
 
 impl fmt::Debug for DirectMeter {
@@ -92,6 +93,8 @@
         let groups = Gauge::default();
         let help = "Groups that share a service with others, of all services";
         registry.register("groups", help, groups.clone());
+        let cold_upstreams = Gauge::default();
+        registry.register("cold_upstreams", "Upstreams that are cold", cold_upstreams.clone());
         Self {
             registry,
             ended,
@@ -103,6 +106,7 @@
             limited_upstreams,
             evacuated_domains,
             groups,
+            cold_upstreams,
         }
     }
 
@@ -152,6 +156,11 @@
         self.groups.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Records how many upstreams are cold.
+    pub fn cold_upstreams(&self, number: usize) {
+        self.cold_upstreams.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -25,7 +25,8 @@
 use crate::cli::Node;
 use crate::direct::attempts::HeaderWatch;
 use crate::direct::feeds::{
-    EvacuationUpdates, ListBounds, RoutingFollower, RoutingPublisher, RowFollower, UpstreamFollower,
+    ColdUpdates, EvacuationUpdates, ListBounds, RoutingFollower, RoutingPublisher, RowFollower,
+    UpstreamFollower,
 };
 use crate::direct::groups::GroupFeed;
 use crate::event_log::{EventLog, Level};
@@ -151,6 +152,11 @@
         let crash_sharing = CrashSharing { crashes, log: self.log.clone() };
         let publish_crashes = crash_sharing.clone().publish(Arc::clone(&directory));
         let grant_trials = crash_sharing.clone().grant_trials(Arc::clone(&directory), trial_claims);
+        let cold_updates = ColdUpdates {
+            limits: Arc::clone(&limits),
+            meter: Arc::clone(&meter),
+            log: self.log.clone(),
+        };
         let limit_sharing = Arc::new(LimitSharing {
             limits,
             roster: Arc::clone(&roster),
@@ -175,6 +181,7 @@
             directory: Arc::clone(&directory),
             publisher,
             evacuation_updates,
+            cold_updates: cold_updates.clone(),
             freshness: Arc::clone(&freshness),
             evacuation_time: file.evacuate_ms.map(|ms| Duration::from_secs_f64(ms / 1e3)),
             meter: Arc::clone(&meter),
@@ -182,7 +189,7 @@
         };
         let bounds = ListBounds::from(file);
         let upstream_follower =
-            UpstreamFollower::new(directory, Arc::clone(&roster), bounds, self.log.clone());
+            UpstreamFollower::new(directory, Arc::clone(&roster), cold_updates, bounds);
         let stop = &self.background_stop;
         tokio::spawn(stop.clone().run_until_cancelled_owned(routing_follower.run()));
         tokio::spawn(stop.clone().run_until_cancelled_owned(upstream_follower.run()));
@@ -205,6 +212,17 @@
             tasks: self.tasks.clone(),
             leaving: Arc::clone(&self.leaving),
         };
+        self.serve(listeners, handler, ready, meter);
+    }
+
+    /// Serves callers, the readiness check and, if they are exported, the metrics.
+    fn serve(
+        &self,
+        listeners: Listeners,
+        handler: DirectHandler,
+        ready: ReadinessHandler,
+        meter: Arc<DirectMeter>,
+    ) {
         let Listeners { listener, readiness, metrics } = listeners;
         tokio::spawn(serve_h1(
             listener,
@@ -213,8 +231,14 @@
             self.caller_shutdown.clone(),
             self.tasks.clone(),
         ));
-        let metrics = metrics.map(|listener| (listener, MetricsHandler { meter }));
-        serve_monitoring((readiness, ready), metrics, &self.monitoring_shutdown);
+        let shutdown = &self.monitoring_shutdown;
+        let tasks = TaskTracker::new();
+        let ready = Arc::new(ready);
+        tokio::spawn(serve_h1(readiness, ready, HTTP_LIMITS, shutdown.clone(), tasks.clone()));
+        if let Some(listener) = metrics {
+            let handler = Arc::new(MetricsHandler { meter });
+            tokio::spawn(serve_h1(listener, handler, HTTP_LIMITS, shutdown.clone(), tasks));
+        }
     }
 
     /// Address for callers.
@@ -275,21 +299,6 @@
     }
 }
 
-/// Serves the readiness check and, if they are exported, the metrics.
-fn serve_monitoring(
-    (readiness, ready): (TcpListener, ReadinessHandler),
-    metrics: Option<(TcpListener, MetricsHandler)>,
-    shutdown: &Shutdown,
-) {
-    let tasks = TaskTracker::new();
-    let ready = Arc::new(ready);
-    tokio::spawn(serve_h1(readiness, ready, HTTP_LIMITS, shutdown.clone(), tasks.clone()));
-    if let Some((listener, handler)) = metrics {
-        let handler = Arc::new(handler);
-        tokio::spawn(serve_h1(listener, handler, HTTP_LIMITS, shutdown.clone(), tasks));
-    }
-}
-
 /// The listeners of an entry.
 struct Listeners {
     listener: TcpListener,
--- a/tests/it/large_group.rs
+++ b/tests/it/large_group.rs
@@ -146,7 +146,8 @@
         read_per_s: 61_200.0,
         experts: Some(experts),
     };
-    let service = Service { name: "desk".to_owned(), max_connections: 100, engine: Some(engine) };
+    let service =
+        Service { name: "desk".to_owned(), max_connections: 100, engine: Some(engine), cold: None };
     let limits = Limits {
         head_bytes: 16_384,
         body_bytes: 1_000,
@@ -164,6 +165,7 @@
         domain: "osu".to_owned(),
         draining: false,
         started_at_ms: Some(1),
+        cold: Duration::ZERO,
     }
 }
 
