Admit requests by priority and client account

Cause: admission compared the expected wait with the request's own target, so the most urgent kind, which has the tightest target, was refused first, and the least urgent kind filled the queues.

Change: PriorityAdmission keeps a reserve for more urgent requests, limits the queue to that of the most urgent kind, shares by account under overload and schedules the returns of refused callers.

--- /dev/null
+++ b/src/admission/group_load.rs
@@ -0,0 +1,68 @@
+use std::time::Duration;
+
+use crate::direct::{Candidate, EngineLoad};
+
+/// Load of an engine, as a multiple of its slots, above which more requests there don't count. A
+/// few overloaded engines must not hide the free slots of the others.
+const MAX_COUNTED_LOAD: f64 = 1.5;
+/// Time in which a report loses half its weight, in seconds.
+const REPORT_HALF_LIFE_S: f64 = 1.0;
+
+/// Load of a group of engines as an entry knows it when a request arrives.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GroupLoad {
+    /// Loads and speeds of the engines.
+    pub engine_load: EngineLoad,
+    /// Mean load, with that of overloaded engines counted up to a limit.
+    pub level: f64,
+    /// Number of engines of the group.
+    pub engines: usize,
+    /// Number of engines of all groups over which the requests of the service are spread.
+    pub service_engines: usize,
+    /// Mean age of the reports, weighted like the reports; `None` without any.
+    pub report_age: Option<Duration>,
+    /// Age of the newest report.
+    pub newest_report: Option<Duration>,
+}
+
+impl GroupLoad {
+    /// Summarizes the loads of a group's engines. All groups together have `service_engines`.
+    pub fn new(
+        engine_load: EngineLoad,
+        candidates: &[Candidate],
+        loads: &[f64],
+        service_engines: usize,
+    ) -> Self {
+        let max_load = f64::from(engine_load.engine.slots) * MAX_COUNTED_LOAD;
+        let level = loads.iter().map(|load| load.min(max_load)).sum::<f64>();
+        let ages = || candidates.iter().filter_map(|candidate| candidate.others).map(|it| it.age);
+        let weigh = |age: Duration| 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE_S);
+        let weight: f64 = ages().map(weigh).sum();
+        let sum: f64 = ages().map(|age| weigh(age) * age.as_secs_f64()).sum();
+        let report_age = (weight > 0.0).then(|| Duration::from_secs_f64(sum / weight));
+        Self {
+            engine_load,
+            level: level / loads.len().max(1) as f64,
+            engines: loads.len(),
+            service_engines,
+            report_age,
+            newest_report: ages().min(),
+        }
+    }
+
+    /// Returns the estimated load per engine. `share` is this entry's share of the load.
+    ///
+    /// The reports lag, by which a burst would fill the queues; the own requests don't, but they
+    /// are few, so the estimate from them is noisy.
+    pub fn projected_level(&self, share: Option<f64>) -> f64 {
+        /// Number of own requests from which they weigh as much as fresh reports.
+        const EQUAL_WEIGHT: f64 = 40.0;
+        let (Some(share), Some(newest)) = (share, self.newest_report) else { return self.level };
+        let own = f64::from(self.engine_load.own_requests);
+        let max_load = f64::from(self.engine_load.engine.slots) * MAX_COUNTED_LOAD;
+        let implied = (own / share / self.engines.max(1) as f64).min(max_load);
+        let freshness = 0.5_f64.powf(newest.as_secs_f64() / REPORT_HALF_LIFE_S);
+        let report_weight = freshness * EQUAL_WEIGHT / (EQUAL_WEIGHT + own);
+        report_weight * self.level + (1.0 - report_weight) * implied
+    }
+}
--- /dev/null
+++ b/src/admission/mod.rs
@@ -0,0 +1,21 @@
+//! Which requests of an engine service are admitted under load, by priority and client account.
+//!
+//! Nothing here uses the network or tasks; the clock is an argument.
+
+mod account_shares;
+mod decayed;
+mod decision;
+mod group_load;
+mod offer;
+mod priorities;
+mod priority_admission;
+mod return_schedule;
+
+pub use account_shares::AccountShares;
+pub use decayed::Decayed;
+pub use decision::{Basis, Decision};
+pub use group_load::GroupLoad;
+pub use offer::Offer;
+pub use priorities::{MAX_PRIORITY, Priorities};
+pub use priority_admission::PriorityAdmission;
+pub use return_schedule::ReturnSchedule;
--- /dev/null
+++ b/src/admission/priority_admission.rs
@@ -0,0 +1,212 @@
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{AccountShares, Basis, Decision, GroupLoad, Offer, Priorities, ReturnSchedule};
+use crate::direct::{Admission, EngineLoad};
+
+/// Upper bound of the reserve, as a part of the capacity. Urgent requests that run are counted as
+/// load as well, so a larger reserve would hold back what they leave unused.
+const MAX_RESERVE: f64 = 0.25;
+/// Upper bound of the part of the reaction time that is due to the age of reports.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
+/// Time constant of the smoothed share of the load, in seconds.
+const SHARE_TIME_S: f64 = 5.0;
+/// Lower bound of the share of the load, for the largest number of entries.
+const MIN_SHARE: f64 = 1.0 / 512.0;
+/// Part of the freed capacity that is given to returning callers; new ones take the rest.
+const RETURN_PART: f64 = 0.5;
+/// Minimum part of the freed capacity on which the schedule of returns is based.
+const MIN_RETURN_PART: f64 = 0.1;
+
+/// Admission of the requests of a service at one entry, by priority and client account.
+#[derive(Debug, Default)]
+pub struct PriorityAdmission {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    priorities: Priorities,
+    accounts: AccountShares,
+    schedule: ReturnSchedule,
+    /// Smoothed share of this entry in the load, and when it was updated.
+    share: Option<(f64, Instant)>,
+}
+
+impl PriorityAdmission {
+    /// Records the arrival of a request, once for all groups. `share` is this entry's share of the
+    /// load of the service, if it is known now.
+    pub fn record_arrival(&self, offer: &Offer, share: Option<f64>, now: Instant) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.priorities.record_arrival(offer, now);
+        state.accounts.record_arrival(offer, now);
+        if let Some(share) = share {
+            state.smooth_share(share, now);
+        }
+    }
+
+    /// Decides whether a group admits a request that has been recorded. Records nothing, so that
+    /// several groups can be asked.
+    ///
+    /// ```
+    /// # use std::time::Duration;
+    /// # use ebonyusher::admission::{GroupLoad, Offer, PriorityAdmission};
+    /// # use ebonyusher::direct::{Engine, EngineLoad, LatencyTargets};
+    /// # use tokio::time::Instant;
+    /// # let engine = Engine {
+    /// #     slots: 10,
+    /// #     step: Duration::from_millis(6),
+    /// #     per_request: Duration::from_micros(350),
+    /// #     stride: 5,
+    /// #     read_per_s: 61_200.0,
+    /// #     experts: None,
+    /// # };
+    /// # let engine_load = EngineLoad {
+    /// #     engine,
+    /// #     mean: 10.0,
+    /// #     min: 10.0,
+    /// #     gap: None,
+    /// #     stream_duration: None,
+    /// #     own_requests: 10,
+    /// #     inactive_for: None,
+    /// # };
+    /// let admission = PriorityAdmission::default();
+    /// let targets = LatencyTargets { first_byte: Duration::from_millis(400), gap: None };
+    /// let urgent = Offer { priority: 0, account: None, targets, work: 1.0 };
+    /// let bulk = Offer { priority: 2, ..urgent };
+    /// let now = Instant::now();
+    /// (0..20).for_each(|_| admission.record_arrival(&urgent, None, now));
+    /// admission.record_arrival(&bulk, None, now);
+    /// let load = GroupLoad::new(engine_load, &[], &[10.0], 1);
+    /// assert!(admission.decide(&urgent, &load, now).is_admitted);
+    /// assert!(!admission.decide(&bulk, &load, now).is_admitted);
+    /// ```
+    pub fn decide(&self, offer: &Offer, load: &GroupLoad, now: Instant) -> Decision {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).decide(offer, load, now)
+    }
+
+    /// Records that a request was admitted.
+    pub fn record_admitted(&self, offer: &Offer, now: Instant) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.priorities.record_admitted(offer, now);
+        state.accounts.record_admitted(offer, now);
+    }
+
+    /// Records that a request was refused, and returns after which time its caller is to return.
+    /// `draw` is a random number from 0 to 1.
+    pub fn refuse(
+        &self,
+        offer: &Offer,
+        load: &GroupLoad,
+        decision: &Decision,
+        draw: f64,
+        now: Instant,
+    ) -> Duration {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let basis = &decision.basis;
+        // An account is refused only where others need the queue, so the overload lasts as well.
+        if basis.is_overload || (basis.is_over && !basis.is_single) {
+            state.priorities.record_overload(offer.priority, now);
+        }
+        if basis.is_single || basis.is_stalled {
+            return decision.wait;
+        }
+        let engines = load.service_engines as f64;
+        let slot_time = load.engine_load.slot_time(basis.capacity);
+        let freed = state.share().unwrap_or(1.0) * engines / slot_time.as_secs_f64().max(1e-3);
+        let urgent_rate = state.priorities.urgent_rate(offer.priority, now);
+        let rate = ((freed - urgent_rate) * RETURN_PART).max(freed * MIN_RETURN_PART);
+        let wait = slot_time.mul_f64((basis.ahead() - basis.queue).max(0.0));
+        state.schedule.enqueue(offer.priority, wait, rate, draw, now)
+    }
+}
+
+impl State {
+    fn decide(&mut self, offer: &Offer, load: &GroupLoad, now: Instant) -> Decision {
+        let is_single = self.priorities.is_single(offer.priority, now);
+        let is_urgent = self.priorities.is_most_urgent(offer.priority, now);
+        let mut basis = self.basis(offer, load, is_urgent, now);
+        basis.is_single = is_single;
+        let engine_load = &load.engine_load;
+        let mut admission = if is_urgent {
+            engine_load.decide(&offer.targets)
+        } else {
+            self.decide_less_urgent(offer, load, &basis, now)
+        };
+        if basis.is_stalled {
+            return Decision::new(admission, basis);
+        }
+        basis.is_overload = admission != Admission::Admit;
+        // The queue is for the accounts within their share.
+        if !basis.is_overload
+            && basis.ahead() > 0.0
+            && self.priorities.is_overloaded(offer.priority, now)
+        {
+            basis.is_over = self.accounts.is_over(offer, is_single, now);
+        }
+        if basis.is_over {
+            admission = Admission::Refuse(engine_load.retry_after(basis.ahead(), basis.capacity));
+        }
+        Decision::new(admission, basis)
+    }
+
+    /// Admits by the capacity less the reserve, or by the limits of the most urgent priority if this
+    /// one is starved.
+    fn decide_less_urgent(
+        &self,
+        offer: &Offer,
+        load: &GroupLoad,
+        basis: &Basis,
+        now: Instant,
+    ) -> Admission {
+        let engine_load = &load.engine_load;
+        let targets = self.priorities.tightest_targets(offer, now);
+        let as_urgent = engine_load.decide(&targets);
+        if as_urgent != Admission::Admit {
+            return as_urgent;
+        }
+        let ahead = basis.ahead();
+        if ahead <= basis.queue || self.priorities.is_starved(offer.priority, now) {
+            return Admission::Admit;
+        }
+        Admission::Refuse(engine_load.retry_after(ahead - basis.queue, basis.capacity))
+    }
+
+    fn basis(&self, offer: &Offer, load: &GroupLoad, is_urgent: bool, now: Instant) -> Basis {
+        let engine_load = &load.engine_load;
+        let targets = self.priorities.tightest_targets(offer, now);
+        let capacity = engine_load.capacity(&targets);
+        let slot_time = engine_load.slot_time(capacity);
+        let share = self.share();
+        let urgent_rate = self.priorities.urgent_rate(offer.priority, now);
+        let demand = urgent_rate / share.unwrap_or(1.0) / load.service_engines.max(1) as f64;
+        let reaction = load.report_age.unwrap_or_default().min(MAX_REPORT_AGE) + slot_time;
+        let reserve = (demand * reaction.as_secs_f64()).min(capacity * MAX_RESERVE);
+        let level = if is_urgent { engine_load.min } else { load.projected_level(share) };
+        Basis {
+            capacity,
+            reserve,
+            demand,
+            queue: EngineLoad::max_wait(&targets).as_secs_f64() / slot_time.as_secs_f64().max(1e-6),
+            level,
+            is_over: false,
+            is_single: false,
+            is_overload: false,
+            is_stalled: engine_load.is_stalled(),
+        }
+    }
+
+    fn share(&self) -> Option<f64> {
+        self.share.map(|(share, _)| share)
+    }
+
+    fn smooth_share(&mut self, share: f64, now: Instant) {
+        let share = share.clamp(MIN_SHARE, 1.0);
+        let (before, at) = self.share.unwrap_or((share, now));
+        let age = now.saturating_duration_since(at).as_secs_f64();
+        let smoothing = 1.0 - (-age / SHARE_TIME_S).exp();
+        self.share = Some((before + smoothing * (share - before), now));
+    }
+}
--- a/src/direct/admission/engine_load.rs
+++ b/src/direct/admission/engine_load.rs
@@ -121,13 +121,33 @@
             return Admission::Refuse(retry_after_stall(self.inactive_for.unwrap_or_default()));
         }
         let capacity = self.capacity(targets);
-        let stream_duration = self.stream_duration.unwrap_or(DEFAULT_STREAM_DURATION).as_secs_f64();
         let ahead = (self.min + 1.0 - capacity).max(0.0);
-        let wait = ahead * stream_duration / capacity;
+        let wait = self.wait(ahead, capacity);
         if wait <= targets.first_byte.as_secs_f64() * MAX_WAIT_SHARE {
             return Admission::Admit;
         }
-        let retry_after = Duration::from_secs_f64(wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        Admission::Refuse(retry_after)
+        Admission::Refuse(self.retry_after(ahead, capacity))
+    }
+
+    /// Returns after which time a refused request with so many requests ahead may return.
+    pub(crate) fn retry_after(&self, ahead: f64, capacity: f64) -> Duration {
+        let wait = Duration::from_secs_f64(self.wait(ahead.max(0.0), capacity));
+        wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
+    /// Returns the mean time in which one slot of an engine comes free.
+    pub(crate) fn slot_time(&self, capacity: f64) -> Duration {
+        Duration::from_secs_f64(self.wait(1.0, capacity))
+    }
+
+    /// Returns for how long a request may wait for a slot.
+    pub(crate) fn max_wait(targets: &LatencyTargets) -> Duration {
+        targets.first_byte.mul_f64(MAX_WAIT_SHARE)
+    }
+
+    /// Returns the time, in seconds, until as many slots of an engine have come free.
+    fn wait(&self, ahead: f64, capacity: f64) -> f64 {
+        let stream_duration = self.stream_duration.unwrap_or(DEFAULT_STREAM_DURATION).as_secs_f64();
+        ahead * stream_duration / capacity
     }
 }
--- a/src/direct/admission/pick.rs
+++ b/src/direct/admission/pick.rs
@@ -3,12 +3,11 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use crate::admission::GroupLoad;
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::Dispatcher;
-use crate::direct::{
-    Admission, Candidate, EngineLoad, LatencyTargets, Upstream, choose, estimate_loads,
-};
+use crate::direct::{Candidate, Engine, EngineLoad, Upstream, choose, estimate_loads, load_share};
 use crate::outcome::{Reason, Refusal};
 
 /// Upper bound of the random amount, in requests, that breaks ties between equally loaded
@@ -43,8 +42,7 @@
             .collect();
         let loads = estimate_loads(&candidates);
         if history.attempts == 0 {
-            let own_requests = candidates.iter().map(|candidate| candidate.own).sum();
-            self.admit(request, &loads, own_requests, now)?;
+            self.admit(request, &candidates, &loads, now)?;
         }
         let is_local = |at: usize| eligible[at].listed.domain == self.domain;
         let chosen =
@@ -78,40 +76,55 @@
         Err(history.refusal(Reason::UpstreamLimit).retry_after(retry_after))
     }
 
+    /// Decides whether a request of an engine service is sent at all.
     fn admit(
         &self,
         request: &CheckedRequest,
+        candidates: &[Candidate],
         loads: &[f64],
-        own_requests: u32,
         now: Instant,
     ) -> Result<(), Refusal> {
         let Some(engine) = request.service.engine.filter(|_| !loads.is_empty()) else {
             return Ok(());
         };
-        let stream_stats = &request.state.stream_stats;
-        let mut load = EngineLoad {
-            engine,
-            mean: loads.iter().sum::<f64>() / loads.len() as f64,
-            min: loads.iter().copied().fold(f64::INFINITY, f64::min),
-            gap: stream_stats.mean_gap(now),
-            stream_duration: stream_stats.mean_duration(),
-            own_requests,
-            inactive_for: request.state.liveness.inactive_for(now),
-        };
-        if load.is_stalled() && request.state.liveness.may_probe(now) {
-            // Lets this request through as a probe.
-            load.inactive_for = None;
-        }
-        let targets = LatencyTargets {
-            first_byte: request.route.first_byte_target,
-            gap: request.route.gap_target,
-        };
-        match load.decide(&targets) {
-            Admission::Admit => Ok(()),
-            Admission::Refuse(retry_after) => {
-                self.log_not_admitted(request, &load, load.capacity(&targets));
-                Err(Refusal::not_run(Reason::Overload).retry_after(retry_after))
-            }
+        let offer = request.offer();
+        let admission = &request.state.admission;
+        admission.record_arrival(&offer, load_share(candidates), now);
+        let engine_load = engine_load(request, engine, candidates, loads, now);
+        let load = GroupLoad::new(engine_load, candidates, loads, loads.len());
+        let decision = admission.decide(&offer, &load, now);
+        self.meter.decided(offer.priority, decision.is_admitted);
+        if decision.is_admitted {
+            admission.record_admitted(&offer, now);
+            return Ok(());
         }
+        let retry_after = admission.refuse(&offer, &load, &decision, rand::random(), now);
+        self.log_not_admitted(request, &load, &decision.basis);
+        Err(Refusal::not_run(Reason::Overload).retry_after(retry_after))
+    }
+}
+
+/// Returns the load of a group of engines. If they are stalled and may be probed, they don't count
+/// as stalled for this request, which is the probe.
+fn engine_load(
+    request: &CheckedRequest,
+    engine: Engine,
+    candidates: &[Candidate],
+    loads: &[f64],
+    now: Instant,
+) -> EngineLoad {
+    let stream_stats = &request.state.stream_stats;
+    let mut load = EngineLoad {
+        engine,
+        mean: loads.iter().sum::<f64>() / loads.len() as f64,
+        min: loads.iter().copied().fold(f64::INFINITY, f64::min),
+        gap: stream_stats.mean_gap(now),
+        stream_duration: stream_stats.mean_duration(),
+        own_requests: candidates.iter().map(|candidate| candidate.own).sum(),
+        inactive_for: request.state.liveness.inactive_for(now),
+    };
+    if load.is_stalled() && request.state.liveness.may_probe(now) {
+        load.inactive_for = None;
     }
+    load
 }
--- a/src/direct/checked_request.rs
+++ b/src/direct/checked_request.rs
@@ -9,9 +9,11 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri};
 use http_body_util::Full;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::service_state::ServiceState;
-use super::{Account, HeaderNames, PromptParts, Route, Service, Upstream};
+use super::{Account, HeaderNames, LatencyTargets, PromptParts, Route, Service, Upstream};
+use crate::admission::Offer;
 use crate::entry::CrashKeys;
 use crate::net::LAST_EVENT_ID;
 use crate::outcome::Reason;
@@ -67,11 +69,19 @@
 
 impl CheckedRequest {
     /// Returns the priority of the request; 0 is the most urgent.
-    fn priority(&self) -> u8 {
+    pub(super) fn priority(&self) -> u8 {
         let account_priority = self.account.as_ref().and_then(|account| account.priority);
         account_priority.unwrap_or(self.route.priority)
     }
 
+    /// Returns what its admission depends on.
+    pub(super) fn offer(&self) -> Offer {
+        let targets =
+            LatencyTargets { first_byte: self.route.first_byte_target, gap: self.route.gap_target };
+        let account = self.account.as_ref().map(|account| xxh3_64(account.name.as_bytes()));
+        Offer { priority: self.priority(), account, targets, work: 1.0 }
+    }
+
     /// Returns when to give up if the caller of a stream gets no event after `last_event`, or after
     /// its request if that is `None`.
     pub(super) fn give_up_at(&self, last_event: Option<Instant>) -> Instant {
--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -9,6 +9,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::admission::MAX_PRIORITY;
 use crate::outcome::{Outcome, Reason};
 
 /// Upper bound of the first bucket of the histograms, in seconds.
@@ -33,11 +34,20 @@
     reason: &'static str,
 }
 
+/// Labels of the counter of admission decisions.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct AdmissionLabels {
+    priority: u32,
+    decision: &'static str,
+}
+
 /// Metrics of an entry, exported in the OpenMetrics text format.
 pub struct DirectMeter {
     registry: Registry,
     ended: Family<EndLabels, Counter>,
     retries: Family<RetryLabels, Counter>,
+    admissions: Family<AdmissionLabels, Counter>,
     first_byte: Histogram,
     last_byte: Histogram,
     in_flight: Gauge,
@@ -71,6 +81,9 @@
         registry.register("requests_ended", "Requests by outcome and reason", ended.clone());
         let retries = Family::default();
         registry.register("retries", "Attempts after the first, by reason", retries.clone());
+        let admissions = Family::default();
+        let help = "Admission decisions on requests of engine services, by priority";
+        registry.register("admissions", help, admissions.clone());
         let first_byte = histogram();
         let help = "Time from a request's arrival to the first byte of its answer";
         registry.register("first_byte_seconds", help, first_byte.clone());
@@ -88,6 +101,7 @@
             registry,
             ended,
             retries,
+            admissions,
             first_byte,
             last_byte,
             in_flight,
@@ -107,6 +121,13 @@
         self.retries.get_or_create(&RetryLabels { reason: reason.as_str() }).inc();
     }
 
+    /// Counts the decision whether to admit a request.
+    pub fn decided(&self, priority: u8, is_admitted: bool) {
+        let priority = u32::from(priority.min(MAX_PRIORITY));
+        let decision = if is_admitted { "admitted" } else { "refused" };
+        self.admissions.get_or_create(&AdmissionLabels { priority, decision }).inc();
+    }
+
     /// Records the time to the first byte of a response.
     pub fn first_byte(&self, time: Duration) {
         self.first_byte.observe(time.as_secs_f64());
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -8,7 +8,8 @@
 use super::event::Event;
 use super::quarantine::CrashSign;
 use super::quarantine::hex;
-use super::{Candidate, EngineLoad, Quarantine, Upstream};
+use super::{Candidate, Quarantine, Upstream};
+use crate::admission::{Basis, GroupLoad};
 use crate::direct::attempts::{AttemptHistory, FailedAttempt};
 use crate::direct::responses::StreamProgress;
 use crate::event_log::Level;
@@ -129,18 +130,26 @@
     pub(super) fn log_not_admitted(
         &self,
         request: &CheckedRequest,
-        load: &EngineLoad,
-        capacity: f64,
+        load: &GroupLoad,
+        basis: &Basis,
     ) {
+        let engine_load = &load.engine_load;
         let event = Event::NotAdmitted {
             id: request.id.to_str().unwrap_or_default(),
             route: &request.route.name,
             account: request.account.as_ref().map_or("", |account| &account.name),
-            least: load.min,
-            mean: load.mean,
-            capacity,
-            gap_ms: load.gap.map(millis),
-            silence_ms: load.inactive_for.map(millis),
+            priority: request.priority(),
+            least: engine_load.min,
+            mean: engine_load.mean,
+            level: basis.level,
+            capacity: basis.capacity,
+            reserve: basis.reserve,
+            demand: basis.demand,
+            queue: basis.queue,
+            over_share: basis.is_over,
+            report_age_ms: load.report_age.map(millis),
+            gap_ms: engine_load.gap.map(millis),
+            silence_ms: engine_load.inactive_for.map(millis),
         };
         self.log.write(Level::Warn, &event);
     }
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -130,10 +130,23 @@
         id: &'a str,
         route: &'a str,
         account: &'a str,
+        priority: u8,
         least: f64,
         mean: f64,
+        /// Load on which the decision was based, in requests per engine.
+        level: f64,
         #[serde(rename = "places")]
         capacity: f64,
+        /// Part of the capacity that is kept for more urgent requests.
+        reserve: f64,
+        /// Arrivals of more urgent requests per second and engine.
+        demand: f64,
+        /// Requests that may wait at an engine.
+        queue: f64,
+        /// Whether the account is above its fair share.
+        over_share: bool,
+        /// Mean age of the load reports.
+        report_age_ms: Option<u64>,
         gap_ms: Option<u64>,
         silence_ms: Option<u64>,
     },
