--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,9 +3,11 @@
 mod admin_api;
 mod at_most_once;
 mod budget;
+mod capacity_by_priority;
 mod crash_parts;
 mod departed_callers;
 mod direct_parts;
+mod engine_play;
 mod explain;
 mod fault_table;
 mod group_run;
