--- a/src/admission/account_shares.rs
+++ b/src/admission/account_shares.rs
@@ -88,7 +88,7 @@
     /// # use tokio::time::Instant;
     /// let mut shares = AccountShares::default();
     /// let targets = LatencyTargets { first_byte: Duration::from_millis(400), gap: None };
-    /// let offer = |account| Offer { priority: 0, account: Some(account), targets, work: 1.0 };
+    /// let offer = |account| Offer { priority: 0, account: Some(account), targets, work: 1.0, draw: 0.5 };
     /// let now = Instant::now();
     /// for account in [1, 1, 1, 1, 1, 1, 2, 3].repeat(5) {
     ///     shares.record_arrival(&offer(account), now);
--- a/src/admission/group_load.rs
+++ b/src/admission/group_load.rs
@@ -7,6 +7,8 @@
 const MAX_COUNTED_LOAD: f64 = 1.5;
 /// Time in which a report loses half its weight, in seconds.
 const REPORT_HALF_LIFE_S: f64 = 1.0;
+/// Age up to which the newest report counts fully.
+const FRESH_FOR: Duration = Duration::from_millis(500);
 
 /// Load of a group of engines as an entry knows it when a request arrives.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,19 +52,18 @@
         }
     }
 
-    /// Returns the estimated load per engine. `share` is this entry's share of the load.
+    /// Returns the estimated load per engine. `growth` is the growth of the own requests in flight
+    /// within the time by which the reports lag, and `share` this entry's share of the load.
     ///
-    /// The reports lag, by which a burst would fill the queues; the own requests don't, but they
-    /// are few, so the estimate from them is noisy.
-    pub fn projected_level(&self, share: Option<f64>) -> f64 {
-        /// Number of own requests from which they weigh as much as fresh reports.
-        const EQUAL_WEIGHT: f64 = 40.0;
-        let (Some(share), Some(newest)) = (share, self.newest_report) else { return self.level };
-        let own = f64::from(self.engine_load.own_requests);
+    /// Without fresh reports, the load follows from the own requests and the share alone.
+    pub fn projected_level(&self, growth: f64, share: Option<f64>) -> f64 {
         let max_load = f64::from(self.engine_load.engine.slots) * MAX_COUNTED_LOAD;
+        let reported = (self.level * growth).min(max_load);
+        let (Some(share), Some(newest)) = (share, self.newest_report) else { return reported };
+        let own = f64::from(self.engine_load.own_requests);
         let implied = (own / share / self.engines.max(1) as f64).min(max_load);
-        let freshness = 0.5_f64.powf(newest.as_secs_f64() / REPORT_HALF_LIFE_S);
-        let report_weight = freshness * EQUAL_WEIGHT / (EQUAL_WEIGHT + own);
-        report_weight * self.level + (1.0 - report_weight) * implied
+        let stale_for = newest.saturating_sub(FRESH_FOR).as_secs_f64();
+        let report_weight = 0.5_f64.powf(stale_for / REPORT_HALF_LIFE_S);
+        report_weight * reported + (1.0 - report_weight) * implied
     }
 }
--- a/src/admission/offer.rs
+++ b/src/admission/offer.rs
@@ -11,4 +11,7 @@
     pub targets: LatencyTargets,
     /// Expected work, relative to the mean request.
     pub work: f64,
+    /// Random number from 0 to 1. Between the load at which all are admitted and that at which none
+    /// is, it decides; without it, entries with slightly different estimates would admit all or none.
+    pub draw: f64,
 }
--- a/src/admission/priorities.rs
+++ b/src/admission/priorities.rs
@@ -19,6 +19,10 @@
 const OVERLOAD_TIME: Duration = Duration::from_secs(1);
 /// Part of all admitted requests that a less urgent priority gets under lasting overload.
 const MIN_PART: f64 = 0.05;
+/// Arrivals from which the refused part of a priority counts fully.
+const MIN_ASKED: f64 = 5.0;
+/// Upper bound of the ratio of arrivals to admitted requests.
+const MAX_ASKED_PER_ADMITTED: f64 = 20.0;
 
 /// Recent requests of an entry for a service, by priority.
 #[derive(Debug)]
@@ -31,6 +35,8 @@
     arrivals: Decayed,
     asked: Decayed,
     admitted: Decayed,
+    /// Requests refused for the load.
+    refused: Decayed,
     last_arrival: Option<Instant>,
     last_refusal: Option<Instant>,
     /// Tightest targets seen, and when.
@@ -43,6 +49,7 @@
             arrivals: Decayed::new(RATE_TIME),
             asked: Decayed::new(FRACTION_TIME),
             admitted: Decayed::new(FRACTION_TIME),
+            refused: Decayed::new(FRACTION_TIME),
             last_arrival: None,
             last_refusal: None,
             targets: None,
@@ -72,8 +79,10 @@
     }
 
     /// Records that a request was refused for the load.
-    pub fn record_overload(&mut self, priority: u8, now: Instant) {
-        self.records[index(priority)].last_refusal = Some(now);
+    pub fn record_overload(&mut self, offer: &Offer, now: Instant) {
+        let record = &mut self.records[index(offer.priority)];
+        record.last_refusal = Some(now);
+        record.refused.add(offer.work, now);
     }
 
     /// Returns whether requests of the priority were refused for the load recently.
@@ -93,6 +102,32 @@
         self.more_urgent(priority, now).next().is_none()
     }
 
+    /// Returns how many priorities are more urgent, and how many there are besides the most urgent.
+    pub fn rank(&self, priority: u8, now: Instant) -> (usize, usize) {
+        let seen = self.records.iter().filter(|record| record.is_seen(now)).count();
+        (self.more_urgent(priority, now).count(), seen.saturating_sub(1))
+    }
+
+    /// Returns the largest part of a more urgent priority that was refused for the load.
+    pub fn refused_part(&self, priority: u8, now: Instant) -> f64 {
+        let parts = self
+            .more_urgent(priority, now)
+            .map(|record| record.refused.get(now) / record.asked.get(now).max(MIN_ASKED));
+        parts.fold(0.0, f64::max).min(1.0)
+    }
+
+    /// Returns how many requests were asked for each admitted one, by all priorities.
+    pub fn asked_per_admitted(&self, now: Instant) -> f64 {
+        let asked: f64 = self.records.iter().map(|record| record.asked.get(now)).sum();
+        let admitted: f64 = self.records.iter().map(|record| record.admitted.get(now)).sum();
+        (asked / admitted.max(f64::MIN_POSITIVE)).clamp(1.0, MAX_ASKED_PER_ADMITTED)
+    }
+
+    /// Returns whether requests of any priority were refused for the load recently.
+    pub fn is_any_overloaded(&self, now: Instant) -> bool {
+        (0..=MAX_PRIORITY).any(|priority| self.is_overloaded(priority, now))
+    }
+
     /// Returns the arrivals of more urgent requests per second.
     pub fn urgent_rate(&self, priority: u8, now: Instant) -> f64 {
         self.more_urgent(priority, now).map(|record| record.arrivals.rate(now)).sum()
--- a/src/admission/priority_admission.rs
+++ b/src/admission/priority_admission.rs
@@ -3,16 +3,32 @@
 
 use tokio::time::Instant;
 
-use super::{AccountShares, Basis, Decision, GroupLoad, Offer, Priorities, ReturnSchedule};
+use super::{
+    AccountShares, Basis, Decision, GroupLoad, Offer, OwnTrend, Priorities, ReturnSchedule,
+};
 use crate::direct::{Admission, EngineLoad};
 
 /// Upper bound of the reserve, as a part of the capacity. Urgent requests that run are counted as
 /// load as well, so a larger reserve would hold back what they leave unused.
 const MAX_RESERVE: f64 = 0.25;
+/// Minimum difference, in requests per engine, between the reserves of adjacent priorities. It is
+/// about the error of the estimated load.
+const RESERVE_STEP: f64 = 1.0;
+/// Growth of the reserve, as a part of the capacity, with the refused part of the more urgent ones.
+const REFUSED_GAIN: f64 = 1.0;
+/// Upper bound of that growth, as a part of the capacity.
+const MAX_REFUSED_RESERVE: f64 = 0.25;
+/// Difference, in requests per engine, between the load at which all requests of a less urgent
+/// priority are admitted and that at which none is.
+const ADMISSION_BAND: f64 = 1.0;
 /// Upper bound of the part of the reaction time that is due to the age of reports.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 /// Time constant of the smoothed share of the load, in seconds.
 const SHARE_TIME_S: f64 = 5.0;
+/// The same under overload, when the share is less certain.
+const OVERLOAD_SHARE_TIME_S: f64 = 30.0;
+/// Weight of the first measurements of the share is 1 over their number, up to this number.
+const SHARE_SAMPLES: f64 = 100.0;
 /// Lower bound of the share of the load, for the largest number of entries.
 const MIN_SHARE: f64 = 1.0 / 512.0;
 /// Part of the freed capacity that is given to returning callers; new ones take the rest.
@@ -31,17 +47,27 @@
     priorities: Priorities,
     accounts: AccountShares,
     schedule: ReturnSchedule,
+    trend: OwnTrend,
     /// Smoothed share of this entry in the load, and when it was updated.
     share: Option<(f64, Instant)>,
+    /// Number of measurements of the share.
+    share_samples: f64,
 }
 
 impl PriorityAdmission {
-    /// Records the arrival of a request, once for all groups. `share` is this entry's share of the
-    /// load of the service, if it is known now.
-    pub fn record_arrival(&self, offer: &Offer, share: Option<f64>, now: Instant) {
+    /// Records the arrival of a request, once for all groups. `own_requests` is the number of this
+    /// entry's requests in flight, and `share` its share of the load of the service, if known now.
+    pub fn record_arrival(
+        &self,
+        offer: &Offer,
+        own_requests: u32,
+        share: Option<f64>,
+        now: Instant,
+    ) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.priorities.record_arrival(offer, now);
         state.accounts.record_arrival(offer, now);
+        state.trend.record(own_requests, now);
         if let Some(share) = share {
             state.smooth_share(share, now);
         }
@@ -74,11 +100,11 @@
     /// # };
     /// let admission = PriorityAdmission::default();
     /// let targets = LatencyTargets { first_byte: Duration::from_millis(400), gap: None };
-    /// let urgent = Offer { priority: 0, account: None, targets, work: 1.0 };
+    /// let urgent = Offer { priority: 0, account: None, targets, work: 1.0, draw: 0.5 };
     /// let bulk = Offer { priority: 2, ..urgent };
     /// let now = Instant::now();
-    /// (0..20).for_each(|_| admission.record_arrival(&urgent, None, now));
-    /// admission.record_arrival(&bulk, None, now);
+    /// (0..20).for_each(|_| admission.record_arrival(&urgent, 10, None, now));
+    /// admission.record_arrival(&bulk, 10, None, now);
     /// let load = GroupLoad::new(engine_load, &[], &[10.0], 1);
     /// assert!(admission.decide(&urgent, &load, now).is_admitted);
     /// assert!(!admission.decide(&bulk, &load, now).is_admitted);
@@ -108,7 +134,7 @@
         let basis = &decision.basis;
         // An account is refused only where others need the queue, so the overload lasts as well.
         if basis.is_overload || (basis.is_over && !basis.is_single) {
-            state.priorities.record_overload(offer.priority, now);
+            state.priorities.record_overload(offer, now);
         }
         if basis.is_single || basis.is_stalled {
             return decision.wait;
@@ -168,7 +194,8 @@
             return as_urgent;
         }
         let ahead = basis.ahead();
-        if ahead <= basis.queue || self.priorities.is_starved(offer.priority, now) {
+        let limit = basis.queue - ADMISSION_BAND * offer.draw;
+        if ahead <= limit.max(0.0) || self.priorities.is_starved(offer.priority, now) {
             return Admission::Admit;
         }
         Admission::Refuse(engine_load.retry_after(ahead - basis.queue, basis.capacity))
@@ -183,8 +210,21 @@
         let urgent_rate = self.priorities.urgent_rate(offer.priority, now);
         let demand = urgent_rate / share.unwrap_or(1.0) / load.service_engines.max(1) as f64;
         let reaction = load.report_age.unwrap_or_default().min(MAX_REPORT_AGE) + slot_time;
-        let reserve = (demand * reaction.as_secs_f64()).min(capacity * MAX_RESERVE);
-        let level = if is_urgent { engine_load.min } else { load.projected_level(share) };
+        let reserve = if is_urgent {
+            0.0
+        } else {
+            let (rank, lowest) = self.priorities.rank(offer.priority, now);
+            let max_reserve = capacity * MAX_RESERVE * rank as f64 / lowest.max(1) as f64;
+            let min_reserve = (RESERVE_STEP * rank as f64).min(max_reserve);
+            let refused = self.priorities.refused_part(offer.priority, now);
+            (demand * reaction.as_secs_f64()).clamp(min_reserve, max_reserve)
+                + capacity * (REFUSED_GAIN * refused).min(MAX_REFUSED_RESERVE)
+        };
+        let level = if is_urgent {
+            engine_load.min
+        } else {
+            load.projected_level(self.trend.growth(), share)
+        };
         Basis {
             capacity,
             reserve,
@@ -202,11 +242,23 @@
         self.share.map(|(share, _)| share)
     }
 
+    /// Updates the share of the load.
+    ///
+    /// An entry that refuses more than others has a smaller share of the load than of the arrivals.
+    /// It would overestimate the demand of all entries and refuse still more. Under overload the
+    /// share is therefore corrected by what was refused here, and hardly changes.
     fn smooth_share(&mut self, share: f64, now: Instant) {
-        let share = share.clamp(MIN_SHARE, 1.0);
+        let is_overloaded = self.priorities.is_any_overloaded(now);
+        let correction = self.priorities.asked_per_admitted(now);
+        let asked = share * correction;
+        let share = (asked / (asked + 1.0 - share)).clamp(MIN_SHARE, 1.0);
         let (before, at) = self.share.unwrap_or((share, now));
         let age = now.saturating_duration_since(at).as_secs_f64();
-        let smoothing = 1.0 - (-age / SHARE_TIME_S).exp();
+        let time = if is_overloaded { OVERLOAD_SHARE_TIME_S } else { SHARE_TIME_S };
+        self.share_samples = (self.share_samples + 1.0).min(SHARE_SAMPLES);
+        let is_new = self.share_samples < SHARE_SAMPLES;
+        let min_smoothing = if is_new { 1.0 / self.share_samples } else { 0.0 };
+        let smoothing = (1.0 - (-age / time).exp()).max(min_smoothing);
         self.share = Some((before + smoothing * (share - before), now));
     }
 }
--- a/src/direct/admission/pick.rs
+++ b/src/direct/admission/pick.rs
@@ -89,8 +89,8 @@
         };
         let offer = request.offer();
         let admission = &request.state.admission;
-        admission.record_arrival(&offer, load_share(candidates), now);
         let engine_load = engine_load(request, engine, candidates, loads, now);
+        admission.record_arrival(&offer, engine_load.own_requests, load_share(candidates), now);
         let load = GroupLoad::new(engine_load, candidates, loads, loads.len());
         let decision = admission.decide(&offer, &load, now);
         self.meter.decided(offer.priority, decision.is_admitted);
--- a/src/direct/checked_request.rs
+++ b/src/direct/checked_request.rs
@@ -79,7 +79,7 @@
         let targets =
             LatencyTargets { first_byte: self.route.first_byte_target, gap: self.route.gap_target };
         let account = self.account.as_ref().map(|account| xxh3_64(account.name.as_bytes()));
-        Offer { priority: self.priority(), account, targets, work: 1.0 }
+        Offer { priority: self.priority(), account, targets, work: 1.0, draw: rand::random() }
     }
 
     /// Returns when to give up if the caller of a stream gets no event after `last_event`, or after
