--- a/src/admission/decision.rs
+++ b/src/admission/decision.rs
@@ -26,6 +26,8 @@
     pub queue: f64,
     /// Estimated requests, running and waiting.
     pub level: f64,
+    /// What this request adds to the level: one at the least loaded engine, less to the mean of all.
+    pub added: f64,
     /// Whether the account is above its fair level.
     pub is_over: bool,
     /// Whether all recent requests have one priority.
@@ -39,7 +41,7 @@
 impl Basis {
     /// Returns how many requests, with this one, exceed what the priority may use without queueing.
     pub fn ahead(&self) -> f64 {
-        self.level + 1.0 - (self.capacity - self.reserve)
+        self.level + self.added - (self.capacity - self.reserve)
     }
 }
 
--- a/src/admission/priority_admission.rs
+++ b/src/admission/priority_admission.rs
@@ -10,7 +10,7 @@
 
 /// Upper bound of the reserve, as a part of the capacity. Urgent requests that run are counted as
 /// load as well, so a larger reserve would hold back what they leave unused.
-const MAX_RESERVE: f64 = 0.25;
+const MAX_RESERVE: f64 = 0.2;
 /// Minimum difference, in requests per engine, between the reserves of adjacent priorities. It is
 /// about the error of the estimated load.
 const RESERVE_STEP: f64 = 1.0;
@@ -231,6 +231,7 @@
             demand,
             queue: EngineLoad::max_wait(&targets).as_secs_f64() / slot_time.as_secs_f64().max(1e-6),
             level,
+            added: if is_urgent { 1.0 } else { 1.0 / load.engines.max(1) as f64 },
             is_over: false,
             is_single: false,
             is_overload: false,
