--- a/src/admission/priority_admission.rs
+++ b/src/admission/priority_admission.rs
@@ -10,17 +10,19 @@
 
 /// Upper bound of the reserve, as a part of the capacity. Urgent requests that run are counted as
 /// load as well, so a larger reserve would hold back what they leave unused.
-const MAX_RESERVE: f64 = 0.2;
+const MAX_RESERVE: f64 = 0.25;
 /// Minimum difference, in requests per engine, between the reserves of adjacent priorities. It is
 /// about the error of the estimated load.
 const RESERVE_STEP: f64 = 1.0;
-/// Growth of the reserve, as a part of the capacity, with the refused part of the more urgent ones.
-const REFUSED_GAIN: f64 = 1.0;
-/// Upper bound of that growth, as a part of the capacity.
+/// Exponent of the rank among the priorities in the bound of the reserve. Above 1, so that a burst of
+/// the least urgent priority leaves a margin to the next one.
+const RESERVE_EXPONENT: f64 = 1.5;
+/// Upper bound of the further reserve that equals the refused part of the more urgent requests, as a
+/// part of the capacity.
 const MAX_REFUSED_RESERVE: f64 = 0.25;
 /// Difference, in requests per engine, between the load at which all requests of a less urgent
 /// priority are admitted and that at which none is.
-const ADMISSION_BAND: f64 = 1.0;
+const ADMISSION_BAND: f64 = 1.5;
 /// Upper bound of the part of the reaction time that is due to the age of reports.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 /// Time constant of the smoothed share of the load, in seconds.
@@ -32,7 +34,7 @@
 /// Lower bound of the share of the load, for the largest number of entries.
 const MIN_SHARE: f64 = 1.0 / 512.0;
 /// Part of the freed capacity that is given to returning callers; new ones take the rest.
-const RETURN_PART: f64 = 0.5;
+const RETURN_PART: f64 = 0.35;
 /// Minimum part of the freed capacity on which the schedule of returns is based.
 const MIN_RETURN_PART: f64 = 0.1;
 
@@ -194,7 +196,7 @@
             return as_urgent;
         }
         let ahead = basis.ahead();
-        let limit = basis.queue - ADMISSION_BAND * offer.draw;
+        let limit = basis.queue - ADMISSION_BAND * self.rank_part(offer, now) * offer.draw;
         if ahead <= limit.max(0.0) || self.priorities.is_starved(offer.priority, now) {
             return Admission::Admit;
         }
@@ -210,16 +212,8 @@
         let urgent_rate = self.priorities.urgent_rate(offer.priority, now);
         let demand = urgent_rate / share.unwrap_or(1.0) / load.service_engines.max(1) as f64;
         let reaction = load.report_age.unwrap_or_default().min(MAX_REPORT_AGE) + slot_time;
-        let reserve = if is_urgent {
-            0.0
-        } else {
-            let (rank, lowest) = self.priorities.rank(offer.priority, now);
-            let max_reserve = capacity * MAX_RESERVE * rank as f64 / lowest.max(1) as f64;
-            let min_reserve = (RESERVE_STEP * rank as f64).min(max_reserve);
-            let refused = self.priorities.refused_part(offer.priority, now);
-            (demand * reaction.as_secs_f64()).clamp(min_reserve, max_reserve)
-                + capacity * (REFUSED_GAIN * refused).min(MAX_REFUSED_RESERVE)
-        };
+        let reserve =
+            if is_urgent { 0.0 } else { self.reserve(offer, demand, reaction, capacity, now) };
         let level = if is_urgent {
             engine_load.min
         } else {
@@ -239,6 +233,31 @@
         }
     }
 
+    /// Returns the capacity that is kept for more urgent requests. It grows while they are refused.
+    fn reserve(
+        &self,
+        offer: &Offer,
+        demand: f64,
+        reaction: Duration,
+        capacity: f64,
+        now: Instant,
+    ) -> f64 {
+        let (rank, _) = self.priorities.rank(offer.priority, now);
+        let rank_part = self.rank_part(offer, now).powf(RESERVE_EXPONENT);
+        let max_reserve = capacity * MAX_RESERVE * rank_part;
+        let min_reserve = (RESERVE_STEP * rank as f64).min(max_reserve);
+        let refused = self.priorities.refused_part(offer.priority, now);
+        (demand * reaction.as_secs_f64()).clamp(min_reserve, max_reserve)
+            + capacity * refused.min(MAX_REFUSED_RESERVE)
+    }
+
+    /// Returns 1 for the least urgent of the priorities seen, 0 for the most urgent one, and a part
+    /// for those between.
+    fn rank_part(&self, offer: &Offer, now: Instant) -> f64 {
+        let (rank, lowest) = self.priorities.rank(offer.priority, now);
+        rank as f64 / lowest.max(1) as f64
+    }
+
     fn share(&self) -> Option<f64> {
         self.share.map(|(share, _)| share)
     }
