--- a/src/admission/priority_admission.rs
+++ b/src/admission/priority_admission.rs
@@ -17,8 +17,10 @@
 /// Exponent of the rank among the priorities in the bound of the reserve. Above 1, so that a burst of
 /// the least urgent priority leaves a margin to the next one.
 const RESERVE_EXPONENT: f64 = 1.5;
-/// Upper bound of the further reserve that equals the refused part of the more urgent requests, as a
-/// part of the capacity.
+/// Further reserve, as a part of the capacity, for each part of the more urgent requests that is
+/// refused.
+const REFUSED_GAIN: f64 = 2.0;
+/// Upper bound of that reserve, as a part of the capacity.
 const MAX_REFUSED_RESERVE: f64 = 0.25;
 /// Difference, in requests per engine, between the load at which all requests of a less urgent
 /// priority are admitted and that at which none is.
@@ -248,7 +250,7 @@
         let min_reserve = (RESERVE_STEP * rank as f64).min(max_reserve);
         let refused = self.priorities.refused_part(offer.priority, now);
         (demand * reaction.as_secs_f64()).clamp(min_reserve, max_reserve)
-            + capacity * refused.min(MAX_REFUSED_RESERVE)
+            + capacity * (REFUSED_GAIN * refused).min(MAX_REFUSED_RESERVE)
     }
 
     /// Returns 1 for the least urgent of the priorities seen, 0 for the most urgent one, and a part
