--- a/src/admission/priorities.rs
+++ b/src/admission/priorities.rs
@@ -14,7 +14,7 @@
 /// Time over which the arrival rate is taken.
 const RATE_TIME: Duration = Duration::from_secs(1);
 /// Time over which the admitted fractions are compared.
-const FRACTION_TIME: Duration = Duration::from_secs(5);
+const FRACTION_TIME: Duration = Duration::from_secs(3);
 /// Time after a refusal for which a priority counts as overloaded.
 const OVERLOAD_TIME: Duration = Duration::from_secs(1);
 /// Part of all admitted requests that a less urgent priority gets under lasting overload.
--- a/src/admission/priority_admission.rs
+++ b/src/admission/priority_admission.rs
@@ -30,7 +30,7 @@
 /// Time constant of the smoothed share of the load, in seconds.
 const SHARE_TIME_S: f64 = 5.0;
 /// The same under overload, when the share is less certain.
-const OVERLOAD_SHARE_TIME_S: f64 = 30.0;
+const OVERLOAD_SHARE_TIME_S: f64 = 10.0;
 /// Weight of the first measurements of the share is 1 over their number, up to this number.
 const SHARE_SAMPLES: f64 = 100.0;
 /// Lower bound of the share of the load, for the largest number of entries.
@@ -271,7 +271,7 @@
     /// share is therefore corrected by what was refused here, and hardly changes.
     fn smooth_share(&mut self, share: f64, now: Instant) {
         let is_overloaded = self.priorities.is_any_overloaded(now);
-        let correction = self.priorities.asked_per_admitted(now);
+        let correction = self.priorities.asked_per_admitted(now).sqrt();
         let asked = share * correction;
         let share = (asked / (asked + 1.0 - share)).clamp(MIN_SHARE, 1.0);
         let (before, at) = self.share.unwrap_or((share, now));
