--- a/src/admission/account_shares.rs
+++ b/src/admission/account_shares.rs
@@ -15,7 +15,7 @@
 /// Interval at which the fair level is computed; it costs a pass over all records.
 const LEVEL_INTERVAL: Duration = Duration::from_millis(100);
 /// Multiple of the fair level up to which an account counts as within it.
-const LEVEL_MARGIN: f64 = 1.1;
+const LEVEL_MARGIN: f64 = 1.0;
 /// Multiple of the fair level that an account must exceed where all requests have one priority.
 const SINGLE_MARGIN: f64 = 2.0;
 /// Part of the admitted work that it must reach as well.
--- a/src/admission/own_trend.rs
+++ b/src/admission/own_trend.rs
@@ -5,7 +5,7 @@
 /// Number of own requests at which half of their growth counts. The growth of few is mostly chance.
 const HALF_WEIGHT: f64 = 60.0;
 /// Bounds of the growth; a larger one is that of an entry that has just started.
-const MAX_GROWTH: f64 = 0.2;
+const MAX_GROWTH: f64 = 0.12;
 
 /// Recent growth of this entry's requests in flight, by which the reported load is projected.
 ///
@@ -30,7 +30,7 @@
     /// trend.record(40, now);
     /// assert_eq!(trend.growth(), 1.0);
     /// trend.record(80, now + Duration::from_millis(100));
-    /// assert!(trend.growth() > 1.1);
+    /// assert!(trend.growth() > 1.05);
     /// ```
     pub fn record(&mut self, own: u32, now: Instant) {
         let own = f64::from(own);
--- a/src/admission/priority_admission.rs
+++ b/src/admission/priority_admission.rs
@@ -33,6 +33,9 @@
 const OVERLOAD_SHARE_TIME_S: f64 = 10.0;
 /// Weight of the first measurements of the share is 1 over their number, up to this number.
 const SHARE_SAMPLES: f64 = 100.0;
+/// Exponent of the correction of the share by what was refused here. Without correction, an entry that
+/// refuses more than others would refuse still more; with all of it, small entries would refuse less.
+const CORRECTION_EXPONENT: f64 = 0.65;
 /// Lower bound of the share of the load, for the largest number of entries.
 const MIN_SHARE: f64 = 1.0 / 512.0;
 /// Part of the freed capacity that is given to returning callers; new ones take the rest.
@@ -271,7 +274,7 @@
     /// share is therefore corrected by what was refused here, and hardly changes.
     fn smooth_share(&mut self, share: f64, now: Instant) {
         let is_overloaded = self.priorities.is_any_overloaded(now);
-        let correction = self.priorities.asked_per_admitted(now).sqrt();
+        let correction = self.priorities.asked_per_admitted(now).powf(CORRECTION_EXPONENT);
         let asked = share * correction;
         let share = (asked / (asked + 1.0 - share)).clamp(MIN_SHARE, 1.0);
         let (before, at) = self.share.unwrap_or((share, now));
--- a/tests/it/engine_play.rs
+++ b/tests/it/engine_play.rs
@@ -60,6 +60,8 @@
     /// Slots of an engine, by the time since the start.
     pub slots: fn(f64) -> usize,
     pub requests: Vec<Played>,
+    /// Most free capacity per engine, less the reserve, at a refusal.
+    pub free_at_refusal: f64,
     /// Waiting requests per engine at each step, with the time.
     pub queues: Vec<(f64, f64)>,
     /// Running requests per engine at each step, with the time.
@@ -87,6 +89,7 @@
             shares: shares.to_vec(),
             slots: |_| SLOTS,
             requests: Vec::new(),
+            free_at_refusal: f64::NEG_INFINITY,
             queues: Vec::new(),
             running: Vec::new(),
         }
@@ -193,6 +196,7 @@
         let load = GroupLoad::new(engine_load, candidates, &loads, loads.len());
         let decision = entry.admission.decide(&offer, &load, now);
         if !decision.is_admitted {
+            self.free_at_refusal = self.free_at_refusal.max(-decision.basis.ahead());
             played.refusals += 1;
             return Some(entry.admission.refuse(&offer, &load, &decision, random.random(), now));
         }
