--- a/src/admission/group_load.rs
+++ b/src/admission/group_load.rs
@@ -17,6 +17,9 @@
     pub engine_load: EngineLoad,
     /// Mean load, with that of overloaded engines counted up to a limit.
     pub level: f64,
+    /// Load that the decay of the newest report hides from the level. Entries with few requests, and
+    /// so with few reports, would otherwise admit more than others.
+    pub hidden: f64,
     /// Number of engines of the group.
     pub engines: usize,
     /// Number of engines of all groups over which the requests of the service are spread.
@@ -41,10 +44,16 @@
         let weigh = |age: Duration| 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE_S);
         let weight: f64 = ages().map(weigh).sum();
         let sum: f64 = ages().map(|age| weigh(age) * age.as_secs_f64()).sum();
+        let reports = || candidates.iter().filter_map(|candidate| candidate.others);
+        let others: f64 = reports().map(|report| weigh(report.age) * report.requests).sum();
+        let others = if weight > 0.0 { others / weight } else { 0.0 };
+        let count = loads.len().max(1) as f64;
+        let decay = 1.0 - ages().map(weigh).fold(0.0, f64::max);
         let report_age = (weight > 0.0).then(|| Duration::from_secs_f64(sum / weight));
         Self {
             engine_load,
-            level: level / loads.len().max(1) as f64,
+            level: level / count,
+            hidden: decay * others * (1.0 - weight / count).max(0.0),
             engines: loads.len(),
             service_engines,
             report_age,
@@ -58,8 +67,10 @@
     /// Without fresh reports, the load follows from the own requests and the share alone.
     pub fn projected_level(&self, growth: f64, share: Option<f64>) -> f64 {
         let max_load = f64::from(self.engine_load.engine.slots) * MAX_COUNTED_LOAD;
-        let reported = (self.level * growth).min(max_load);
-        let (Some(share), Some(newest)) = (share, self.newest_report) else { return reported };
+        let (Some(share), Some(newest)) = (share, self.newest_report) else {
+            return (self.level * growth).min(max_load);
+        };
+        let reported = ((self.level + self.hidden) * growth).min(max_load);
         let own = f64::from(self.engine_load.own_requests);
         let implied = (own / share / self.engines.max(1) as f64).min(max_load);
         let stale_for = newest.saturating_sub(FRESH_FOR).as_secs_f64();
--- a/src/admission/priority_admission.rs
+++ b/src/admission/priority_admission.rs
@@ -25,8 +25,9 @@
 /// Difference, in requests per engine, between the load at which all requests of a less urgent
 /// priority are admitted and that at which none is.
 const ADMISSION_BAND: f64 = 1.5;
-/// Upper bound of the part of the reaction time that is due to the age of reports.
-const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
+/// Upper bound of the part of the reaction time that is due to the age of reports. Entries with few
+/// requests have old reports, and would otherwise admit less of the same kind than others.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(600);
 /// Time constant of the smoothed share of the load, in seconds.
 const SHARE_TIME_S: f64 = 5.0;
 /// The same under overload, when the share is less certain.
--- a/tests/it/capacity_by_priority.rs
+++ b/tests/it/capacity_by_priority.rs
@@ -46,15 +46,6 @@
 ) {
     let play = Play::new(bursts(total, 0.6), &vec![1.0; entries]).run(16.0, seed);
 
-    let refusals: u32 = play.requests.iter().map(|played| played.refusals).sum();
-    let unserved = play.requests.iter().filter(|played| played.admitted.is_none()).count();
-    println!(
-        "total {total} entries {entries}: admitted {:.2?} on time {:.2?} running {:.2} refusals {refusals} unserved {unserved} queue {:.2}",
-        [0, 1, 2].map(|kind| play.admitted(kind, 6.0, 12.5)),
-        [0, 1, 2].map(|kind| play.on_time(kind, 6.0, 12.5)),
-        play.mean_running(7.0, 12.0),
-        play.mean_queue(13.5, 15.0)
-    );
     assert!(play.admitted(URGENT, 4.0, 15.0) >= 0.95);
     assert!(play.admitted(MIDDLE, 4.0, 15.0) >= 0.85);
     // With 14 entries, each hears of an engine only every few seconds, so their choices are uneven.
@@ -137,7 +128,6 @@
 
     let large = play.admitted(1, 8.0, 24.0);
     let others = (2..12).map(|kind| play.admitted(kind, 8.0, 24.0)).sum::<f64>() / 10.0;
-    println!("large {large:.2} others {others:.2} running {:.2}", play.mean_running(8.0, 24.0));
     assert!(others >= large + 0.2, "large {large}, others {others}");
     assert!(play.mean_running(8.0, 24.0) >= 0.85 * SLOTS as f64);
 }
@@ -158,8 +148,7 @@
     let served = |kind| part(play.asked(kind, 8.0, 20.0), |played| played.admitted.is_some());
     let repeating = (served(1) + served(2)) / 2.0;
     let patient = (3..=6).map(served).sum::<f64>() / 4.0;
-    println!("repeating {repeating:.2} patient {patient:.2}");
-    assert!(repeating <= patient + 0.1, "repeating {repeating}, patient {patient}");
+    assert!(repeating <= patient + 0.05, "repeating {repeating}, patient {patient}");
     assert!(play.on_time(0, 8.0, 20.0) >= 0.9, "{}", play.on_time(0, 8.0, 20.0));
 }
 
@@ -175,7 +164,6 @@
     };
     let shares: Vec<f64> = (0..6).map(of_entry).collect();
     let mean = shares.iter().sum::<f64>() / 6.0;
-    println!("{shares:.2?}");
     assert!(shares.iter().all(|share| (share - mean).abs() <= 0.1), "{shares:?}");
 }
 
