--- a/tests/it/capacity_by_priority.rs
+++ b/tests/it/capacity_by_priority.rs
@@ -154,7 +154,7 @@
 
 /// Guards against a kind that is served better by one entry than by another.
 #[rstest]
-fn six_unequal_entries_admit_the_same_share_of_a_kind(#[values(1, 2, 3, 4)] seed: u64) {
+fn six_unequal_entries_admit_the_same_share_of_a_kind(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
     let kinds = vec![kind(0, 400, |_| 0.3), kind(2, 1_000, |_| 1.0)];
 
     let play = Play::new(kinds, &[1.0, 2.0, 3.0, 4.0, 5.0, 6.0]).run(60.0, seed);
