Share of the load: corrected by refusals for the load, not by what is not admitted yet

Cause: the correction counted the arrival before its admission, so after a start the share was overestimated up to 20 times. Found by a new test of an entry without fresh reports.

Change: the correction counts refusals for the load only.

--- a/src/admission/priorities.rs
+++ b/src/admission/priorities.rs
@@ -116,11 +116,12 @@
         parts.fold(0.0, f64::max).min(1.0)
     }
 
-    /// Returns how many requests were asked for each admitted one, by all priorities.
+    /// Returns how many requests were asked for each one that was not refused for the load.
     pub fn asked_per_admitted(&self, now: Instant) -> f64 {
         let asked: f64 = self.records.iter().map(|record| record.asked.get(now)).sum();
-        let admitted: f64 = self.records.iter().map(|record| record.admitted.get(now)).sum();
-        (asked / admitted.max(f64::MIN_POSITIVE)).clamp(1.0, MAX_ASKED_PER_ADMITTED)
+        let refused: f64 = self.records.iter().map(|record| record.refused.get(now)).sum();
+        let admitted = (asked - refused).max(asked / MAX_ASKED_PER_ADMITTED);
+        if admitted > 0.0 { asked / admitted } else { 1.0 }
     }
 
     /// Returns whether requests of any priority were refused for the load recently.
--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -122,6 +122,13 @@
     }
 
     /// Counts the decision whether to admit a request.
+    ///
+    /// ```
+    /// # use ebonyusher::direct::DirectMeter;
+    /// let meter = DirectMeter::new();
+    /// meter.decided(200, false);
+    /// assert!(meter.text().contains("priority=\"9\",decision=\"refused\"} 1"));
+    /// ```
     pub fn decided(&self, priority: u8, is_admitted: bool) {
         let priority = u32::from(priority.min(MAX_PRIORITY));
         let decision = if is_admitted { "admitted" } else { "refused" };
--- a/tests/it/capacity_by_priority.rs
+++ b/tests/it/capacity_by_priority.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use ebonyusher::admission::{AccountShares, GroupLoad, Offer, PriorityAdmission, ReturnSchedule};
-use ebonyusher::direct::{Admission, EngineLoad, LatencyTargets};
+use ebonyusher::direct::{
+    Admission, Candidate, EngineLoad, LatencyTargets, OtherEntriesLoad, estimate_loads,
+};
 use proptest::prelude::*;
 use rstest::rstest;
 use tokio::time::Instant;
@@ -51,7 +53,11 @@
     // With 14 entries, each hears of an engine only every few seconds, so their choices are uneven.
     let on_time = if entries > 6 { 0.85 } else { 0.9 };
     for kind in [URGENT, MIDDLE, BULK] {
-        assert!(play.on_time(kind, 4.0, 15.0) >= on_time);
+        assert!(
+            play.on_time(kind, 4.0, 15.0) >= on_time,
+            "{kind}: {}",
+            play.on_time(kind, 4.0, 15.0)
+        );
     }
     // The tightest target allows a queue of 1.4 requests. With 14 entries, the returning callers of
     // the burst still use most of that, but no more.
@@ -185,6 +191,29 @@
     assert!(play.admitted(1, 17.0, 22.0) >= 0.95, "{}", play.admitted(1, 17.0, 22.0));
 }
 
+/// Guards against an entry that takes engines for idle because it has no fresh reports.
+#[rstest]
+#[case::within_its_share(4, true)]
+#[case::over_its_share(12, false)]
+fn without_fresh_reports_an_entry_admits_for_its_share_only(
+    #[case] own_requests: u32,
+    #[case] is_admitted: bool,
+) {
+    let admission = PriorityAdmission::default();
+    let now = Instant::now();
+    let report = OtherEntriesLoad { requests: 2.0, age: Duration::from_secs(20) };
+    let candidate = Candidate { own: own_requests / 4, others: Some(report), avoid_until: None };
+    let loads = estimate_loads(&[candidate; 4]);
+    let engine_load = EngineLoad { own_requests, ..idle_load(SLOTS) };
+    let load = GroupLoad::new(engine_load, &[candidate; 4], &loads, 4);
+    let bulk = offer(2, None, 1_000);
+
+    admission.record_arrival(&offer(0, None, 400), own_requests, Some(0.25), now);
+    admission.record_arrival(&bulk, own_requests, None, now);
+
+    assert_eq!(admission.decide(&bulk, &load, now).is_admitted, is_admitted);
+}
+
 /// Guards against callers that all return at once, and against less urgent ones that return first.
 #[test]
 fn refused_callers_return_spread_and_by_priority() {
