--- a/src/direct/admission/engine_load.rs
+++ b/src/direct/admission/engine_load.rs
@@ -129,23 +129,46 @@
         if self.is_stalled() {
             return Admission::Refuse(retry_after_stall(self.inactive_for.unwrap_or_default()));
         }
-        let wait = self.wait_seconds(targets);
+        let capacity = self.capacity(targets);
+        let ahead = self.ahead(capacity);
+        let wait = self.wait(ahead, capacity);
         if wait <= targets.first_byte.as_secs_f64() * MAX_WAIT_SHARE {
             return Admission::Admit;
         }
-        let retry_after = Duration::from_secs_f64(wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        Admission::Refuse(retry_after)
+        Admission::Refuse(self.retry_after(ahead, capacity))
     }
 
-    /// Returns the expected wait for a slot at the least loaded engine.
-    pub fn expected_wait(&self, targets: &LatencyTargets) -> Duration {
-        Duration::try_from_secs_f64(self.wait_seconds(targets)).unwrap_or(Duration::MAX)
+    /// Returns after which time a refused request with so many requests ahead may return.
+    pub(crate) fn retry_after(&self, ahead: f64, capacity: f64) -> Duration {
+        let wait = Duration::from_secs_f64(self.wait(ahead.max(0.0), capacity));
+        wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
-    fn wait_seconds(&self, targets: &LatencyTargets) -> f64 {
-        let capacity = self.capacity(targets);
+    /// Returns the mean time in which one slot of an engine comes free.
+    pub(crate) fn slot_time(&self, capacity: f64) -> Duration {
+        Duration::from_secs_f64(self.wait(1.0, capacity))
+    }
+
+    /// Returns for how long a request may wait for a slot.
+    pub(crate) fn max_wait(targets: &LatencyTargets) -> Duration {
+        targets.first_byte.mul_f64(MAX_WAIT_SHARE)
+    }
+
+    /// Returns the time, in seconds, until as many slots of an engine have come free.
+    fn wait(&self, ahead: f64, capacity: f64) -> f64 {
         let stream_duration = self.stream_duration.unwrap_or(DEFAULT_STREAM_DURATION).as_secs_f64();
-        let ahead = (self.min + 1.0 - capacity).max(0.0);
         ahead * stream_duration / capacity
     }
+
+    /// Returns the expected wait for a slot at the least loaded engine.
+    pub fn expected_wait(&self, targets: &LatencyTargets) -> Duration {
+        let capacity = self.capacity(targets);
+        let wait = self.wait(self.ahead(capacity), capacity);
+        Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX)
+    }
+
+    /// Returns how many requests, with the next one, exceed the capacity at the least loaded engine.
+    fn ahead(&self, capacity: f64) -> f64 {
+        (self.min + 1.0 - capacity).max(0.0)
+    }
 }
--- a/src/direct/admission/pick.rs
+++ b/src/direct/admission/pick.rs
@@ -7,7 +7,7 @@
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::Dispatcher;
 use crate::direct::groups::{EligibleGroup, GroupState};
-use crate::direct::{Admission, Candidate, EngineLoad, Upstream, choose};
+use crate::direct::{Candidate, EngineLoad, Upstream, choose};
 use crate::outcome::{Reason, Refusal};
 
 /// Upper bound of the random amount, in requests, that breaks ties between equally loaded
@@ -106,19 +106,4 @@
             inactive_for: group.state.liveness.inactive_for(now),
         })
     }
-
-    /// Decides whether a group with this load admits a request.
-    pub(super) fn admit(
-        &self,
-        request: &CheckedRequest,
-        group: &EligibleGroup<'_>,
-        load: &mut EngineLoad,
-        now: Instant,
-    ) -> Admission {
-        if load.is_stalled() && group.state.liveness.may_probe(now) {
-            // Lets this request through as a probe.
-            load.inactive_for = None;
-        }
-        load.decide(&request.route.latency_targets())
-    }
 }
--- a/src/direct/admission/pick_group.rs
+++ b/src/direct/admission/pick_group.rs
@@ -1,15 +1,16 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use smallvec::{SmallVec, smallvec};
 use tokio::time::Instant;
 
+use crate::admission::{Decision, LoadEstimate, Offer};
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::Dispatcher;
 use crate::direct::groups::EligibleGroup;
 use crate::direct::{
-    Admission, EngineLoad, GroupCondition, GroupLoad, Membership, Upstream, choose_group,
+    Candidate, EngineLoad, GroupCondition, GroupLoad, Membership, Upstream, choose_group,
+    load_share,
 };
 use crate::outcome::{Reason, Refusal};
 
@@ -68,39 +69,75 @@
         let has_full =
             groups.iter().any(|group| runs(group) && group.state.recovery.share(now) >= 1.0);
         let is_first = history.attempts == 0;
-        let mut least: Option<(Duration, EngineLoad)> = None;
+        let offer = (is_first && request.service.engine.is_some()).then(|| request.offer());
+        if let Some(offer) = &offer {
+            record_arrival(request, offer, groups, now);
+        }
+        let service_engines = groups.iter().map(|group| group.upstreams.len()).sum();
+        let mut refused: SmallVec<[(Decision, LoadEstimate); 4]> = SmallVec::new();
         let mut loads: SmallVec<[GroupLoad; 4]> = SmallVec::new();
         for group in groups {
             // Without a group that can take the load, a recovering one takes what it can.
             let share = if has_full { group.state.recovery.share(now) } else { 1.0 };
-            let mut engine_load = self.engine_load(request, group, share, now);
+            let engine_load = self.engine_load(request, group, share, now);
             let stalled = engine_load.filter(EngineLoad::is_stalled);
             if let Some(load) = stalled {
                 self.record_stall(request, &group.state, load.inactive_for, now);
             }
             let mut load = group_load(request, group, engine_load, share);
-            if let Some(engine_load) = engine_load.as_mut().filter(|_| is_first)
-                && let Admission::Refuse(wait) = self.admit(request, group, engine_load, now)
-            {
-                load.admits = false;
-                let refused = [(wait, *engine_load)];
-                least = least.into_iter().chain(refused).min_by_key(|(wait, _)| *wait);
+            if let Some((offer, engine_load)) = offer.as_ref().zip(engine_load) {
+                let engine_load = probed(engine_load, group, now);
+                let estimate = LoadEstimate::new(
+                    engine_load,
+                    &group.candidates,
+                    &group.loads,
+                    service_engines,
+                );
+                let decision = request.state.admission.decide(offer, &estimate, now);
+                load.admits = decision.is_admitted;
+                if !decision.is_admitted {
+                    refused.push((decision, estimate));
+                }
             }
             let may_probe = has_running && is_first && load.admits && stalled.is_none();
             load.condition = condition(request, history, group, may_probe, now);
             loads.push(load);
         }
-        match (choose_group(&loads), least) {
-            (Some(chosen), _) => Ok(&groups[chosen]),
-            (None, Some((wait, load))) => {
-                let capacity = load.capacity(&request.route.latency_targets());
-                self.log_not_admitted(request, &load, capacity);
-                Err(Refusal::not_run(Reason::Overload).retry_after(wait))
+        let chosen = choose_group(&loads);
+        let Some(offer) = offer else {
+            let chosen = chosen.map(|chosen| &groups[chosen]);
+            return chosen.ok_or(history.refusal(Reason::NoUpstream));
+        };
+        match chosen {
+            Some(chosen) => {
+                self.meter.decided(offer.priority, true);
+                request.state.admission.record_admitted(&offer, now);
+                Ok(&groups[chosen])
             }
-            (None, None) => Err(history.refusal(Reason::NoUpstream)),
+            None => Err(self.refuse(request, history, &offer, &refused, now)),
         }
     }
 
+    /// Refuses a request that no group admits, with the shortest of their times.
+    fn refuse(
+        &self,
+        request: &CheckedRequest,
+        history: &AttemptHistory,
+        offer: &Offer,
+        refused: &[(Decision, LoadEstimate)],
+        now: Instant,
+    ) -> Refusal {
+        let soonest = refused.iter().min_by_key(|(decision, _)| decision.wait);
+        let Some((decision, load)) = soonest else {
+            return history.refusal(Reason::NoUpstream);
+        };
+        self.meter.decided(offer.priority, false);
+        let admission = &request.state.admission;
+        let retry_after = admission.refuse(offer, load, decision, rand::random(), now);
+        self.log_not_admitted(request, load, &decision.basis);
+        Refusal::not_run(Reason::Overload).retry_after(retry_after)
+    }
+
     /// Returns whether a request whose group does not run may go on in another one.
     pub(in crate::direct) fn has_running_group(
         &self,
@@ -120,6 +157,29 @@
     }
 }
 
+/// Records the arrival of a request, with this entry's load on all groups.
+fn record_arrival(
+    request: &CheckedRequest,
+    offer: &Offer,
+    groups: &[EligibleGroup<'_>],
+    now: Instant,
+) {
+    let own_requests = groups.iter().map(EligibleGroup::own_requests).sum();
+    let candidates = groups.iter().flat_map(|group| group.candidates.iter().copied());
+    let candidates: SmallVec<[Candidate; 16]> = candidates.collect();
+    request.state.admission.record_arrival(offer, own_requests, load_share(&candidates), now);
+}
+
+/// Returns the load of a group on which admission is decided. If it is stalled and may be probed,
+/// it does not count as stalled for this request, which is the probe.
+fn probed(load: EngineLoad, group: &EligibleGroup<'_>, now: Instant) -> EngineLoad {
+    if load.is_stalled() && group.state.liveness.may_probe(now) {
+        EngineLoad { inactive_for: None, ..load }
+    } else {
+        load
+    }
+}
+
 /// Returns the load of a group as the choice sees it.
 fn group_load(
     request: &CheckedRequest,
--- a/src/direct/service_state.rs
+++ b/src/direct/service_state.rs
@@ -3,12 +3,14 @@
 
 use super::groups::GroupState;
 use super::{Membership, Memberships, RetryBudget, RetryLimits};
+use crate::admission::PriorityAdmission;
 use crate::membership::GroupName;
 
 /// State that an entry keeps for a service across requests.
 #[derive(Debug)]
 pub(super) struct ServiceState {
     pub(super) retry_budget: RetryBudget,
+    pub(super) admission: PriorityAdmission,
     /// State of the upstreams that no row of a group lists.
     unlisted: Arc<GroupState>,
     groups: Mutex<Groups>,
@@ -26,7 +28,12 @@
     /// Creates the state of a service without any requests yet.
     pub(super) fn new(limits: RetryLimits) -> Self {
         let retry_budget = RetryBudget::new(limits);
-        Self { retry_budget, unlisted: Arc::default(), groups: Mutex::default() }
+        Self {
+            retry_budget,
+            admission: PriorityAdmission::default(),
+            unlisted: Arc::default(),
+            groups: Mutex::default(),
+        }
     }
 
     /// Returns the state of the group of an upstream, which is created on first use.
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,10 +3,12 @@
 mod admin_api;
 mod at_most_once;
 mod budget;
+mod capacity_by_priority;
 mod cold_upstreams;
 mod crash_parts;
 mod departed_callers;
 mod direct_parts;
+mod engine_play;
 mod entry_groups;
 mod explain;
 mod fault_table;
