Direct entry: upstreams are chosen by learned speed and work in flight

Cause: an entry chose the upstream with the fewest requests, however slow it was and however long its requests were. A returned upstream got its full share at once, and plain services admitted requests that could not be answered before their deadlines.

Change: src/capacity estimates slowness of upstreams, work of requests and the number of requests that engines serve on time. The choice uses them if `learned-capacity` is on or the settings require it (routes of an engine service with several priorities). Otherwise decisions are as before.

The workspace's other tests have not been run on this commit.

--- a/src/direct/admission/engine_load.rs
+++ b/src/direct/admission/engine_load.rs
@@ -39,6 +39,8 @@
     pub stream_duration: Option<Duration>,
     /// Requests of this entry in flight at all engines.
     pub own_requests: u32,
+    /// Number of requests that an engine serves on time, if it is learned.
+    pub learned_capacity: Option<f64>,
     /// Time since the last activity of any engine.
     pub inactive_for: Option<Duration>,
 }
@@ -65,6 +67,11 @@
 impl EngineLoad {
     /// Returns how many requests an engine can run at its current speed with streams on time.
     pub fn capacity(&self, targets: &LatencyTargets) -> f64 {
+        let by_gap = self.capacity_by_gap(targets);
+        self.learned_capacity.map_or(by_gap, |learned| learned.min(by_gap))
+    }
+
+    fn capacity_by_gap(&self, targets: &LatencyTargets) -> f64 {
         let slots = f64::from(self.engine.slots);
         let (Some(gap), Some(target)) = (self.gap, targets.gap) else { return slots };
         let step = self.engine.step.as_secs_f64();
@@ -107,6 +114,7 @@
     ///     gap: None,
     ///     stream_duration: None,
     ///     own_requests: 4,
+    ///     learned_capacity: None,
     ///     inactive_for: None,
     /// };
     /// let full = EngineLoad { mean: 16.0, min: 15.0, ..idle };
--- a/src/direct/admission/mod.rs
+++ b/src/direct/admission/mod.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod engine_load;
+mod learned_choice;
 mod pick;
 mod retry_budget;
 mod return_queue;
--- a/src/direct/admission/pick.rs
+++ b/src/direct/admission/pick.rs
@@ -3,6 +3,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use crate::capacity::SentRequest;
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::Dispatcher;
@@ -20,6 +21,8 @@
 pub(in crate::direct) struct Chosen {
     pub(in crate::direct) upstream: Arc<Upstream>,
     pub(in crate::direct) candidate: Candidate,
+    /// What is known of the request there, if speed and capacity are learned.
+    pub(in crate::direct) sent: Option<SentRequest>,
 }
 
 impl Dispatcher {
@@ -42,16 +45,24 @@
             .map(|upstream| upstream.candidate(&request.state.liveness, now))
             .collect();
         let loads = estimate_loads(&candidates);
+        let learned = request.is_learned.then(|| self.rate(request, &eligible, now));
         if history.attempts == 0 {
+            if let Some(learned) = &learned {
+                self.admit_plain(request, learned, &loads, now)?;
+            }
             let own_requests = candidates.iter().map(|candidate| candidate.own).sum();
             self.admit(request, &loads, own_requests, now)?;
         }
         let is_local = |at: usize| eligible[at].listed.domain == self.domain;
+        let expected = learned.as_ref().map(|learned| learned.expected_loads(&candidates, &loads));
+        let expected = expected.as_ref().unwrap_or(&loads);
         let chosen =
-            choose(&candidates, &loads, is_local, |_| rand::random_range(0.0..TIE_BREAK_SPREAD));
+            choose(&candidates, expected, is_local, |_| rand::random_range(0.0..TIE_BREAK_SPREAD));
         let chosen = chosen.ok_or(history.refusal(Reason::NoUpstream))?;
         self.limits.record_send(&eligible[chosen].listed, now);
-        Ok(Chosen { upstream: Arc::clone(eligible[chosen]), candidate: candidates[chosen] })
+        let sent = learned.map(|learned| learned.sent_request(request, chosen, &loads));
+        let candidate = candidates[chosen];
+        Ok(Chosen { upstream: Arc::clone(eligible[chosen]), candidate, sent })
     }
 
     /// Drops the upstreams that may not get another request from this entry yet, by their limits or
@@ -96,6 +107,10 @@
             gap: stream_stats.mean_gap(now),
             stream_duration: stream_stats.mean_duration(),
             own_requests,
+            learned_capacity: request
+                .is_learned
+                .then(|| request.state.capacity.capacity(now))
+                .flatten(),
             inactive_for: request.state.liveness.inactive_for(now),
         };
         if load.is_stalled() && request.state.liveness.may_probe(now) {
--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
+use crate::capacity::SentRequest;
 use crate::direct::attempts::{Connection, FailedAttempt, SendError, is_close_delimited};
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::{BegunStream, Dispatcher, Exchanged};
@@ -34,9 +35,10 @@
         &self,
         request: &CheckedRequest,
         upstream: &Arc<Upstream>,
+        sent: Option<SentRequest>,
         last_event: Option<&Bytes>,
     ) -> Result<Exchanged, FailedAttempt> {
-        let in_flight = upstream.begin_request(&request.state.liveness);
+        let in_flight = upstream.begin_request(&request.state.liveness, sent);
         let exchange = self.exchange(request, upstream, last_event);
         let (mut conn, response) = match timeout_at(request.deadline, exchange).await {
             Ok(exchanged) => exchanged?,
@@ -94,7 +96,14 @@
         self.is_reusable(&mut conn, upstream, &head.headers).await.then(|| {
             upstream.put_idle(conn.into_idle(keep_alive_timeout(&head.headers)));
         });
-        self.check_response(request, upstream, head, body)
+        let checked = self.check_response(request, upstream, head, body);
+        if let Ok(Exchanged::Complete(response)) = &checked
+            && response.status().is_success()
+            && request.service.engine.is_none()
+        {
+            in_flight.record_first_event(Instant::now());
+        }
+        checked
     }
 
     /// Reads a whole body, as far as there is memory for it.
--- a/src/direct/checked_request.rs
+++ b/src/direct/checked_request.rs
@@ -12,6 +12,7 @@
 
 use super::service_state::ServiceState;
 use super::{Account, HeaderNames, PromptParts, Route, Service, Upstream};
+use crate::capacity::RequestSize;
 use crate::entry::CrashKeys;
 use crate::net::LAST_EVENT_ID;
 use crate::outcome::Reason;
@@ -53,6 +54,10 @@
     pub(super) crash_keys: CrashKeys,
     /// Parts of the prompt that other requests may share.
     pub(super) prompt: PromptParts,
+    /// Sizes that the caller states.
+    pub(super) size: RequestSize,
+    /// Whether the speed and the capacity of upstreams are learned.
+    pub(super) is_learned: bool,
     pub(super) account: Option<Arc<Account>>,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<Service>,
--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -1,4 +1,5 @@
 use std::fmt;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -33,6 +34,13 @@
     reason: &'static str,
 }
 
+/// Label of the gauges of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
 /// Metrics of an entry, exported in the OpenMetrics text format.
 pub struct DirectMeter {
     registry: Registry,
@@ -43,6 +51,8 @@
     in_flight: Gauge,
     revision: Gauge,
     limited_upstreams: Gauge,
+    slow_upstreams: Family<ServiceLabels, Gauge>,
+    learned_capacity: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
 }
 
 impl fmt::Debug for DirectMeter {
@@ -84,6 +94,12 @@
         let limited_upstreams = Gauge::default();
         let help = "Upstreams that name a limit of requests per second";
         registry.register("limited_upstreams", help, limited_upstreams.clone());
+        let slow_upstreams = Family::default();
+        let help = "Upstreams that take at least twice the time of the others";
+        registry.register("slow_upstreams", help, slow_upstreams.clone());
+        let learned_capacity = Family::default();
+        let help = "Requests that an engine serves on time, as learned";
+        registry.register("learned_capacity", help, learned_capacity.clone());
         Self {
             registry,
             ended,
@@ -93,6 +109,8 @@
             in_flight,
             revision,
             limited_upstreams,
+            slow_upstreams,
+            learned_capacity,
         }
     }
 
@@ -132,6 +150,19 @@
         self.limited_upstreams.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Records how many upstreams of a service are slow.
+    pub fn slow_upstreams(&self, service: &str, number: usize) {
+        let labels = ServiceLabels { service: service.to_owned() };
+        let number = i64::try_from(number).unwrap_or(i64::MAX);
+        self.slow_upstreams.get_or_create(&labels).set(number);
+    }
+
+    /// Records the learned capacity of the engines of a service.
+    pub fn learned_capacity(&self, service: &str, requests: f64) {
+        let labels = ServiceLabels { service: service.to_owned() };
+        self.learned_capacity.get_or_create(&labels).set(requests);
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -9,6 +9,7 @@
 use super::quarantine::CrashSign;
 use super::quarantine::hex;
 use super::{Candidate, EngineLoad, Quarantine, Upstream};
+use crate::capacity::{PlainLoad, SLOW_FACTOR, SentRequest};
 use crate::direct::attempts::{AttemptHistory, FailedAttempt};
 use crate::direct::responses::StreamProgress;
 use crate::event_log::Level;
@@ -20,7 +21,7 @@
         request: &CheckedRequest,
         history: &AttemptHistory,
         upstream: &Upstream,
-        candidate: &Candidate,
+        (candidate, sent): (&Candidate, Option<&SentRequest>),
         now: Instant,
     ) {
         let age = self.freshness.age(BootTime::now()).unwrap_or_default();
@@ -36,11 +37,52 @@
             own: candidate.own,
             others: candidate.others.map(|report| report.requests),
             load_age_ms: candidate.others.map(|report| millis(report.age)),
+            slowness: sent.map(|sent| sent.slowness),
+            work: sent.map(|sent| sent.work),
             left_ms: millis(request.deadline.saturating_duration_since(now)),
         };
         self.log.write(Level::Info, &event);
     }
 
+    pub(super) fn log_speed(
+        &self,
+        upstream: &Upstream,
+        slowness: f64,
+        changed: usize,
+        slow_upstreams: usize,
+        now: Instant,
+    ) {
+        let event = Event::Speed {
+            upstream: &upstream.listed.id,
+            service: &upstream.listed.service,
+            slow: slowness >= SLOW_FACTOR,
+            slowness,
+            sample_age_ms: upstream.measured(now).speed.age(now).map(millis),
+            changed,
+            slow_upstreams,
+        };
+        self.log.write(Level::Info, &event);
+    }
+
+    pub(super) fn log_late(
+        &self,
+        request: &CheckedRequest,
+        upstreams: impl Iterator<Item = PlainLoad>,
+    ) {
+        let least = upstreams.min_by(|left, right| left.requests.total_cmp(&right.requests));
+        let left = request.deadline.saturating_duration_since(Instant::now());
+        let event = Event::TooLate {
+            id: request.id.to_str().unwrap_or_default(),
+            route: &request.route.name,
+            account: request.account.as_ref().map_or("", |account| &account.name),
+            least: least.map_or(0.0, |least| least.requests),
+            slots: least.and_then(|least| least.slots),
+            usual_ms: least.and_then(|least| least.time).map(millis),
+            left_ms: millis(left),
+        };
+        self.log.write(Level::Warn, &event);
+    }
+
     pub(super) fn log_draining(&self, request: &CheckedRequest, upstream: &Upstream) {
         let id = request.id.to_str().unwrap_or_default();
         let upstream = &upstream.listed.id;
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -16,6 +16,7 @@
 use super::{
     BodyMemory, Delivery, DirectMeter, Freshness, HeaderNames, RetryLimits, Roster, Upstream,
 };
+use crate::capacity::CapacitySwitch;
 use crate::direct::admission::Chosen;
 use crate::direct::attempts::{
     AttemptHistory, Connection, FailedAttempt, HeaderWatch, OpenAttempt,
@@ -45,6 +46,8 @@
     pub(super) crash_recorder: Arc<CrashRecorder>,
     pub(super) limits: Arc<UpstreamLimits>,
     pub(super) body_memory: BodyMemory,
+    /// Whether the speed and the capacity of upstreams are learned.
+    pub(super) capacity_switch: Arc<CapacitySwitch>,
     pub(super) meter: Arc<DirectMeter>,
     pub(super) log: EventLog,
 }
@@ -107,7 +110,7 @@
         let mut fallback = None;
         loop {
             let chosen = self.choose_upstream(request, history).await;
-            let Chosen { upstream, candidate } = match chosen {
+            let Chosen { upstream, candidate, sent } = match chosen {
                 Ok(chosen) => chosen,
                 Err(refusal) => {
                     return fallback
@@ -117,11 +120,14 @@
             history.record_start(&upstream.listed.id);
             let attempt = OpenAttempt::start(&self.log, &request.id, history.attempts, &upstream);
             let started = attempt.started();
-            self.log_sent(request, history, &upstream, &candidate, started);
+            self.log_sent(request, history, &upstream, (&candidate, sent.as_ref()), started);
             let (result, is_charged) = tokio::select! {
-                result = self.send(request, &upstream, last_event) => (result, false),
+                result = self.send(request, &upstream, sent, last_event) => (result, false),
                 stuck = self.wait_until_stuck(request, history, &upstream) => (Err(stuck), true),
             };
+            if let Some(sent) = sent.filter(|_| is_error(&result)) {
+                upstream.record_error(&sent, Instant::now());
+            }
             let failed = match result {
                 Ok(Exchanged::Begun(begun)) => {
                     let stream = Stream { begun, upstream, attempt };
@@ -240,3 +246,12 @@
         self.may_retry(request, history, Failure::unknown(Reason::UpstreamLost))
     }
 }
+
+/// Returns whether an attempt failed, or got an error of the upstream.
+fn is_error(result: &Result<Exchanged, FailedAttempt>) -> bool {
+    match result {
+        Ok(Exchanged::Complete(response)) => response.status().is_server_error(),
+        Ok(Exchanged::Begun(_)) => false,
+        Err(_) => true,
+    }
+}
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -123,8 +123,24 @@
         own: u32,
         others: Option<f64>,
         load_age_ms: Option<u64>,
+        /// Of the upstream and of the request, if they are learned.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        slowness: Option<f64>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        work: Option<f64>,
         left_ms: u64,
     },
+    /// An upstream has become slow, or as fast as the others again. `changed` says of how many
+    /// upstreams of the service this is said, `slow_upstreams` how many are slow now.
+    Speed {
+        upstream: &'a str,
+        service: &'a str,
+        slow: bool,
+        slowness: f64,
+        sample_age_ms: Option<u64>,
+        changed: usize,
+        slow_upstreams: usize,
+    },
     /// A request was refused before its first attempt.
     NotAdmitted {
         id: &'a str,
@@ -137,6 +153,17 @@
         gap_ms: Option<u64>,
         silence_ms: Option<u64>,
     },
+    /// A request of a plain service was refused because no upstream would respond to it in time.
+    /// `slots` and `usual_ms` are those of the least loaded upstream.
+    TooLate {
+        id: &'a str,
+        route: &'a str,
+        account: &'a str,
+        least: f64,
+        slots: Option<u32>,
+        usual_ms: Option<u64>,
+        left_ms: u64,
+    },
     /// An attempt brought no response that can be forwarded.
     Failed {
         id: &'a str,
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -14,6 +14,7 @@
 use super::checked_request::{CheckedRequest, answer_time, strip_headers};
 use super::dispatcher::{Dispatcher, UpstreamResponse};
 use super::{Account, DirectBody, DirectMeter, PromptParts, Route, Routing};
+use crate::capacity::RequestSize;
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::feeds::CurrentRouting;
 use crate::direct::responses::{EventTiming, Relay, RequestTracker, refusal_response};
@@ -132,6 +133,7 @@
             &body,
         );
         let prompt = PromptParts::read(&head.headers, &self.dispatcher.header_names.prompt);
+        let size = RequestSize::read(&head.headers, &self.dispatcher.header_names);
         let mut headers = head.headers;
         strip_headers(&mut headers);
         Ok(CheckedRequest {
@@ -142,6 +144,8 @@
             body,
             crash_keys: CrashKeys::new(fingerprint, &service.name, prompt.ids()),
             prompt,
+            size,
+            is_learned: self.dispatcher.capacity_switch.is_on_for(&routing),
             account,
             state: self.dispatcher.service_state(&service.name),
             service: Arc::clone(service),
--- a/src/direct/header_names.rs
+++ b/src/direct/header_names.rs
@@ -27,6 +27,8 @@
     pub tokens: HeaderName,
     /// Parts of the prompt.
     pub prompt: HeaderName,
+    /// The caller's estimate of the number of response tokens.
+    pub length_hint: HeaderName,
 }
 
 impl HeaderNames {
@@ -39,6 +41,7 @@
     /// #     attempt: name("id"), deadline: name("d"), account: name("a"), upstream: name("u"),
     /// #     not_run: name("n"), load: name("l"), limit: name("r"), draining: name("v"), seal: name("seal"), urgency: name("p"),
     /// #     tokens: name("t"), prompt: name("m"),
+    /// #     length_hint: name("h"),
     /// # };
     /// assert!(names.in_responses().any(|name| *name == names.seal));
     /// ```
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -21,6 +21,7 @@
 use super::{
     BodyMemory, Crashes, DirectMeter, Directory, Freshness, HeaderNames, RetryLimits, Roster,
 };
+use crate::capacity::CapacitySwitch;
 use crate::cli::Node;
 use crate::direct::attempts::HeaderWatch;
 use crate::direct::feeds::{
@@ -136,6 +137,7 @@
                 log: self.log.clone(),
             }),
             body_memory: BodyMemory::default(),
+            capacity_switch: Arc::new(CapacitySwitch::new(file.learned_capacity)),
             meter: Arc::clone(&meter),
             limits: Arc::clone(&limits),
             log: self.log.clone(),
@@ -163,9 +165,8 @@
             meter: Arc::clone(&meter),
             log: self.log.clone(),
         };
-        let bounds = ListBounds::from(file);
         let upstream_follower =
-            UpstreamFollower::new(directory, Arc::clone(&roster), bounds, self.log.clone());
+            UpstreamFollower::new(directory, Arc::clone(&roster), file.into(), self.log.clone());
         let stop = &self.background_stop;
         tokio::spawn(stop.clone().run_until_cancelled_owned(routing_follower.run()));
         tokio::spawn(stop.clone().run_until_cancelled_owned(upstream_follower.run()));
--- a/src/direct/responses/relay.rs
+++ b/src/direct/responses/relay.rs
@@ -76,6 +76,7 @@
                     attempt.close();
                     sender.close().await;
                     self.dispatcher.clear_crashes(&self.request);
+                    self.record_stream(progress);
                     if let Some(first) = self.event_timing.first {
                         self.request.state.stream_stats.record_duration(first.elapsed());
                     }
@@ -124,6 +125,16 @@
         }
     }
 
+    /// Records a stream that one upstream has served.
+    fn record_stream(&self, progress: StreamProgress) {
+        let request = &self.request;
+        let is_learned = request.is_learned && self.history.attempts == 1;
+        if let Some(engine) = request.service.engine.filter(|_| is_learned) {
+            let (state, route) = (&request.state.capacity, &request.route.name);
+            state.record_stream(route, &request.size, progress.events, &engine);
+        }
+    }
+
     /// Tells the end of a body that ends with its connection from the end of its upstream.
     async fn confirm_end(&self, upstream: &Upstream) -> RelayEnd {
         match self.dispatcher.crash_recorder.outlives(upstream).await {
@@ -166,6 +177,9 @@
             };
             progress.record_event();
             tracker.first_byte();
+            if progress.events == 1 {
+                record_first_event(request, in_flight);
+            }
             event_timing.record_event(&request.state.stream_stats);
             // A caller that does not read must not hold up the upstream.
             match timeout_at(request.deadline, sender.send(events)).await {
@@ -199,3 +213,14 @@
         }
     }
 }
+
+/// Records the time to the first event of an attempt.
+fn record_first_event(request: &CheckedRequest, in_flight: &InFlight) {
+    let now = Instant::now();
+    if let Some(first) = in_flight.record_first_event(now)
+        && let Some(engine) = request.service.engine
+    {
+        let target = request.route.first_byte_target;
+        request.state.capacity.record_first_event(&first, target, &engine, now);
+    }
+}
--- a/src/direct/routes/routing.rs
+++ b/src/direct/routes/routing.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,6 +39,7 @@
     services: HashMap<String, Arc<Service>>,
     /// Accounts by API key; `None` if requests need no key.
     accounts: Option<HashMap<KeyDigest, Arc<Account>>>,
+    has_engine_priorities: bool,
 }
 
 impl Routing {
@@ -59,11 +60,13 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|service| (service.name.clone(), service.into()));
+        let services = services.collect();
         Self {
             revision,
             limits,
+            has_engine_priorities: has_engine_priorities(&hosts, &services),
             hosts,
-            services: services.collect(),
+            services,
             accounts: accounts.map(|accounts| accounts.into_iter().collect()),
         }
     }
@@ -88,8 +91,28 @@
         self.services.get(name)
     }
 
+    /// Returns whether the routes of some engine service have more than one priority.
+    pub const fn has_engine_priorities(&self) -> bool {
+        self.has_engine_priorities
+    }
+
     /// Returns whether requests need an API key, unless their route is anonymous.
     pub const fn needs_key(&self) -> bool {
         self.accounts.is_some()
     }
 }
+
+fn has_engine_priorities(
+    hosts: &HashMap<String, Vec<Arc<Route>>>,
+    services: &HashMap<String, Arc<Service>>,
+) -> bool {
+    let engines = services.values().filter(|service| service.engine.is_some());
+    let priorities = |service: &Service| {
+        let reaches = |route: &&Arc<Route>| {
+            route.splits.iter().any(|split| split.weight > 0 && split.service == service.name)
+        };
+        let routes = hosts.values().flatten().filter(reaches);
+        routes.map(|route| route.priority).collect::<HashSet<u8>>().len()
+    };
+    engines.into_iter().any(|service| priorities(service) > 1)
+}
--- a/src/direct/service_state.rs
+++ b/src/direct/service_state.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use super::{GroupOutage, Liveness, RetryBudget, RetryLimits, ReturnQueue, StreamStats};
+use crate::capacity::ServiceCapacity;
 
 /// State that an entry keeps for a service across requests.
 #[derive(Debug)]
@@ -10,6 +11,7 @@
     pub(super) liveness: Arc<Liveness>,
     pub(super) return_queue: ReturnQueue,
     pub(super) outage: GroupOutage,
+    pub(super) capacity: ServiceCapacity,
 }
 
 impl ServiceState {
@@ -22,6 +24,7 @@
             liveness: Arc::default(),
             return_queue: ReturnQueue::default(),
             outage: GroupOutage::default(),
+            capacity: ServiceCapacity::default(),
         }
     }
 }
--- a/src/direct/upstreams/mod.rs
+++ b/src/direct/upstreams/mod.rs
@@ -16,5 +16,5 @@
 pub(super) use load::LoadReport;
 pub use roster::{Roster, RosterChange, Upstreams};
 pub use silence_limit::SilenceLimit;
-pub(super) use upstream::InFlight;
 pub use upstream::Upstream;
+pub(super) use upstream::{InFlight, Measured};
--- a/src/direct/upstreams/upstream.rs
+++ b/src/direct/upstreams/upstream.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::capacity::{DecayingSum, FirstEvent, SentRequest, SlowStart, SpeedEstimator};
 use crate::direct::attempts::Connection;
 use crate::direct::quarantine::UpstreamSuspects;
 use crate::direct::upstreams::LoadReport;
@@ -22,7 +23,9 @@
 const MAX_IDLE_CONNECTIONS: usize = 4;
 /// Idle time after which a connection is not reused, shorter than the usual timeout of upstreams.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
-
+/// Time without activity of any engine during a request from which its response time says nothing
+/// of its own engine.
+const MAX_INACTIVE_TIME: Duration = Duration::from_millis(250);
 /// Longest pause that is kept, longer than any incarnation lives.
 const MAX_PAUSE: Duration = Duration::from_secs(365 * 24 * 3_600);
 
@@ -54,6 +57,27 @@
     /// When the upstream last sent anything.
     last_activity: Option<Instant>,
     idle: Vec<Connection>,
+    /// Work in flight, in usual requests.
+    work: f64,
+    /// Work of requests that failed.
+    failed_work: DecayingSum,
+    speed: SpeedEstimator,
+    /// When the upstream was last avoided or paused.
+    avoided: Option<Instant>,
+    /// Whether the upstream is called slow in the log.
+    is_slow: bool,
+}
+
+/// What an entry has measured of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::direct) struct Measured {
+    /// Work in flight and of requests that failed lately, in usual requests.
+    pub(in crate::direct) work: f64,
+    pub(in crate::direct) is_busy: bool,
+    pub(in crate::direct) speed: SpeedEstimator,
+    pub(in crate::direct) slow_start: SlowStart,
+    /// Number of requests that can run at a time, if the upstream has reported it.
+    pub(in crate::direct) slots: Option<u32>,
 }
 
 /// A request counted as in flight at an upstream until dropped.
@@ -65,9 +89,26 @@
     sent: Duration,
     /// Whether the upstream has responded to the request.
     responded: AtomicBool,
+    /// When the request was sent.
+    started: Instant,
+    /// What was known of the request, if speed and capacity are learned.
+    measured: Option<SentRequest>,
 }
 
 impl InFlight {
+    /// Records a complete response, or the first event of a stream. Returns the time to it, unless
+    /// nothing is learned or all engines were stalled meanwhile.
+    pub(in crate::direct) fn record_first_event(&self, now: Instant) -> Option<FirstEvent> {
+        let sent = self.measured?;
+        let time = now.saturating_duration_since(self.started);
+        let active_time = self.liveness.active_time().saturating_sub(self.sent);
+        if sent.is_engine && time.saturating_sub(active_time) > MAX_INACTIVE_TIME {
+            return None;
+        }
+        self.upstream.lock().speed.record(time.as_secs_f64() / sent.expected, now);
+        Some(FirstEvent { sent, time })
+    }
+
     /// Records activity of the upstream.
     pub(in crate::direct) fn record_activity(&self) {
         let now = Instant::now();
@@ -85,7 +126,10 @@
     fn drop(&mut self) {
         let mut state = self.upstream.lock();
         state.in_flight = state.in_flight.saturating_sub(1);
+        state.work -= work_of(self.measured);
         if state.in_flight == 0 {
+            // Drops what rounding has left.
+            state.work = 0.0;
             let limit = self.liveness.silence_limit();
             state.inactivity.record_idle(self.liveness.active_time(), limit, Instant::now());
         }
@@ -150,16 +194,23 @@
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
-    pub(in crate::direct) fn begin_request(self: &Arc<Self>, liveness: &Arc<Liveness>) -> InFlight {
+    pub(in crate::direct) fn begin_request(
+        self: &Arc<Self>,
+        liveness: &Arc<Liveness>,
+        measured: Option<SentRequest>,
+    ) -> InFlight {
         let sent = liveness.active_time();
         let mut state = self.lock();
         state.in_flight += 1;
+        state.work += work_of(measured);
         state.inactivity.record_request(sent);
         InFlight {
             upstream: Arc::clone(self),
             liveness: Arc::clone(liveness),
             sent,
             responded: AtomicBool::new(false),
+            started: Instant::now(),
+            measured,
         }
     }
 
@@ -240,16 +291,48 @@
 
     /// Returns the state on which the choice of an upstream is based.
     pub fn candidate(&self, liveness: &Liveness, now: Instant) -> Candidate {
-        let state = self.lock();
+        let mut state = self.lock();
         let inactive_until =
             state.inactivity.avoid_until(liveness.active_time(), liveness.silence_limit(), now);
+        let avoid_until = state.avoid_until.filter(|until| *until > now).max(inactive_until);
+        if avoid_until.is_some() {
+            state.avoided = Some(now);
+        }
         Candidate {
             own: state.in_flight,
             others: state.load.map(|report| report.others(now)),
-            avoid_until: state.avoid_until.filter(|until| *until > now).max(inactive_until),
+            avoid_until,
         }
     }
 
+    /// Returns what was measured of the upstream.
+    pub(in crate::direct) fn measured(&self, now: Instant) -> Measured {
+        let state = self.lock();
+        let mut slow_start = SlowStart::new(self.known_since);
+        let returned = [state.avoided, state.avoid_until, state.paused_until];
+        for at in returned.into_iter().flatten() {
+            slow_start.restart(at.min(now));
+        }
+        Measured {
+            work: state.work.max(0.0) + state.failed_work.get(now),
+            is_busy: state.in_flight > 0,
+            speed: state.speed,
+            slow_start,
+            slots: state.load.map(|report| report.load.slots),
+        }
+    }
+
+    /// Records that a request failed, whose work still counts for some time.
+    pub(in crate::direct) fn record_error(&self, sent: &SentRequest, now: Instant) {
+        self.lock().failed_work.add(sent.work, now);
+    }
+
+    /// Records whether the upstream is slow. Returns whether that is a change.
+    pub(in crate::direct) fn set_slow(&self, is_slow: bool) -> bool {
+        let mut state = self.lock();
+        std::mem::replace(&mut state.is_slow, is_slow) != is_slow
+    }
+
     /// Takes an idle connection that can be reused.
     pub(in crate::direct) fn take_idle(&self) -> Option<Connection> {
         let mut state = self.lock();
@@ -267,6 +350,11 @@
     }
 }
 
+/// Returns the work that a request counts for.
+fn work_of(measured: Option<SentRequest>) -> f64 {
+    measured.map_or(1.0, |sent| sent.work)
+}
+
 impl State {
     fn begin_backoff(&mut self) {
         self.backoff = (self.backoff * 2).clamp(INITIAL_BACKOFF, MAX_BACKOFF);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //! whole design.
 
 pub mod admin;
+pub mod capacity;
 pub mod cli;
 pub mod ctl;
 pub mod direct;
--- a/src/settings/direct_file.rs
+++ b/src/settings/direct_file.rs
@@ -39,6 +39,10 @@
     /// trial. Four times as long after each further crash.
     #[serde(default = "default_quarantine")]
     pub quarantine_seconds: f64,
+    /// Whether the speed and the capacity of upstreams are learned from requests. If absent, they
+    /// are if the routes of an engine service have several priorities, or a service several groups.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub learned_capacity: Option<bool>,
 }
 
 /// Limits of the retries that all entries together may send.
--- a/tests/it/large_fleet.rs
+++ b/tests/it/large_fleet.rs
@@ -126,6 +126,7 @@
         key_age_ms: Some(5_000.0),
         retries: RetrySettings { share: 0.2, window_seconds: 10.0, slack: 264.0, entries: 512.0 },
         quarantine_seconds: 60.0,
+        learned_capacity: None,
     }
 }
 
@@ -144,6 +145,7 @@
         urgency: name("urgency"),
         tokens: name("tokens"),
         prompt: name("prompt"),
+        length_hint: name("length-hint"),
     }
 }
 
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod input;
 mod large_fleet;
 mod large_group;
+mod learned_capacity;
 mod leases;
 mod leaving;
 mod limit_shares;
