Learned capacity: requests without a response count as slow; bench of the choice

Cause: an upstream so slow that callers leave before its first event gave no samples and counted as fast. The response time of plain services included the wait until the connection could be reused.

Change: a request that ends without a response after a longer time than its upstream's value raises it. The time of a plain response ends with its body. `ebonyusher-bench choice` measures the choice.

--- a/bench/src/args.rs
+++ b/bench/src/args.rs
@@ -22,6 +22,8 @@
     MapOrders(u64),
     /// Prints the capacity page from a file of slopes.
     Capacity(PathBuf),
+    /// Measures the choice of an upstream. Holds the number of upstreams.
+    Choice(usize),
 }
 
 /// Parsed command line.
@@ -36,7 +38,7 @@
 /// Returns the parser of the command line.
 pub fn options() -> OptionParser<Args> {
     let logs = log_options();
-    let command = construct!([load(), expert_map(), map_orders(), slopes(), capacity()]);
+    let command = construct!([load(), expert_map(), map_orders(), slopes(), capacity(), choice()]);
     construct!(Args { logs, command })
         .to_options()
         .descr(
@@ -45,6 +47,14 @@
         .version(env!("CARGO_PKG_VERSION"))
 }
 
+fn choice() -> impl Parser<Command> {
+    let upstreams = long("upstreams").help("Number of upstreams").argument("N").fallback(129);
+    construct!(Command::Choice(upstreams))
+        .to_options()
+        .descr("Measure the choice of an upstream, with and without learned capacity")
+        .command("choice")
+}
+
 fn map_orders() -> impl Parser<Command> {
     let seed = long("seed").help("Seed of the random demand").argument("N").fallback(1);
     construct!(Command::MapOrders(seed))
--- a/bench/src/bin/ebonyusher-bench.rs
+++ b/bench/src/bin/ebonyusher-bench.rs
@@ -7,6 +7,7 @@
 use ebonyusher::settings::read_file;
 use ebonyusher_bench::args::{Command, options};
 use ebonyusher_bench::capacity::capacity_page;
+use ebonyusher_bench::choice::measure_choice;
 use ebonyusher_bench::slopes::{SlopeFile, measure_slopes};
 use ebonyusher_bench::{expert, load};
 use serde::Serialize;
@@ -34,6 +35,7 @@
             ExitCode::SUCCESS
         }
         Command::Capacity(path) => print_page(&path),
+        Command::Choice(upstreams) => print_report(&measure_choice(upstreams), true),
         Command::ExpertMap(map) => match expert::run(&map) {
             Ok(report) => print_report(&report, true),
             Err(err) => exit_with(NAME, &err, EXIT_INPUT),
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod args;
 pub mod capacity;
+pub mod choice;
 pub mod client;
 pub mod demo;
 pub mod expert;
--- a/src/capacity/sent_request.rs
+++ b/src/capacity/sent_request.rs
@@ -23,3 +23,10 @@
     /// Time since it was sent.
     pub time: Duration,
 }
+
+impl FirstEvent {
+    /// Returns the time relative to the expected one.
+    pub fn relative_time(&self) -> f64 {
+        self.time.as_secs_f64() / self.sent.expected
+    }
+}
--- a/src/capacity/speed_estimator.rs
+++ b/src/capacity/speed_estimator.rs
@@ -59,6 +59,26 @@
         self.last = Some(last.max(now));
     }
 
+    /// Records that a request was given up on, or failed, after this time without a response. That
+    /// is evidence of slowness, never of speed.
+    ///
+    /// ```
+    /// # use ebonyusher::capacity::SpeedEstimator;
+    /// # use tokio::time::Instant;
+    /// let now = Instant::now();
+    /// let mut speed = SpeedEstimator::default();
+    /// speed.record(0.02, now);
+    /// speed.record_unanswered(0.001, now);
+    /// assert_eq!(speed.recent_peak(now), Some(0.02));
+    /// speed.record_unanswered(0.5, now);
+    /// assert_eq!(speed.recent_peak(now), Some(0.5));
+    /// ```
+    pub fn record_unanswered(&mut self, waited: f64, now: Instant) {
+        if self.last.is_some() && waited > self.peak {
+            self.record(waited, now);
+        }
+    }
+
     /// Returns the peak, if there is a recent sample.
     pub fn recent_peak(&self, now: Instant) -> Option<f64> {
         let last = self.last?;
--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -88,6 +88,8 @@
                 return Err(FailedAttempt::silent("response body incomplete at the deadline"));
             }
         };
+        let received = Instant::now();
+        in_flight.record_answered();
         let may_be_cut = ends_with_connection && head.status.is_success();
         if may_be_cut && !self.crash_recorder.outlives(upstream).await {
             upstream.record_loss();
@@ -101,7 +103,7 @@
             && response.status().is_success()
             && request.service.engine.is_none()
         {
-            in_flight.record_first_event(Instant::now());
+            in_flight.record_first_event(received);
         }
         checked
     }
--- a/src/direct/responses/relay.rs
+++ b/src/direct/responses/relay.rs
@@ -217,6 +217,7 @@
 /// Records the time to the first event of an attempt.
 fn record_first_event(request: &CheckedRequest, in_flight: &InFlight) {
     let now = Instant::now();
+    in_flight.record_answered();
     if let Some(first) = in_flight.record_first_event(now)
         && let Some(engine) = request.service.engine
     {
--- a/src/direct/upstreams/upstream.rs
+++ b/src/direct/upstreams/upstream.rs
@@ -93,20 +93,31 @@
     started: Instant,
     /// What was known of the request, if speed and capacity are learned.
     measured: Option<SentRequest>,
+    /// Whether a complete response or an event has arrived.
+    is_answered: AtomicBool,
 }
 
 impl InFlight {
     /// Records a complete response, or the first event of a stream. Returns the time to it, unless
     /// nothing is learned or all engines were stalled meanwhile.
     pub(in crate::direct) fn record_first_event(&self, now: Instant) -> Option<FirstEvent> {
+        let first = self.first_event(now)?;
+        self.upstream.lock().speed.record(first.relative_time(), now);
+        Some(first)
+    }
+
+    /// Records that a complete response or an event has arrived.
+    pub(in crate::direct) fn record_answered(&self) {
+        self.is_answered.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the first event if it has arrived now, unless nothing follows from it.
+    fn first_event(&self, now: Instant) -> Option<FirstEvent> {
         let sent = self.measured?;
         let time = now.saturating_duration_since(self.started);
         let active_time = self.liveness.active_time().saturating_sub(self.sent);
-        if sent.is_engine && time.saturating_sub(active_time) > MAX_INACTIVE_TIME {
-            return None;
-        }
-        self.upstream.lock().speed.record(time.as_secs_f64() / sent.expected, now);
-        Some(FirstEvent { sent, time })
+        let is_stalled = sent.is_engine && time.saturating_sub(active_time) > MAX_INACTIVE_TIME;
+        (!is_stalled).then_some(FirstEvent { sent, time })
     }
 
     /// Records activity of the upstream.
@@ -124,14 +135,20 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        let is_answered = self.is_answered.load(Ordering::Relaxed);
+        let now = Instant::now();
+        let unanswered = self.first_event(now).filter(|_| !is_answered);
         let mut state = self.upstream.lock();
+        if let Some(unanswered) = unanswered {
+            state.speed.record_unanswered(unanswered.relative_time(), now);
+        }
         state.in_flight = state.in_flight.saturating_sub(1);
         state.work -= work_of(self.measured);
         if state.in_flight == 0 {
             // Drops what rounding has left.
             state.work = 0.0;
             let limit = self.liveness.silence_limit();
-            state.inactivity.record_idle(self.liveness.active_time(), limit, Instant::now());
+            state.inactivity.record_idle(self.liveness.active_time(), limit, now);
         }
     }
 }
@@ -211,6 +228,7 @@
             responded: AtomicBool::new(false),
             started: Instant::now(),
             measured,
+            is_answered: AtomicBool::new(false),
         }
     }
 
--- a/tests/it/learned_capacity.rs
+++ b/tests/it/learned_capacity.rs
@@ -234,6 +234,22 @@
     assert_eq!((at_first, at_last), (8.0, 1.0));
 }
 
+/// Guards against an upstream that is so slow that no response of it arrives, and counts as fast.
+#[test]
+fn requests_given_up_on_are_evidence_of_slowness_but_fast_failures_of_nothing() {
+    let now = Instant::now();
+    let mut speed = SpeedEstimator::default();
+    speed.record_unanswered(9.0, now);
+    let unknown = speed.slowness(0.1, true, now);
+    speed.record(0.1, now);
+    speed.record_unanswered(0.001, now + ms(1_000));
+    let failed_fast = speed.recent_peak(now + ms(1_000));
+    speed.record_unanswered(0.9, now + ms(1_000));
+
+    assert_eq!((unknown, failed_fast), (1.0, Some(0.1)));
+    assert_eq!(speed.slowness(0.1, true, now + ms(1_000)), 9.0);
+}
+
 /// Guards against a stall of all upstreams that counts as slowness of those that had requests then.
 #[test]
 fn upstreams_that_stall_together_are_not_slow() {
