--- a/src/capacity/service_capacity.rs
+++ b/src/capacity/service_capacity.rs
@@ -15,7 +15,7 @@
 /// Interval at which the speeds of the upstreams are logged.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What an entry has learned of the upstreams of a service together.
+/// What an entry has learned of the upstreams of a group of a service together.
 #[derive(Debug, Default)]
 pub struct ServiceCapacity {
     /// Response time of the faster upstreams.
--- a/src/direct/admission/engine_load.rs
+++ b/src/direct/admission/engine_load.rs
@@ -21,6 +21,8 @@
 /// Time without activity from any engine after which the engines count as stalled. A switch of
 /// expert maps takes less.
 const STALL_THRESHOLD: Duration = Duration::from_millis(600);
+/// Time without activity that is usual for engines with requests, which is several passes.
+const USUAL_SILENCE: Duration = Duration::from_millis(250);
 /// Minimum number of requests in flight for the engines to count as stalled.
 const STALL_MIN_REQUESTS: u32 = 4;
 
@@ -84,6 +86,13 @@
         if capacity < MIN_CAPACITY { slots } else { capacity.min(slots) }
     }
 
+    /// Returns for how long no engine has shown activity, if that is longer than usual. A group that
+    /// switches expert maps, or is about to stall, serves the next request no sooner than that.
+    pub fn silence(&self) -> Option<Duration> {
+        let is_busy = self.own_requests >= STALL_MIN_REQUESTS;
+        self.inactive_for.filter(|inactive_for| is_busy && *inactive_for > USUAL_SILENCE)
+    }
+
     /// Returns whether the engines are stalled, for example because their group has lost a rank.
     pub fn is_stalled(&self) -> bool {
         self.own_requests >= STALL_MIN_REQUESTS
@@ -128,14 +137,23 @@
         if self.is_stalled() {
             return Admission::Refuse(retry_after_stall(self.inactive_for.unwrap_or_default()));
         }
-        let capacity = self.capacity(targets);
-        let stream_duration = self.stream_duration.unwrap_or(DEFAULT_STREAM_DURATION).as_secs_f64();
-        let ahead = (self.min + 1.0 - capacity).max(0.0);
-        let wait = ahead * stream_duration / capacity;
+        let wait = self.wait_seconds(targets);
         if wait <= targets.first_byte.as_secs_f64() * MAX_WAIT_SHARE {
             return Admission::Admit;
         }
         let retry_after = Duration::from_secs_f64(wait).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
         Admission::Refuse(retry_after)
     }
+
+    /// Returns the expected wait for a slot at the least loaded engine.
+    pub fn expected_wait(&self, targets: &LatencyTargets) -> Duration {
+        Duration::try_from_secs_f64(self.wait_seconds(targets)).unwrap_or(Duration::MAX)
+    }
+
+    fn wait_seconds(&self, targets: &LatencyTargets) -> f64 {
+        let capacity = self.capacity(targets);
+        let stream_duration = self.stream_duration.unwrap_or(DEFAULT_STREAM_DURATION).as_secs_f64();
+        let ahead = (self.min + 1.0 - capacity).max(0.0);
+        ahead * stream_duration / capacity
+    }
 }
--- a/src/direct/admission/learned_choice.rs
+++ b/src/direct/admission/learned_choice.rs
@@ -1,4 +1,3 @@
-use std::sync::Arc;
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -7,8 +6,9 @@
 use crate::capacity::{PlainLoad, Rating, SLOW_FACTOR, SentRequest, admit_plain, expected_loads};
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::Dispatcher;
+use crate::direct::groups::EligibleGroup;
 use crate::direct::upstreams::Measured;
-use crate::direct::{Admission, Candidate, Engine, Upstream};
+use crate::direct::{Admission, Candidate, Engine};
 use crate::outcome::{Reason, Refusal};
 
 /// Passes from the arrival of a request at an idle engine to the end of its first one, on average.
@@ -30,16 +30,16 @@
 }
 
 impl Dispatcher {
-    /// Rates the candidates for a request, which are upstreams of one group.
+    /// Rates the upstreams of a group for a request.
     pub(super) fn rate(
         &self,
         request: &CheckedRequest,
-        eligible: &[&Arc<Upstream>],
+        group: &EligibleGroup<'_>,
         now: Instant,
     ) -> LearnedChoice {
-        let state = &request.state.capacity;
+        let state = &group.state.capacity;
         let measured: SmallVec<[Measured; 16]> =
-            eligible.iter().map(|upstream| upstream.measured(now)).collect();
+            group.upstreams.iter().map(|upstream| upstream.measured(now)).collect();
         let peaks = measured.iter().filter_map(|measured| measured.speed.recent_peak(now));
         let baseline = state.baseline.get(peaks, now);
         let rate = |measured: &Measured| Rating {
@@ -49,7 +49,7 @@
         };
         let ratings: SmallVec<[Rating; 16]> = measured.iter().map(rate).collect();
         if state.is_review_due(now) {
-            self.review_speeds(request, eligible, &ratings, now);
+            self.review_speeds(request, group, &ratings, now);
         }
         let work = |engine| state.work(&request.route.name, &request.size, &engine);
         let work = request.service.engine.map_or(1.0, work);
@@ -80,23 +80,26 @@
     fn review_speeds(
         &self,
         request: &CheckedRequest,
-        eligible: &[&Arc<Upstream>],
+        group: &EligibleGroup<'_>,
         ratings: &[Rating],
         now: Instant,
     ) {
+        let service = &request.service.name;
+        let upstreams = &group.upstreams;
         let is_slow = |at: &usize| ratings[*at].slowness >= SLOW_FACTOR;
-        let slow = (0..ratings.len()).filter(is_slow).count();
         let changed: SmallVec<[usize; 16]> =
-            (0..ratings.len()).filter(|at| eligible[*at].set_slow(is_slow(at))).collect();
+            (0..ratings.len()).filter(|at| upstreams[*at].set_slow(is_slow(at))).collect();
+        let members = self.roster.service_upstreams(service);
+        let slow = members.iter().filter(|upstream| upstream.is_slow()).count();
         if let Some(first) = changed.first() {
             let slowness = ratings[*first].slowness;
-            self.log_speed(eligible[*first], slowness, changed.len(), slow, now);
+            self.log_speed(upstreams[*first], slowness, changed.len(), slow, now);
         }
-        self.meter.slow_upstreams(&request.service.name, slow);
+        self.meter.slow_upstreams(service, slow);
         if let Some(engine) = request.service.engine {
-            let capacity = request.state.capacity.capacity(now);
+            let capacity = request.state.least_capacity(now);
             let capacity = capacity.unwrap_or(f64::from(engine.slots));
-            self.meter.learned_capacity(&request.service.name, capacity);
+            self.meter.learned_capacity(service, capacity);
         }
     }
 }
@@ -124,10 +127,10 @@
     pub(super) fn sent_request(
         &self,
         request: &CheckedRequest,
+        group: &EligibleGroup<'_>,
         chosen: usize,
-        loads: &[f64],
     ) -> SentRequest {
-        let load = loads[chosen] + 1.0;
+        let load = group.loads[chosen] + 1.0;
         let plain = || {
             let slots = self.measured[chosen].slots.unwrap_or(u32::MAX).max(1);
             (load / f64::from(slots)).max(1.0)
@@ -137,20 +140,26 @@
             work: self.work,
             slowness: self.ratings[chosen].slowness,
             load,
-            expected: engine.map_or_else(plain, |engine| first_event(&engine, request, load)),
+            expected: engine
+                .map_or_else(plain, |engine| first_event(&engine, request, group, load)),
             is_engine: engine.is_some(),
         }
     }
 }
 
 /// Returns the seconds to the first event that the settings predict for an engine with this load.
-fn first_event(engine: &Engine, request: &CheckedRequest, load: f64) -> f64 {
+fn first_event(
+    engine: &Engine,
+    request: &CheckedRequest,
+    group: &EligibleGroup<'_>,
+    load: f64,
+) -> f64 {
     let slots = f64::from(engine.slots.max(1));
     let running = load.min(slots);
     let step = engine.step.as_secs_f64() + engine.per_request.as_secs_f64() * running;
     let pass = step * f64::from(engine.stride);
     let prompt = f64::from(request.size.prompt.unwrap_or_default());
-    let stream_duration = request.state.stream_stats.mean_duration();
+    let stream_duration = group.state.stream_stats.mean_duration();
     let stream_duration = stream_duration.unwrap_or(DEFAULT_STREAM_DURATION).as_secs_f64();
     let wait = (load - slots).max(0.0) / slots * stream_duration;
     (prompt / engine.read_per_s.max(1.0) + pass * FIRST_PASSES + wait).max(MIN_EXPECTED)
--- a/src/direct/admission/mod.rs
+++ b/src/direct/admission/mod.rs
@@ -2,8 +2,10 @@
 
 mod choice;
 mod engine_load;
+mod evacuated;
 mod learned_choice;
 mod pick;
+mod pick_group;
 mod retry_budget;
 mod return_queue;
 mod stream_stats;
--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -14,6 +14,7 @@
 use crate::direct::attempts::{Connection, FailedAttempt, SendError, is_close_delimited};
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::{BegunStream, Dispatcher, Exchanged};
+use crate::direct::groups::GroupState;
 use crate::direct::{Candidate, Load, Upstream, load_share};
 use crate::entry::Failure;
 use crate::net::header_str;
@@ -35,10 +36,11 @@
         &self,
         request: &CheckedRequest,
         upstream: &Arc<Upstream>,
+        group: &Arc<GroupState>,
         sent: Option<SentRequest>,
         last_event: Option<&Bytes>,
     ) -> Result<Exchanged, FailedAttempt> {
-        let in_flight = upstream.begin_request(&request.state.liveness, sent);
+        let in_flight = upstream.begin_request(group, sent);
         let exchange = self.exchange(request, upstream, last_event);
         let (mut conn, response) = match timeout_at(request.deadline, exchange).await {
             Ok(exchanged) => exchanged?,
@@ -65,8 +67,9 @@
         if request.route.delivery.is_stream() && head.status.is_success() {
             self.check_success(upstream, &head)?;
             upstream.record_success();
-            request.state.outage.record_response();
-            self.record_load_share(request);
+            group.outage.record_response();
+            self.record_progress(request, group);
+            self.record_load_share(request, group);
             return Ok(Exchanged::Begun(BegunStream { head, body, conn, in_flight }));
         }
         let ends_with_connection = is_close_delimited(&head.headers, &body);
@@ -98,7 +101,7 @@
         self.is_reusable(&mut conn, upstream, &head.headers).await.then(|| {
             upstream.put_idle(conn.into_idle(keep_alive_timeout(&head.headers)));
         });
-        let checked = self.check_response(request, upstream, head, body);
+        let checked = self.check_response(request, upstream, group, head, body);
         if let Ok(Exchanged::Complete(response)) = &checked
             && response.status().is_success()
             && request.service.engine.is_none()
@@ -129,6 +132,7 @@
         &self,
         request: &CheckedRequest,
         upstream: &Arc<Upstream>,
+        group: &GroupState,
         head: Parts,
         body: Bytes,
     ) -> Result<Exchanged, FailedAttempt> {
@@ -147,9 +151,11 @@
             let refused = FailedAttempt::new(Failure::not_run(Reason::Overload), detail);
             let is_idle = text.and_then(Load::parse).is_some_and(|load| load.is_idle());
             let is_rank = request.service.engine.is_some_and(|engine| engine.experts.is_some());
-            let retry_after = (is_idle && is_rank)
-                .then(|| request.state.outage.record_refusal(&upstream.listed.id, Instant::now()));
-            return Err(FailedAttempt { retry_after: retry_after.flatten(), ..refused });
+            let refused_idle = is_idle && is_rank;
+            let retry_after = refused_idle
+                .then(|| self.record_idle_refusal(request, group, &upstream.listed.id))
+                .flatten();
+            return Err(FailedAttempt { retry_after, refused_idle, ..refused });
         }
         if implies_not_run(head.status) {
             // The upstream does not confirm that the request did not run, so this status must not
@@ -162,7 +168,11 @@
         }
         if head.status.is_success() {
             self.clear_crashes(request);
-            self.record_load_share(request);
+            if !self.group_directory.is_empty() {
+                group.outage.record_response();
+            }
+            self.record_progress(request, group);
+            self.record_load_share(request, group);
         }
         upstream.record_success();
         Ok(Exchanged::Complete(Response::from_parts(head, body)))
@@ -170,8 +180,8 @@
 
     /// Records this entry's share of the service's load, once a request has run: reports of upstreams
     /// that only refuse tell nothing of what other entries send.
-    fn record_load_share(&self, request: &CheckedRequest) {
-        let (now, liveness) = (Instant::now(), &request.state.liveness);
+    fn record_load_share(&self, request: &CheckedRequest, group: &GroupState) {
+        let (now, liveness) = (Instant::now(), &group.liveness);
         let upstreams = self.roster.service_upstreams(&request.service.name);
         let candidates: SmallVec<[Candidate; 16]> =
             upstreams.iter().map(|upstream| upstream.candidate(liveness, now)).collect();
@@ -277,7 +287,7 @@
     }
 
     /// Builds the HTTP request, unless the upstream has meanwhile started draining or asked for a
-    /// pause.
+    /// pause, or its failure domain is evacuated.
     fn build_request(
         &self,
         request: &CheckedRequest,
@@ -290,6 +300,12 @@
                 "upstream is draining",
             ));
         }
+        if self.evacuations.contains(&upstream.listed.domain) {
+            return Err(FailedAttempt::new(
+                Failure::not_run(Reason::UpstreamDown),
+                "failure domain is evacuated",
+            ));
+        }
         if upstream.paused_until(Instant::now()).is_some() {
             return Err(FailedAttempt::new(
                 Failure::not_run(Reason::UpstreamDown),
--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -51,6 +51,9 @@
     in_flight: Gauge,
     revision: Gauge,
     limited_upstreams: Gauge,
+    evacuated_domains: Gauge,
+    groups: Gauge,
+    cold_upstreams: Gauge,
     slow_upstreams: Family<ServiceLabels, Gauge>,
     learned_capacity: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
 }
@@ -94,6 +97,14 @@
         let limited_upstreams = Gauge::default();
         let help = "Upstreams that name a limit of requests per second";
         registry.register("limited_upstreams", help, limited_upstreams.clone());
+        let evacuated_domains = Gauge::default();
+        let help = "Failure domains that are evacuated";
+        registry.register("evacuated_domains", help, evacuated_domains.clone());
+        let groups = Gauge::default();
+        let help = "Groups that share a service with others, of all services";
+        registry.register("groups", help, groups.clone());
+        let cold_upstreams = Gauge::default();
+        registry.register("cold_upstreams", "Upstreams that are cold", cold_upstreams.clone());
         let slow_upstreams = Family::default();
         let help = "Upstreams that take at least twice the time of the others";
         registry.register("slow_upstreams", help, slow_upstreams.clone());
@@ -109,6 +120,9 @@
             in_flight,
             revision,
             limited_upstreams,
+            evacuated_domains,
+            groups,
+            cold_upstreams,
             slow_upstreams,
             learned_capacity,
         }
@@ -150,6 +164,21 @@
         self.limited_upstreams.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Records how many failure domains are evacuated.
+    pub fn evacuated_domains(&self, number: usize) {
+        self.evacuated_domains.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
+    /// Records how many groups are known.
+    pub fn groups(&self, number: usize) {
+        self.groups.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
+    /// Records how many upstreams are cold.
+    pub fn cold_upstreams(&self, number: usize) {
+        self.cold_upstreams.set(i64::try_from(number).unwrap_or(i64::MAX));
+    }
+
     /// Records how many upstreams of a service are slow.
     pub fn slow_upstreams(&self, service: &str, number: usize) {
         let labels = ServiceLabels { service: service.to_owned() };
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -25,8 +25,39 @@
     Platform { topic: &'a str, up: bool, detail: &'a str, down_ms: u64 },
     /// The platform's store came back from an older copy. The topic is read as a whole.
     StoreRewound { topic: &'a str, era: u64 },
+    /// The operator evacuated a failure domain or restored it, or the store has lost the
+    /// evacuation, which is then kept for a time. The age is that of the answer that told of it.
+    Evacuation {
+        domain: &'a str,
+        change: &'a str,
+        version: u64,
+        age_ms: u64,
+        /// For how long this entry has known of the evacuation.
+        known_ms: u64,
+    },
     /// The list of upstreams changed.
     Upstream { upstream: &'a str, service: &'a str, change: &'a str, cursor: u64 },
+    /// The entry has learned of a group of a service, or that its members changed or that it is
+    /// gone.
+    Group {
+        service: &'a str,
+        group: &'a str,
+        change: &'a str,
+        epoch: u64,
+        term: u64,
+        members: usize,
+    },
+    /// A group of several has stalled, refuses requests although nothing runs there, or runs again.
+    /// `for_ms` is for how long it has been silent or was down.
+    GroupState {
+        service: &'a str,
+        group: &'a str,
+        state: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        for_ms: Option<u64>,
+    },
+    /// The row of a group can't be used; what was known of the group still holds.
+    GroupUnusable { key: &'a str, reason: &'a str },
     /// An upstream crashed while it ran the request with this fingerprint.
     Crashed {
         upstream: &'a str,
@@ -103,6 +134,10 @@
     /// An upstream names a limit, another one, or none any more. The source is the entry that told
     /// of it, or "response".
     Limit { upstream: &'a str, before: Option<f64>, rate: Option<f64>, source: &'a str },
+    /// An upstream is cold for a time: it gets this rate of requests per second from all entries
+    /// together. The source is "listing", or "new" for one that started while its service had
+    /// requests.
+    Cold { upstream: &'a str, for_ms: u64, rate: f64, source: &'a str },
     /// An upstream says in the response to this request that it drains.
     Draining { id: &'a str, upstream: &'a str },
     /// An upstream that refused this request wants no more from this entry for a time.
@@ -118,6 +153,11 @@
         /// Ids of the shared parts of the prompt.
         parts: String,
         upstream: &'a str,
+        /// Group of the upstream, if the service has several, and age of the row that says so.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        group: Option<&'a str>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        group_age_ms: Option<u64>,
         revision: u64,
         settings_age_ms: u64,
         own: u32,
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -12,6 +12,7 @@
 mod dispatcher;
 mod event;
 mod feeds;
+mod groups;
 mod handler;
 mod header_names;
 mod limits;
@@ -33,14 +34,22 @@
     Changes, Cursor, Directory, DirectoryError, Freshness, ListChange, ListedUpstream,
     RoutingChange, RowChange,
 };
+pub use groups::{
+    GroupChange, GroupCondition, GroupDirectory, GroupLoad, GroupRecovery, Membership, Memberships,
+    choose_group,
+};
 pub use header_names::HeaderNames;
-pub use limits::{LimitChange, LimitRow, NamedLimit, RowLimit, UpstreamLimits};
+pub use limits::{
+    ColdChange, ColdSource, LimitChange, LimitRow, NamedLimit, RowLimit, UpstreamLimits,
+};
 pub use node::DirectNode;
 pub use prompt_parts::PromptParts;
 pub use quarantine::{Crash, CrashSet, CrashStatus, Crashes, Quarantine, SharedCrashes, Survivals};
 pub use responses::{BodyMemory, BodyShare, DirectBody};
-pub use routes::{Account, Delivery, Engine, Experts, Limits, Route, Routing, Service, Split};
+pub use routes::{
+    Account, ColdStart, Delivery, Engine, Experts, Limits, Route, Routing, Service, Split,
+};
 pub use upstreams::{
-    GroupOutage, Inactivity, Liveness, Load, Roster, RosterChange, SilenceLimit, Upstream,
-    Upstreams,
+    Evacuation, Evacuations, GroupOutage, Inactivity, Liveness, Load, Roster, RosterChange,
+    SilenceLimit, Upstream, Upstreams,
 };
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -19,14 +19,17 @@
 use super::quarantine::CrashSharing;
 use super::quarantine::Trials;
 use super::{
-    BodyMemory, Crashes, DirectMeter, Directory, Freshness, HeaderNames, RetryLimits, Roster,
+    BodyMemory, Crashes, DirectMeter, Directory, Evacuations, Freshness, GroupDirectory,
+    HeaderNames, RetryLimits, Roster,
 };
 use crate::capacity::CapacitySwitch;
 use crate::cli::Node;
 use crate::direct::attempts::HeaderWatch;
 use crate::direct::feeds::{
-    ListBounds, RoutingFollower, RoutingPublisher, RowFollower, UpstreamFollower,
+    ColdUpdates, EvacuationUpdates, ListBounds, RoutingFollower, RoutingPublisher, RowFollower,
+    UpstreamFollower,
 };
+use crate::direct::groups::GroupFeed;
 use crate::event_log::{EventLog, Level};
 use crate::net::{H1Limits, Shutdown, serve_h1};
 use crate::platform::Table;
@@ -49,6 +52,8 @@
 const TRIAL_QUEUE: usize = 16;
 /// Maximum size of a request head. The limit in the settings is not applied.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Limits of connections to the entry.
+const HTTP_LIMITS: H1Limits = H1Limits { idle_time: IDLE_TIME, head_bytes: MAX_HEAD_BYTES };
 
 /// An entry that sends requests directly to upstreams.
 #[derive(Debug)]
@@ -116,17 +121,22 @@
         let key_age = key_age.map(|age| age.saturating_sub(KEY_AGE_MARGIN));
         let freshness = Arc::new(Freshness::new(key_age));
         let roster = Arc::new(Roster::default());
+        let evacuations = Arc::new(Evacuations::default());
         let meter = Arc::new(DirectMeter::new());
         let (publisher, routing) = RoutingPublisher::new();
         let first_quarantine = Duration::from_secs_f64(file.quarantine_seconds);
         let crashes = Arc::new(Crashes::new(first_quarantine));
         let limits = Arc::new(UpstreamLimits::new(&file.name, file.retries.entries));
+        let group_directory = Arc::new(GroupDirectory::default());
+        let capacity_switch = Arc::new(CapacitySwitch::new(file.learned_capacity));
         let (trials, trial_claims) = mpsc::channel(TRIAL_QUEUE);
         let dispatcher = Arc::new(Dispatcher {
             header_watch: HeaderWatch::new(&header_names),
             header_names,
             domain: file.domain.clone(),
             roster: Arc::clone(&roster),
+            evacuations: Arc::clone(&evacuations),
+            group_directory: Arc::clone(&group_directory),
             freshness: Arc::clone(&freshness),
             retry_limits: retry_limits(&file.retries),
             service_states: std::sync::Mutex::default(),
@@ -137,7 +147,7 @@
                 log: self.log.clone(),
             }),
             body_memory: BodyMemory::default(),
-            capacity_switch: Arc::new(CapacitySwitch::new(file.learned_capacity)),
+            capacity_switch: Arc::clone(&capacity_switch),
             meter: Arc::clone(&meter),
             limits: Arc::clone(&limits),
             log: self.log.clone(),
@@ -145,6 +155,11 @@
         let crash_sharing = CrashSharing { crashes, log: self.log.clone() };
         let publish_crashes = crash_sharing.clone().publish(Arc::clone(&directory));
         let grant_trials = crash_sharing.clone().grant_trials(Arc::clone(&directory), trial_claims);
+        let cold_updates = ColdUpdates {
+            limits: Arc::clone(&limits),
+            meter: Arc::clone(&meter),
+            log: self.log.clone(),
+        };
         let limit_sharing = Arc::new(LimitSharing {
             limits,
             roster: Arc::clone(&roster),
@@ -156,17 +171,28 @@
             directory: Arc::clone(&directory),
             crash_sharing,
             limit_sharing,
+            group_feed: GroupFeed {
+                directory: group_directory,
+                capacity_switch,
+                meter: Arc::clone(&meter),
+                log: self.log.clone(),
+            },
             log: self.log.clone(),
         };
+        let evacuation_updates =
+            EvacuationUpdates { evacuations, meter: Arc::clone(&meter), log: self.log.clone() };
         let routing_follower = RoutingFollower {
             directory: Arc::clone(&directory),
             publisher,
+            evacuation_updates,
+            cold_updates: cold_updates.clone(),
             freshness: Arc::clone(&freshness),
+            evacuation_time: file.evacuate_ms.map(|ms| Duration::from_secs_f64(ms / 1e3)),
             meter: Arc::clone(&meter),
             log: self.log.clone(),
         };
         let upstream_follower =
-            UpstreamFollower::new(directory, Arc::clone(&roster), file.into(), self.log.clone());
+            UpstreamFollower::new(directory, Arc::clone(&roster), cold_updates, file.into());
         let stop = &self.background_stop;
         tokio::spawn(stop.clone().run_until_cancelled_owned(routing_follower.run()));
         tokio::spawn(stop.clone().run_until_cancelled_owned(upstream_follower.run()));
@@ -189,28 +215,32 @@
             tasks: self.tasks.clone(),
             leaving: Arc::clone(&self.leaving),
         };
-        let limits = H1Limits { idle_time: IDLE_TIME, head_bytes: MAX_HEAD_BYTES };
+        self.serve(listeners, handler, ready, meter);
+    }
+
+    /// Serves callers, the readiness check and, if they are exported, the metrics.
+    fn serve(
+        &self,
+        listeners: Listeners,
+        handler: DirectHandler,
+        ready: ReadinessHandler,
+        meter: Arc<DirectMeter>,
+    ) {
         let Listeners { listener, readiness, metrics } = listeners;
-        let (caller_shutdown, monitoring_shutdown) =
-            (self.caller_shutdown.clone(), self.monitoring_shutdown.clone());
         tokio::spawn(serve_h1(
             listener,
             Arc::new(handler),
-            limits,
-            caller_shutdown,
+            HTTP_LIMITS,
+            self.caller_shutdown.clone(),
             self.tasks.clone(),
         ));
-        let monitoring_tasks = TaskTracker::new();
-        tokio::spawn(serve_h1(
-            readiness,
-            Arc::new(ready),
-            limits,
-            monitoring_shutdown.clone(),
-            monitoring_tasks.clone(),
-        ));
-        if let Some(metrics) = metrics {
+        let shutdown = &self.monitoring_shutdown;
+        let tasks = TaskTracker::new();
+        let ready = Arc::new(ready);
+        tokio::spawn(serve_h1(readiness, ready, HTTP_LIMITS, shutdown.clone(), tasks.clone()));
+        if let Some(listener) = metrics {
             let handler = Arc::new(MetricsHandler { meter });
-            tokio::spawn(serve_h1(metrics, handler, limits, monitoring_shutdown, monitoring_tasks));
+            tokio::spawn(serve_h1(listener, handler, HTTP_LIMITS, shutdown.clone(), tasks));
         }
     }
 
