--- a/src/admission/priority_admission.rs
+++ b/src/admission/priority_admission.rs
@@ -104,6 +104,7 @@
     /// #     gap: None,
     /// #     stream_duration: None,
     /// #     own_requests: 10,
+    /// #     learned_capacity: None,
     /// #     inactive_for: None,
     /// # };
     /// let admission = PriorityAdmission::default();
--- a/src/direct/admission/mod.rs
+++ b/src/direct/admission/mod.rs
@@ -3,6 +3,7 @@
 mod choice;
 mod engine_load;
 mod evacuated;
+mod learned_choice;
 mod pick;
 mod pick_group;
 mod retry_budget;
--- a/src/direct/admission/pick.rs
+++ b/src/direct/admission/pick.rs
@@ -3,6 +3,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use crate::capacity::SentRequest;
 use crate::direct::attempts::AttemptHistory;
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::Dispatcher;
@@ -22,6 +23,8 @@
     pub(in crate::direct) group: Arc<GroupState>,
     /// When the row that lists the group was read; `None` for the group without a row.
     pub(in crate::direct) row_time: Option<Instant>,
+    /// What is known of the request there, if speed and capacity are learned.
+    pub(in crate::direct) sent: Option<SentRequest>,
 }
 
 impl Dispatcher {
@@ -41,9 +44,15 @@
         let groups = self.divide(request, &eligible, now);
         let group = self.pick_group(request, history, &groups, now)?;
         let EligibleGroup { upstreams, candidates, loads, .. } = group;
+        let learned = request.is_learned.then(|| self.rate(request, group, now));
+        if let Some(learned) = learned.as_ref().filter(|_| history.attempts == 0) {
+            self.admit_plain(request, learned, loads, now)?;
+        }
         let is_local = |at: usize| upstreams[at].listed.domain == self.domain;
+        let expected = learned.as_ref().map(|learned| learned.expected_loads(candidates, loads));
+        let expected = expected.as_ref().unwrap_or(loads);
         let chosen =
-            choose(candidates, loads, is_local, |_| rand::random_range(0.0..TIE_BREAK_SPREAD));
+            choose(candidates, expected, is_local, |_| rand::random_range(0.0..TIE_BREAK_SPREAD));
         let chosen = chosen.ok_or(history.refusal(Reason::NoUpstream))?;
         self.limits.record_send(&upstreams[chosen].listed, now);
         Ok(Chosen {
@@ -51,6 +60,7 @@
             candidate: candidates[chosen],
             group: Arc::clone(&group.state),
             row_time: group.row_time,
+            sent: learned.map(|learned| learned.sent_request(request, group, chosen)),
         })
     }
 
@@ -103,6 +113,10 @@
             gap: stream_stats.mean_gap(now),
             stream_duration: stream_stats.mean_duration(),
             own_requests: group.own_requests(),
+            learned_capacity: request
+                .is_learned
+                .then(|| group.state.capacity.capacity(now))
+                .flatten(),
             inactive_for: group.state.liveness.inactive_for(now),
         })
     }
--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
+use crate::capacity::SentRequest;
 use crate::direct::attempts::{Connection, FailedAttempt, SendError, is_close_delimited};
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::{BegunStream, Dispatcher, Exchanged};
@@ -36,9 +37,10 @@
         request: &CheckedRequest,
         upstream: &Arc<Upstream>,
         group: &Arc<GroupState>,
+        sent: Option<SentRequest>,
         last_event: Option<&Bytes>,
     ) -> Result<Exchanged, FailedAttempt> {
-        let in_flight = upstream.begin_request(group);
+        let in_flight = upstream.begin_request(group, sent);
         let exchange = self.exchange(request, upstream, last_event);
         let (mut conn, response) = match timeout_at(request.deadline, exchange).await {
             Ok(exchanged) => exchanged?,
@@ -89,6 +91,8 @@
                 return Err(FailedAttempt::silent("response body incomplete at the deadline"));
             }
         };
+        let received = Instant::now();
+        in_flight.record_answered();
         let may_be_cut = ends_with_connection && head.status.is_success();
         if may_be_cut && !self.crash_recorder.outlives(upstream).await {
             upstream.record_loss();
@@ -97,7 +101,14 @@
         self.is_reusable(&mut conn, upstream, &head.headers).await.then(|| {
             upstream.put_idle(conn.into_idle(keep_alive_timeout(&head.headers)));
         });
-        self.check_response(request, upstream, group, head, body)
+        let checked = self.check_response(request, upstream, group, head, body);
+        if let Ok(Exchanged::Complete(response)) = &checked
+            && response.status().is_success()
+            && request.service.engine.is_none()
+        {
+            in_flight.record_first_event(received);
+        }
+        checked
     }
 
     /// Reads a whole body, as far as there is memory for it.
--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -1,4 +1,5 @@
 use std::fmt;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -42,6 +43,13 @@
     decision: &'static str,
 }
 
+/// Label of the gauges of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
 /// Metrics of an entry, exported in the OpenMetrics text format.
 pub struct DirectMeter {
     registry: Registry,
@@ -56,6 +64,8 @@
     evacuated_domains: Gauge,
     groups: Gauge,
     cold_upstreams: Gauge,
+    slow_upstreams: Family<ServiceLabels, Gauge>,
+    learned_capacity: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
 }
 
 impl fmt::Debug for DirectMeter {
@@ -108,6 +118,12 @@
         registry.register("groups", help, groups.clone());
         let cold_upstreams = Gauge::default();
         registry.register("cold_upstreams", "Upstreams that are cold", cold_upstreams.clone());
+        let slow_upstreams = Family::default();
+        let help = "Upstreams that take at least twice the time of the others";
+        registry.register("slow_upstreams", help, slow_upstreams.clone());
+        let learned_capacity = Family::default();
+        let help = "Requests that an engine serves on time, as learned";
+        registry.register("learned_capacity", help, learned_capacity.clone());
         Self {
             registry,
             ended,
@@ -121,6 +137,8 @@
             evacuated_domains,
             groups,
             cold_upstreams,
+            slow_upstreams,
+            learned_capacity,
         }
     }
 
@@ -189,6 +207,19 @@
         self.cold_upstreams.set(i64::try_from(number).unwrap_or(i64::MAX));
     }
 
+    /// Records how many upstreams of a service are slow.
+    pub fn slow_upstreams(&self, service: &str, number: usize) {
+        let labels = ServiceLabels { service: service.to_owned() };
+        let number = i64::try_from(number).unwrap_or(i64::MAX);
+        self.slow_upstreams.get_or_create(&labels).set(number);
+    }
+
+    /// Records the learned capacity of the engines of a service.
+    pub fn learned_capacity(&self, service: &str, requests: f64) {
+        let labels = ServiceLabels { service: service.to_owned() };
+        self.learned_capacity.get_or_create(&labels).set(requests);
+    }
+
     /// Encodes all metrics as text.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -17,6 +17,7 @@
     BodyMemory, Delivery, DirectMeter, Evacuations, Freshness, GroupDirectory, HeaderNames,
     Liveness, RetryLimits, Roster, Upstream,
 };
+use crate::capacity::CapacitySwitch;
 use crate::direct::admission::Chosen;
 use crate::direct::attempts::{
     AttemptHistory, Connection, FailedAttempt, HeaderWatch, OpenAttempt,
@@ -48,6 +49,8 @@
     pub(super) crash_recorder: Arc<CrashRecorder>,
     pub(super) limits: Arc<UpstreamLimits>,
     pub(super) body_memory: BodyMemory,
+    /// Whether the speed and the capacity of upstreams are learned.
+    pub(super) capacity_switch: Arc<CapacitySwitch>,
     pub(super) meter: Arc<DirectMeter>,
     pub(super) log: EventLog,
 }
@@ -110,7 +113,7 @@
         let mut fallback = None;
         loop {
             let chosen = self.choose_upstream(request, history).await;
-            let Chosen { upstream, candidate, group, row_time } = match chosen {
+            let Chosen { upstream, candidate, group, row_time, sent } = match chosen {
                 Ok(chosen) => chosen,
                 Err(refusal) => {
                     return fallback
@@ -121,11 +124,20 @@
             let attempt = OpenAttempt::start(&self.log, &request.id, history.attempts, &upstream);
             let started = attempt.started();
             let row_age = row_time.map(|read_at| started.saturating_duration_since(read_at));
-            self.log_sent(request, history, &upstream, &candidate, (&group.name, row_age));
+            self.log_sent(
+                request,
+                history,
+                &upstream,
+                (&candidate, sent.as_ref()),
+                (&group.name, row_age),
+            );
             let (result, is_charged) = tokio::select! {
-                result = self.send(request, &upstream, &group, last_event) => (result, false),
+                result = self.send(request, &upstream, &group, sent, last_event) => (result, false),
                 stuck = self.wait_until_stuck(request, history, &upstream, &group.liveness) => (Err(stuck), true),
             };
+            if let Some(sent) = sent.filter(|_| is_error(&result)) {
+                upstream.record_error(&sent, Instant::now());
+            }
             let failed = match result {
                 Ok(Exchanged::Begun(begun)) => {
                     let stream = Stream { begun, upstream, attempt };
@@ -249,3 +261,12 @@
         self.may_retry(request, history, Failure::unknown(Reason::UpstreamLost))
     }
 }
+
+/// Returns whether an attempt failed, or got an error of the upstream.
+fn is_error(result: &Result<Exchanged, FailedAttempt>) -> bool {
+    match result {
+        Ok(Exchanged::Complete(response)) => response.status().is_server_error(),
+        Ok(Exchanged::Begun(_)) => false,
+        Err(_) => true,
+    }
+}
--- a/src/direct/groups/group_directory.rs
+++ b/src/direct/groups/group_directory.rs
@@ -57,6 +57,35 @@
         self.len() == 0
     }
 
+    /// Returns whether some service has several groups.
+    ///
+    /// ```
+    /// # use ebonyusher::direct::{GroupDirectory, RowChange};
+    /// # use ebonyusher::membership::{GroupName, GroupRow};
+    /// # use ebonyusher::platform::Row;
+    /// # use tokio::time::Instant;
+    /// let directory = GroupDirectory::default();
+    /// let learn = |service: &str, group: &str| {
+    ///     let (key, members) = (format!("group/{service}/{group}"), vec![]);
+    ///     let (service, group) = (service.to_owned(), GroupName::from(group));
+    ///     let row = GroupRow { service, group, epoch: 1, term: 1, members };
+    ///     let value = serde_json::to_value(&row).expect("JSON");
+    ///     directory.apply(&RowChange::Written(Row { key, version: 1, value }), Instant::now());
+    /// };
+    /// learn("chat", "g-1");
+    /// learn("code", "g-1");
+    /// assert!(!directory.has_several());
+    /// learn("chat", "g-2");
+    /// assert!(directory.has_several());
+    /// directory.retain(&[]);
+    /// assert!(!directory.has_several());
+    /// ```
+    pub fn has_several(&self) -> bool {
+        let state = self.lock();
+        let mut services = HashSet::new();
+        state.rows.values().any(|known| !services.insert(known.row.service.as_str()))
+    }
+
     /// Applies a change of the platform's table. Returns what it told, if it is about a group.
     ///
     /// ```
--- a/src/direct/groups/group_feed.rs
+++ b/src/direct/groups/group_feed.rs
@@ -3,6 +3,7 @@
 use tokio::time::Instant;
 
 use super::{GroupChange, GroupDirectory};
+use crate::capacity::CapacitySwitch;
 use crate::direct::event::Event;
 use crate::direct::{DirectMeter, RowChange};
 use crate::event_log::{EventLog, Level};
@@ -11,6 +12,8 @@
 #[derive(Debug)]
 pub(in crate::direct) struct GroupFeed {
     pub(in crate::direct) directory: Arc<GroupDirectory>,
+    /// Told whether a service has several groups.
+    pub(in crate::direct) capacity_switch: Arc<CapacitySwitch>,
     pub(in crate::direct) meter: Arc<DirectMeter>,
     pub(in crate::direct) log: EventLog,
 }
@@ -47,6 +50,7 @@
             };
             self.log.write(Level::Info, &event);
             self.meter.groups(self.directory.len());
+            self.capacity_switch.set_groups(self.directory.has_several());
         }
     }
 }
--- a/src/direct/groups/group_state.rs
+++ b/src/direct/groups/group_state.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
 use super::{GroupCondition, GroupRecovery};
+use crate::capacity::ServiceCapacity;
 use crate::direct::{GroupOutage, Liveness, ReturnQueue, StreamStats};
 use crate::membership::GroupName;
 
@@ -13,6 +14,7 @@
     pub(in crate::direct) return_queue: ReturnQueue,
     pub(in crate::direct) outage: GroupOutage,
     pub(in crate::direct) recovery: GroupRecovery,
+    pub(in crate::direct) capacity: ServiceCapacity,
 }
 
 impl GroupState {
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -22,6 +22,7 @@
     BodyMemory, Crashes, DirectMeter, Directory, Evacuations, Freshness, GroupDirectory,
     HeaderNames, RetryLimits, Roster,
 };
+use crate::capacity::CapacitySwitch;
 use crate::cli::Node;
 use crate::direct::attempts::HeaderWatch;
 use crate::direct::feeds::{
@@ -127,6 +128,7 @@
         let crashes = Arc::new(Crashes::new(first_quarantine));
         let limits = Arc::new(UpstreamLimits::new(&file.name, file.retries.entries));
         let group_directory = Arc::new(GroupDirectory::default());
+        let capacity_switch = Arc::new(CapacitySwitch::new(file.learned_capacity));
         let (trials, trial_claims) = mpsc::channel(TRIAL_QUEUE);
         let dispatcher = Arc::new(Dispatcher {
             header_watch: HeaderWatch::new(&header_names),
@@ -145,6 +147,7 @@
                 log: self.log.clone(),
             }),
             body_memory: BodyMemory::default(),
+            capacity_switch: Arc::clone(&capacity_switch),
             meter: Arc::clone(&meter),
             limits: Arc::clone(&limits),
             log: self.log.clone(),
@@ -170,6 +173,7 @@
             limit_sharing,
             group_feed: GroupFeed {
                 directory: group_directory,
+                capacity_switch,
                 meter: Arc::clone(&meter),
                 log: self.log.clone(),
             },
@@ -187,9 +191,8 @@
             meter: Arc::clone(&meter),
             log: self.log.clone(),
         };
-        let bounds = ListBounds::from(file);
         let upstream_follower =
-            UpstreamFollower::new(directory, Arc::clone(&roster), cold_updates, bounds);
+            UpstreamFollower::new(directory, Arc::clone(&roster), cold_updates, file.into());
         let stop = &self.background_stop;
         tokio::spawn(stop.clone().run_until_cancelled_owned(routing_follower.run()));
         tokio::spawn(stop.clone().run_until_cancelled_owned(upstream_follower.run()));
--- a/src/direct/service_state.rs
+++ b/src/direct/service_state.rs
@@ -1,6 +1,8 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use tokio::time::Instant;
+
 use super::groups::GroupState;
 use super::{Membership, Memberships, RetryBudget, RetryLimits};
 use crate::admission::PriorityAdmission;
@@ -50,6 +52,13 @@
         state
     }
 
+    /// Returns the least learned capacity of an engine in any group, `None` without recent samples.
+    pub(super) fn least_capacity(&self, now: Instant) -> Option<f64> {
+        let groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
+        let states = groups.by_name.values().chain([&self.unlisted]);
+        states.filter_map(|state| state.capacity.capacity(now)).min_by(f64::total_cmp)
+    }
+
     /// Drops the states of groups that have no members any more.
     pub(super) fn drop_gone(&self, service: &str, memberships: &Arc<Memberships>) {
         let mut groups = self.groups.lock().unwrap_or_else(PoisonError::into_inner);
--- a/src/direct/upstreams/upstream.rs
+++ b/src/direct/upstreams/upstream.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::capacity::{DecayingSum, FirstEvent, SentRequest, SlowStart, SpeedEstimator};
 use crate::direct::attempts::Connection;
 use crate::direct::groups::GroupState;
 use crate::direct::quarantine::UpstreamSuspects;
@@ -23,7 +24,9 @@
 const MAX_IDLE_CONNECTIONS: usize = 4;
 /// Idle time after which a connection is not reused, shorter than the usual timeout of upstreams.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
-
+/// Time without activity of any engine during a request from which its response time says nothing
+/// of its own engine.
+const MAX_INACTIVE_TIME: Duration = Duration::from_millis(250);
 /// Longest pause that is kept, longer than any incarnation lives.
 const MAX_PAUSE: Duration = Duration::from_secs(365 * 24 * 3_600);
 
@@ -57,6 +60,27 @@
     /// When the upstream last sent anything.
     last_activity: Option<Instant>,
     idle: Vec<Connection>,
+    /// Work in flight, in usual requests.
+    work: f64,
+    /// Work of requests that failed.
+    failed_work: DecayingSum,
+    speed: SpeedEstimator,
+    /// When the upstream was last avoided or paused.
+    avoided: Option<Instant>,
+    /// Whether the upstream is called slow in the log.
+    is_slow: bool,
+}
+
+/// What an entry has measured of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::direct) struct Measured {
+    /// Work in flight and of requests that failed lately, in usual requests.
+    pub(in crate::direct) work: f64,
+    pub(in crate::direct) is_busy: bool,
+    pub(in crate::direct) speed: SpeedEstimator,
+    pub(in crate::direct) slow_start: SlowStart,
+    /// Number of requests that can run at a time, if the upstream has reported it.
+    pub(in crate::direct) slots: Option<u32>,
 }
 
 /// A request counted as in flight at an upstream until dropped.
@@ -69,9 +93,37 @@
     sent: Duration,
     /// Whether the upstream has responded to the request.
     responded: AtomicBool,
+    /// When the request was sent.
+    started: Instant,
+    /// What was known of the request, if speed and capacity are learned.
+    measured: Option<SentRequest>,
+    /// Whether a complete response or an event has arrived.
+    is_answered: AtomicBool,
 }
 
 impl InFlight {
+    /// Records a complete response, or the first event of a stream. Returns the time to it, unless
+    /// nothing is learned or all engines were stalled meanwhile.
+    pub(in crate::direct) fn record_first_event(&self, now: Instant) -> Option<FirstEvent> {
+        let first = self.first_event(now)?;
+        self.upstream.lock().speed.record(first.relative_time(), now);
+        Some(first)
+    }
+
+    /// Records that a complete response or an event has arrived.
+    pub(in crate::direct) fn record_answered(&self) {
+        self.is_answered.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the first event if it has arrived now, unless nothing follows from it.
+    fn first_event(&self, now: Instant) -> Option<FirstEvent> {
+        let sent = self.measured?;
+        let time = now.saturating_duration_since(self.started);
+        let active_time = self.group.liveness.active_time().saturating_sub(self.sent);
+        let is_stalled = sent.is_engine && time.saturating_sub(active_time) > MAX_INACTIVE_TIME;
+        (!is_stalled).then_some(FirstEvent { sent, time })
+    }
+
     /// Records activity of the upstream.
     pub(in crate::direct) fn record_activity(&self) {
         let now = Instant::now();
@@ -95,12 +147,23 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        let is_answered = self.is_answered.load(Ordering::Relaxed);
+        let now = Instant::now();
+        let unanswered = self.first_event(now).filter(|_| !is_answered);
         let mut state = self.upstream.lock();
+        if let Some(unanswered) = unanswered {
+            state.speed.record_unanswered(unanswered.relative_time(), now);
+        }
         state.in_flight = state.in_flight.saturating_sub(1);
+        state.work -= work_of(self.measured);
+        if state.in_flight == 0 {
+            // Drops what rounding has left.
+            state.work = 0.0;
+        }
         let liveness = &self.group.liveness;
         if state.in_flight == 0 && state.is_measured_in(liveness) {
             let limit = liveness.silence_limit();
-            state.inactivity.record_idle(liveness.active_time(), limit, Instant::now());
+            state.inactivity.record_idle(liveness.active_time(), limit, now);
         }
     }
 }
@@ -163,11 +226,16 @@
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
-    pub(in crate::direct) fn begin_request(self: &Arc<Self>, group: &Arc<GroupState>) -> InFlight {
+    pub(in crate::direct) fn begin_request(
+        self: &Arc<Self>,
+        group: &Arc<GroupState>,
+        measured: Option<SentRequest>,
+    ) -> InFlight {
         let liveness = &group.liveness;
         let sent = liveness.active_time();
         let mut state = self.lock();
         state.in_flight += 1;
+        state.work += work_of(measured);
         if !state.is_measured_in(liveness) {
             // The active times of two groups can't be compared.
             state.inactivity = Inactivity::default();
@@ -179,6 +247,9 @@
             group: Arc::clone(group),
             sent,
             responded: AtomicBool::new(false),
+            started: Instant::now(),
+            measured,
+            is_answered: AtomicBool::new(false),
         }
     }
 
@@ -265,20 +336,55 @@
 
     /// Returns the state on which the choice of an upstream is based.
     pub fn candidate(&self, liveness: &Liveness, now: Instant) -> Candidate {
-        let state = self.lock();
+        let mut state = self.lock();
         let inactive_until = state.is_measured_in(liveness).then(|| {
             state.inactivity.avoid_until(liveness.active_time(), liveness.silence_limit(), now)
         });
+        let avoid_until =
+            state.avoid_until.filter(|until| *until > now).max(inactive_until.flatten());
+        if avoid_until.is_some() {
+            state.avoided = Some(now);
+        }
         Candidate {
             own: state.in_flight,
             others: state.load.map(|report| report.others(now)),
-            avoid_until: state
-                .avoid_until
-                .filter(|until| *until > now)
-                .max(inactive_until.flatten()),
+            avoid_until,
         }
     }
 
+    /// Returns what was measured of the upstream.
+    pub(in crate::direct) fn measured(&self, now: Instant) -> Measured {
+        let state = self.lock();
+        let mut slow_start = SlowStart::new(self.known_since);
+        let returned = [state.avoided, state.avoid_until, state.paused_until];
+        for at in returned.into_iter().flatten() {
+            slow_start.restart(at.min(now));
+        }
+        Measured {
+            work: state.work.max(0.0) + state.failed_work.get(now),
+            is_busy: state.in_flight > 0,
+            speed: state.speed,
+            slow_start,
+            slots: state.load.map(|report| report.load.slots),
+        }
+    }
+
+    /// Records that a request failed, whose work still counts for some time.
+    pub(in crate::direct) fn record_error(&self, sent: &SentRequest, now: Instant) {
+        self.lock().failed_work.add(sent.work, now);
+    }
+
+    /// Records whether the upstream is slow. Returns whether that is a change.
+    pub(in crate::direct) fn set_slow(&self, is_slow: bool) -> bool {
+        let mut state = self.lock();
+        std::mem::replace(&mut state.is_slow, is_slow) != is_slow
+    }
+
+    /// Returns whether the upstream is called slow in the log.
+    pub(in crate::direct) fn is_slow(&self) -> bool {
+        self.lock().is_slow
+    }
+
     /// Takes an idle connection that can be reused.
     pub(in crate::direct) fn take_idle(&self) -> Option<Connection> {
         let mut state = self.lock();
@@ -296,6 +402,11 @@
     }
 }
 
+/// Returns the work that a request counts for.
+fn work_of(measured: Option<SentRequest>) -> f64 {
+    measured.map_or(1.0, |sent| sent.work)
+}
+
 impl State {
     /// Returns whether the inactivity is measured in the active time of this liveness.
     fn is_measured_in(&self, liveness: &Liveness) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admin;
 pub mod admission;
+pub mod capacity;
 pub mod cli;
 pub mod ctl;
 pub mod direct;
--- a/tests/it/engine_play.rs
+++ b/tests/it/engine_play.rs
@@ -304,6 +304,7 @@
         gap: None,
         stream_duration: Some(STREAM),
         own_requests: 0,
+        learned_capacity: None,
         inactive_for: None,
     }
 }
