--- a/src/admission/account_shares.rs
+++ b/src/admission/account_shares.rs
@@ -4,21 +4,22 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::{Decayed, MAX_PRIORITY, Offer};
+use super::{MAX_PRIORITY, Offer};
+use crate::capacity::DecayingSum;
 
 /// Maximum number of records of a service; further accounts share one record.
 const MAX_RECORDS: usize = 256;
-/// Time over which the work of accounts is compared.
+/// Time constant of the work by which accounts are compared.
 const COMPARE_TIME: Duration = Duration::from_secs(3);
 /// Amount below which a record is dropped when room for another is needed.
 const MIN_WORK: f64 = 0.05;
-/// Interval at which the fair level is computed; it costs a pass over all records.
+/// Minimum interval between passes over all records, for the fair level or to drop idle records.
 const LEVEL_INTERVAL: Duration = Duration::from_millis(100);
 /// Multiple of the fair level up to which an account counts as within it.
 const LEVEL_MARGIN: f64 = 1.0;
 /// Multiple of the fair level that an account must exceed where all requests have one priority.
 const SINGLE_MARGIN: f64 = 2.0;
-/// Part of the admitted work that it must reach as well.
+/// Part of all admitted work that such an account must have as well.
 const SINGLE_PART: f64 = 0.25;
 /// Admitted work below which accounts are not compared, since chance decides.
 const MIN_TOTAL: f64 = 10.0;
@@ -32,12 +33,14 @@
     levels: [Option<Level>; MAX_PRIORITY as usize + 1],
 }
 
+/// Work that an account has requested, and the admitted part of it.
 #[derive(Clone, Copy, Debug)]
 struct Usage {
-    asked: Decayed,
-    admitted: Decayed,
+    asked: DecayingSum,
+    admitted: DecayingSum,
 }
 
+/// Fair level of a priority, and when it was computed.
 #[derive(Clone, Copy, Debug)]
 struct Level {
     at: Instant,
@@ -119,11 +122,10 @@
 
     fn level(&mut self, priority: u8, now: Instant) -> Level {
         let at = usize::from(priority);
-        let is_recent = |level: &Level| now.saturating_duration_since(level.at) < LEVEL_INTERVAL;
-        if let Some(level) = self.levels[at].filter(is_recent) {
+        if let Some(level) = self.levels[at].filter(|level| level.is_recent(now)) {
             return level;
         }
-        let usages = self.usages.iter().filter(|((_, usage_of), _)| *usage_of == priority);
+        let usages = self.usages.iter().filter(|((_, recorded), _)| *recorded == priority);
         let usages = usages.map(|(_, usage)| usage).chain([&self.rest[at]]);
         let mut total = 0.0;
         let mut asked: SmallVec<[f64; 32]> = SmallVec::new();
@@ -141,11 +143,10 @@
         self.usages.get_mut(&(account, priority)).unwrap_or(rest)
     }
 
-    /// Drops the records of accounts without recent requests. Does so at most once per interval, as
-    /// it costs a pass over all records.
+    /// Drops the records of accounts without recent requests, at most once per interval.
     fn drop_idle(&mut self, priority: u8, now: Instant) {
         let level = self.levels[usize::from(priority)];
-        if level.is_some_and(|level| now.saturating_duration_since(level.at) < LEVEL_INTERVAL) {
+        if level.is_some_and(|level| level.is_recent(now)) {
             return;
         }
         self.usages.retain(|_, usage| usage.asked.get(now) >= MIN_WORK);
@@ -154,9 +155,15 @@
     }
 }
 
+impl Level {
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < LEVEL_INTERVAL
+    }
+}
+
 impl Usage {
     const fn new() -> Self {
-        Self { asked: Decayed::new(COMPARE_TIME), admitted: Decayed::new(COMPARE_TIME) }
+        Self { asked: DecayingSum::new(COMPARE_TIME), admitted: DecayingSum::new(COMPARE_TIME) }
     }
 }
 
--- a/src/admission/decision.rs
+++ b/src/admission/decision.rs
@@ -2,12 +2,12 @@
 
 use crate::direct::Admission;
 
-/// Decision on a request, with what it was based on.
+/// Decision whether to admit a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Decision {
     /// Whether the request is admitted.
     pub is_admitted: bool,
-    /// Expected time until the request would be admitted; zero if it is admitted.
+    /// Time after which the caller may retry; zero if the request is admitted.
     pub wait: Duration,
     /// Inputs of the decision, for the log.
     pub basis: Basis,
--- a/src/admission/load_estimate.rs
+++ b/src/admission/load_estimate.rs
@@ -2,8 +2,8 @@
 
 use crate::direct::{Candidate, EngineLoad};
 
-/// Load of an engine, as a multiple of its slots, above which more requests there don't count. A
-/// few overloaded engines must not hide the free slots of the others.
+/// Upper bound of the counted load of an engine, as a multiple of its slots. Without it, a few
+/// overloaded engines would hide the free slots of the others in the mean.
 const MAX_COUNTED_LOAD: f64 = 1.5;
 /// Time in which a report loses half its weight, in seconds.
 const REPORT_HALF_LIFE_S: f64 = 1.0;
@@ -38,26 +38,23 @@
         loads: &[f64],
         service_engines: usize,
     ) -> Self {
-        let max_load = f64::from(engine_load.engine.slots) * MAX_COUNTED_LOAD;
+        let max_load = max_counted_load(&engine_load);
         let level = loads.iter().map(|load| load.min(max_load)).sum::<f64>();
-        let ages = || candidates.iter().filter_map(|candidate| candidate.others).map(|it| it.age);
-        let weigh = |age: Duration| 0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE_S);
-        let weight: f64 = ages().map(weigh).sum();
-        let sum: f64 = ages().map(|age| weigh(age) * age.as_secs_f64()).sum();
-        let reports = || candidates.iter().filter_map(|candidate| candidate.others);
-        let others: f64 = reports().map(|report| weigh(report.age) * report.requests).sum();
-        let others = if weight > 0.0 { others / weight } else { 0.0 };
         let count = loads.len().max(1) as f64;
-        let decay = 1.0 - ages().map(weigh).fold(0.0, f64::max);
-        let report_age = (weight > 0.0).then(|| Duration::from_secs_f64(sum / weight));
+        let reports = || candidates.iter().filter_map(|candidate| candidate.others);
+        let weight: f64 = reports().map(|report| weight_at(report.age)).sum();
+        let weigh = |value: f64| if weight > 0.0 { value / weight } else { 0.0 };
+        let age: f64 = reports().map(|it| weight_at(it.age) * it.age.as_secs_f64()).sum();
+        let others: f64 = reports().map(|it| weight_at(it.age) * it.requests).sum();
+        let decay = 1.0 - reports().map(|report| weight_at(report.age)).fold(0.0, f64::max);
         Self {
             engine_load,
             level: level / count,
-            hidden: decay * others * (1.0 - weight / count).max(0.0),
+            hidden: decay * weigh(others) * (1.0 - weight / count).max(0.0),
             engines: loads.len(),
             service_engines,
-            report_age,
-            newest_report: ages().min(),
+            report_age: (weight > 0.0).then(|| Duration::from_secs_f64(weigh(age))),
+            newest_report: reports().map(|report| report.age).min(),
         }
     }
 
@@ -66,15 +63,24 @@
     ///
     /// Without fresh reports, the load follows from the own requests and the share alone.
     pub fn projected_level(&self, growth: f64, share: Option<f64>) -> f64 {
-        let max_load = f64::from(self.engine_load.engine.slots) * MAX_COUNTED_LOAD;
+        let max_load = max_counted_load(&self.engine_load);
         let (Some(share), Some(newest)) = (share, self.newest_report) else {
             return (self.level * growth).min(max_load);
         };
         let reported = ((self.level + self.hidden) * growth).min(max_load);
         let own = f64::from(self.engine_load.own_requests);
         let implied = (own / share / self.engines.max(1) as f64).min(max_load);
-        let stale_for = newest.saturating_sub(FRESH_FOR).as_secs_f64();
-        let report_weight = 0.5_f64.powf(stale_for / REPORT_HALF_LIFE_S);
+        let report_weight = weight_at(newest.saturating_sub(FRESH_FOR));
         report_weight * reported + (1.0 - report_weight) * implied
     }
 }
+
+/// Returns the load up to which the requests at an engine count.
+fn max_counted_load(engine_load: &EngineLoad) -> f64 {
+    f64::from(engine_load.engine.slots) * MAX_COUNTED_LOAD
+}
+
+/// Returns the weight of a report of this age.
+fn weight_at(age: Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / REPORT_HALF_LIFE_S)
+}
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -3,7 +3,6 @@
 //! Nothing here uses the network or tasks; the clock is an argument.
 
 mod account_shares;
-mod decayed;
 mod decision;
 mod load_estimate;
 mod offer;
@@ -11,9 +10,9 @@
 mod priorities;
 mod priority_admission;
 mod return_schedule;
+mod smoothed_share;
 
 pub use account_shares::AccountShares;
-pub use decayed::Decayed;
 pub use decision::{Basis, Decision};
 pub use load_estimate::LoadEstimate;
 pub use offer::Offer;
@@ -21,3 +20,4 @@
 pub use priorities::{MAX_PRIORITY, Priorities};
 pub use priority_admission::PriorityAdmission;
 pub use return_schedule::ReturnSchedule;
+pub use smoothed_share::SmoothedShare;
--- a/src/admission/own_trend.rs
+++ b/src/admission/own_trend.rs
@@ -1,10 +1,10 @@
 use tokio::time::Instant;
 
-/// Time over which the own requests are averaged, which is about the age of the reports.
+/// Time constant of the average of the own requests, in seconds; about the age of the reports.
 const AVERAGE_TIME_S: f64 = 1.0;
 /// Number of own requests at which half of their growth counts. The growth of few is mostly chance.
 const HALF_WEIGHT: f64 = 60.0;
-/// Bounds of the growth; a larger one is that of an entry that has just started.
+/// Bound of the relative growth or decline. A greater growth is that of an entry that has just started.
 const MAX_GROWTH: f64 = 0.12;
 
 /// Recent growth of this entry's requests in flight, by which the reported load is projected.
--- a/src/admission/priorities.rs
+++ b/src/admission/priorities.rs
@@ -2,10 +2,11 @@
 
 use tokio::time::Instant;
 
-use super::{Decayed, Offer};
+use super::Offer;
+use crate::capacity::DecayingSum;
 use crate::direct::LatencyTargets;
 
-/// Least urgent priority that is told apart from more urgent ones.
+/// Least urgent priority. A greater number counts as this one.
 pub const MAX_PRIORITY: u8 = 9;
 /// Number of priorities.
 const COUNT: usize = MAX_PRIORITY as usize + 1;
@@ -32,11 +33,11 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Record {
-    arrivals: Decayed,
-    asked: Decayed,
-    admitted: Decayed,
+    arrivals: DecayingSum,
+    asked: DecayingSum,
+    admitted: DecayingSum,
     /// Requests refused for the load.
-    refused: Decayed,
+    refused: DecayingSum,
     last_arrival: Option<Instant>,
     last_refusal: Option<Instant>,
     /// Tightest targets seen, and when.
@@ -46,10 +47,10 @@
 impl Default for Priorities {
     fn default() -> Self {
         let record = Record {
-            arrivals: Decayed::new(RATE_TIME),
-            asked: Decayed::new(FRACTION_TIME),
-            admitted: Decayed::new(FRACTION_TIME),
-            refused: Decayed::new(FRACTION_TIME),
+            arrivals: DecayingSum::new(RATE_TIME),
+            asked: DecayingSum::new(FRACTION_TIME),
+            admitted: DecayingSum::new(FRACTION_TIME),
+            refused: DecayingSum::new(FRACTION_TIME),
             last_arrival: None,
             last_refusal: None,
             targets: None,
--- a/src/admission/priority_admission.rs
+++ b/src/admission/priority_admission.rs
@@ -5,6 +5,7 @@
 
 use super::{
     AccountShares, Basis, Decision, LoadEstimate, Offer, OwnTrend, Priorities, ReturnSchedule,
+    SmoothedShare,
 };
 use crate::direct::{Admission, EngineLoad};
 
@@ -28,17 +29,6 @@
 /// Upper bound of the part of the reaction time that is due to the age of reports. Entries with few
 /// requests have old reports, and would otherwise admit less of the same kind than others.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(600);
-/// Time constant of the smoothed share of the load, in seconds.
-const SHARE_TIME_S: f64 = 5.0;
-/// The same under overload, when the share is less certain.
-const OVERLOAD_SHARE_TIME_S: f64 = 10.0;
-/// Weight of the first measurements of the share is 1 over their number, up to this number.
-const SHARE_SAMPLES: f64 = 100.0;
-/// Exponent of the correction of the share by what was refused here. Without correction, an entry that
-/// refuses more than others would refuse still more; with all of it, small entries would refuse less.
-const CORRECTION_EXPONENT: f64 = 0.65;
-/// Lower bound of the share of the load, for the largest number of entries.
-const MIN_SHARE: f64 = 1.0 / 512.0;
 /// Part of the freed capacity that is given to returning callers; new ones take the rest.
 const RETURN_PART: f64 = 0.35;
 /// Minimum part of the freed capacity on which the schedule of returns is based.
@@ -56,10 +46,8 @@
     accounts: AccountShares,
     schedule: ReturnSchedule,
     trend: OwnTrend,
-    /// Smoothed share of this entry in the load, and when it was updated.
-    share: Option<(f64, Instant)>,
-    /// Number of measurements of the share.
-    share_samples: f64,
+    /// Share of this entry in the load of the service.
+    share: SmoothedShare,
 }
 
 impl PriorityAdmission {
@@ -77,7 +65,7 @@
         state.accounts.record_arrival(offer, now);
         state.trend.record(own_requests, now);
         if let Some(share) = share {
-            state.smooth_share(share, now);
+            state.record_share(share, now);
         }
     }
 
@@ -150,7 +138,7 @@
         }
         let engines = load.service_engines as f64;
         let slot_time = load.engine_load.slot_time(basis.capacity);
-        let freed = state.share().unwrap_or(1.0) * engines / slot_time.as_secs_f64().max(1e-3);
+        let freed = state.share.get().unwrap_or(1.0) * engines / slot_time.as_secs_f64().max(1e-3);
         let urgent_rate = state.priorities.urgent_rate(offer.priority, now);
         let rate = ((freed - urgent_rate) * RETURN_PART).max(freed * MIN_RETURN_PART);
         let wait = slot_time.mul_f64((basis.ahead() - basis.queue).max(0.0));
@@ -159,11 +147,16 @@
 }
 
 impl State {
+    fn record_share(&mut self, share: f64, now: Instant) {
+        let asked_per_admitted = self.priorities.asked_per_admitted(now);
+        let is_overloaded = self.priorities.is_any_overloaded(now);
+        self.share.record(share, asked_per_admitted, is_overloaded, now);
+    }
+
     fn decide(&mut self, offer: &Offer, load: &LoadEstimate, now: Instant) -> Decision {
         let is_single = self.priorities.is_single(offer.priority, now);
         let is_urgent = self.priorities.is_most_urgent(offer.priority, now);
-        let mut basis = self.basis(offer, load, is_urgent, now);
-        basis.is_single = is_single;
+        let mut basis = Basis { is_single, ..self.basis(offer, load, is_urgent, now) };
         let engine_load = &load.engine_load;
         let mut admission = if is_urgent {
             engine_load.decide(&offer.targets)
@@ -210,21 +203,23 @@
         Admission::Refuse(engine_load.retry_after(ahead - basis.queue, basis.capacity))
     }
 
+    /// Gathers the inputs of a decision. The results of the decision are not set.
     fn basis(&self, offer: &Offer, load: &LoadEstimate, is_urgent: bool, now: Instant) -> Basis {
         let engine_load = &load.engine_load;
         let targets = self.priorities.tightest_targets(offer, now);
         let capacity = engine_load.capacity(&targets);
         let slot_time = engine_load.slot_time(capacity);
-        let share = self.share();
+        let share = self.share.get();
         let urgent_rate = self.priorities.urgent_rate(offer.priority, now);
         let demand = urgent_rate / share.unwrap_or(1.0) / load.service_engines.max(1) as f64;
         let reaction = load.report_age.unwrap_or_default().min(MAX_REPORT_AGE) + slot_time;
-        let reserve =
-            if is_urgent { 0.0 } else { self.reserve(offer, demand, reaction, capacity, now) };
-        let level = if is_urgent {
-            engine_load.min
+        // The most urgent priority is decided by the least loaded engine, the others by the mean.
+        let (level, added, reserve) = if is_urgent {
+            (engine_load.min, 1.0, 0.0)
         } else {
-            load.projected_level(self.trend.growth(), share)
+            let level = load.projected_level(self.trend.growth(), share);
+            let added = 1.0 / load.engines.max(1) as f64;
+            (level, added, self.reserve(offer, demand, reaction, capacity, now))
         };
         Basis {
             capacity,
@@ -232,7 +227,7 @@
             demand,
             queue: EngineLoad::max_wait(&targets).as_secs_f64() / slot_time.as_secs_f64().max(1e-6),
             level,
-            added: if is_urgent { 1.0 } else { 1.0 / load.engines.max(1) as f64 },
+            added,
             is_over: false,
             is_single: false,
             is_overload: false,
@@ -258,34 +253,9 @@
             + capacity * (REFUSED_GAIN * refused).min(MAX_REFUSED_RESERVE)
     }
 
-    /// Returns 1 for the least urgent of the priorities seen, 0 for the most urgent one, and a part
-    /// for those between.
+    /// Returns the rank among the priorities seen, from 0 for the most urgent to 1 for the least.
     fn rank_part(&self, offer: &Offer, now: Instant) -> f64 {
         let (rank, lowest) = self.priorities.rank(offer.priority, now);
         rank as f64 / lowest.max(1) as f64
     }
-
-    fn share(&self) -> Option<f64> {
-        self.share.map(|(share, _)| share)
-    }
-
-    /// Updates the share of the load.
-    ///
-    /// An entry that refuses more than others has a smaller share of the load than of the arrivals.
-    /// It would overestimate the demand of all entries and refuse still more. Under overload the
-    /// share is therefore corrected by what was refused here, and hardly changes.
-    fn smooth_share(&mut self, share: f64, now: Instant) {
-        let is_overloaded = self.priorities.is_any_overloaded(now);
-        let correction = self.priorities.asked_per_admitted(now).powf(CORRECTION_EXPONENT);
-        let asked = share * correction;
-        let share = (asked / (asked + 1.0 - share)).clamp(MIN_SHARE, 1.0);
-        let (before, at) = self.share.unwrap_or((share, now));
-        let age = now.saturating_duration_since(at).as_secs_f64();
-        let time = if is_overloaded { OVERLOAD_SHARE_TIME_S } else { SHARE_TIME_S };
-        self.share_samples = (self.share_samples + 1.0).min(SHARE_SAMPLES);
-        let is_new = self.share_samples < SHARE_SAMPLES;
-        let min_smoothing = if is_new { 1.0 / self.share_samples } else { 0.0 };
-        let smoothing = (1.0 - (-age / time).exp()).max(min_smoothing);
-        self.share = Some((before + smoothing * (share - before), now));
-    }
 }
--- a/src/admission/return_schedule.rs
+++ b/src/admission/return_schedule.rs
@@ -8,11 +8,11 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Maximum time, which callers with a time limit of 8 s still wait: up to a third of what is left.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(2_500);
-/// Start of the times that are given out when the schedule is full, as a part of the maximum.
+/// Minimum of the times returned while the schedule is full, as a part of the maximum.
 const FULL_FROM: f64 = 0.6;
-/// Minimum jitter, so that callers refused by several entries don't return together.
+/// Minimum jitter, in seconds, so that callers refused by several entries don't return together.
 const MIN_JITTER_S: f64 = 0.05;
-/// Upper bound of the interval between two returns.
+/// Upper bound of the interval between two returns, in seconds.
 const MAX_INTERVAL_S: f64 = 1.0;
 
 /// Times at which refused callers are to return, at the rate at which capacity is freed.
@@ -25,7 +25,8 @@
 }
 
 impl ReturnSchedule {
-    /// Returns after which time a caller is to return that could be served after `wait`. Capacity
+    /// Reserves the next free time, and returns how long until then, for a caller that could be served
+    /// after `wait`. Capacity
     /// for `rate` requests per second is freed. `draw` is a random number from 0 to 1.
     ///
     /// ```
--- a/src/capacity/capacity_switch.rs
+++ b/src/capacity/capacity_switch.rs
@@ -31,8 +31,8 @@
         self.has_groups.store(has_groups, Ordering::Relaxed);
     }
 
-    /// Returns whether capacity is learned under settings in which the routes of some engine service
-    /// have more than one priority, or have not.
+    /// Returns whether capacity is learned. `has_priorities` is whether the routes of some engine
+    /// service have more than one priority.
     pub fn is_on(&self, has_priorities: bool) -> bool {
         self.setting.unwrap_or_else(|| has_priorities || self.has_groups.load(Ordering::Relaxed))
     }
--- a/src/capacity/decaying_sum.rs
+++ b/src/capacity/decaying_sum.rs
@@ -2,20 +2,30 @@
 
 use tokio::time::Instant;
 
-/// Time constant of the decay.
-const DECAY_TIME: Duration = Duration::from_millis(1_000);
-
-/// A sum whose terms decay.
-///
-/// An upstream that fails requests fast has few in flight. Their work counts as in flight for some
-/// time, so that the upstream does not attract the next ones.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+/// Time constant of a sum created by default.
+const DEFAULT_TIME_CONSTANT: Duration = Duration::from_millis(1_000);
+
+/// A sum whose terms decay exponentially with their age.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DecayingSum {
+    /// Time in which a term decays to 1/e, in seconds.
+    time_constant: f64,
     sum: f64,
     at: Option<Instant>,
 }
 
+impl Default for DecayingSum {
+    fn default() -> Self {
+        Self::new(DEFAULT_TIME_CONSTANT)
+    }
+}
+
 impl DecayingSum {
+    /// Creates an empty sum with the time in which a term decays to 1/e.
+    pub const fn new(time_constant: Duration) -> Self {
+        Self { time_constant: time_constant.as_secs_f64(), sum: 0.0, at: None }
+    }
+
     /// Adds a term.
     ///
     /// ```
@@ -30,16 +40,19 @@
     /// ```
     pub fn add(&mut self, term: f64, now: Instant) {
         if term.is_finite() {
-            *self = Self { sum: self.get(now) + term, at: Some(now) };
+            self.sum = self.get(now) + term;
+            self.at = self.at.max(Some(now));
         }
     }
 
-    /// Returns the sum.
+    /// Returns the sum at this time.
     pub fn get(&self, now: Instant) -> f64 {
-        let Some(at) = self.at else {
-            return 0.0;
-        };
-        let passed = now.saturating_duration_since(at);
-        self.sum * (-passed.as_secs_f64() / DECAY_TIME.as_secs_f64()).exp()
+        let age = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.sum * (-age.as_secs_f64() / self.time_constant).exp()
+    }
+
+    /// Returns the mean rate per second within about the time constant.
+    pub fn rate(&self, now: Instant) -> f64 {
+        self.get(now) / self.time_constant
     }
 }
--- a/src/capacity/service_capacity.rs
+++ b/src/capacity/group_capacity.rs
@@ -15,9 +15,9 @@
 /// Interval at which the speeds of the upstreams are logged.
 const REVIEW_INTERVAL: Duration = Duration::from_secs(1);
 
-/// What an entry has learned of the upstreams of a group of a service together.
+/// What an entry has learned of all upstreams of a group together.
 #[derive(Debug, Default)]
-pub struct ServiceCapacity {
+pub struct GroupCapacity {
     /// Response time of the faster upstreams.
     pub baseline: SpeedBaseline,
     routes: Mutex<HashMap<String, WorkEstimator>>,
@@ -25,7 +25,7 @@
     last_review: Mutex<Option<Instant>>,
 }
 
-impl ServiceCapacity {
+impl GroupCapacity {
     /// Returns the work of a request of a route.
     pub fn work(&self, route: &str, size: &RequestSize, engine: &Engine) -> f64 {
         let routes = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
@@ -43,7 +43,8 @@
         }
     }
 
-    /// Records a time to the first event. Those of slow upstreams say nothing of the others.
+    /// Records a time to the first event. Those at slow upstreams are no evidence of the capacity of
+    /// the others.
     pub fn record_first_event(
         &self,
         first: &FirstEvent,
@@ -67,7 +68,7 @@
         engines.as_ref().and_then(|known| known.capacity(now))
     }
 
-    /// Returns whether the speeds of the upstreams should be logged, at most once in a second.
+    /// Returns whether the speeds of the upstreams are due to be logged.
     pub fn is_review_due(&self, now: Instant) -> bool {
         let mut last = self.last_review.lock().unwrap_or_else(PoisonError::into_inner);
         let is_recent = |at: Instant| now.saturating_duration_since(at) < REVIEW_INTERVAL;
--- a/src/capacity/plain_load.rs
+++ b/src/capacity/plain_load.rs
@@ -11,19 +11,19 @@
 pub struct PlainLoad {
     /// Number of requests, running and waiting.
     pub requests: f64,
-    /// Number of requests that run at a time, if it is known.
+    /// Number of requests that run concurrently, if it is known.
     pub slots: Option<u32>,
     /// Mean response time of a request that does not wait, if it is known.
     pub time: Option<Duration>,
 }
 
 impl PlainLoad {
-    /// Returns the response time of the next request, or `None` if a place may be free.
+    /// Returns the response time of the next request, or `None` if a slot may be free.
     fn response_time(&self) -> Option<Duration> {
         let slots = f64::from(self.slots?.max(1));
         let queued = (self.requests + 1.0) / slots;
         let seconds = self.time?.as_secs_f64() * queued;
-        // No place is free only if even the mean of the estimate leaves none.
+        // The load is an estimate; below the number of slots, a slot may be free.
         (self.requests >= slots).then(|| Duration::try_from_secs_f64(seconds).ok()).flatten()
     }
 }
--- a/src/capacity/sent_request.rs
+++ b/src/capacity/sent_request.rs
@@ -1,5 +1,3 @@
-use std::time::Duration;
-
 /// What was known of a request and its upstream when it was sent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SentRequest {
@@ -14,19 +12,3 @@
     /// Whether the upstream is an engine. Engines of a group stall together.
     pub is_engine: bool,
 }
-
-/// Time to the first event of a stream.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct FirstEvent {
-    /// The request.
-    pub sent: SentRequest,
-    /// Time since it was sent.
-    pub time: Duration,
-}
-
-impl FirstEvent {
-    /// Returns the time relative to the expected one.
-    pub fn relative_time(&self) -> f64 {
-        self.time.as_secs_f64() / self.sent.expected
-    }
-}
--- a/src/capacity/speed_baseline.rs
+++ b/src/capacity/speed_baseline.rs
@@ -6,8 +6,8 @@
 
 /// Interval at which the baseline is computed.
 const INTERVAL: Duration = Duration::from_millis(100);
-/// Share of the upstreams that are at least as fast as the baseline. With less than half, it stays
-/// right while the upstreams of most failure domains are slow.
+/// Share of the upstreams that are at least as fast as the baseline. Below one half, it remains that
+/// of the usual speed while the upstreams of two of three failure domains are slow.
 const QUANTILE: f64 = 0.25;
 
 /// Response time of the faster upstreams of a group, by which the speed of each is judged.
--- a/src/direct/admission/engine_load.rs
+++ b/src/direct/admission/engine_load.rs
@@ -13,7 +13,7 @@
 /// Share of the target time to the first byte that a request may spend waiting for a slot.
 const MAX_WAIT_SHARE: f64 = 0.6;
 /// Assumed duration of a stream before the first one has completed.
-const DEFAULT_STREAM_DURATION: Duration = Duration::from_secs(2);
+pub(super) const DEFAULT_STREAM_DURATION: Duration = Duration::from_secs(2);
 /// Upper bound of the retry-after time for requests refused under load.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(2_000);
 /// Lower bound of that time.
--- a/src/direct/admission/learned_choice.rs
+++ b/src/direct/admission/learned_choice.rs
@@ -3,6 +3,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use super::engine_load::DEFAULT_STREAM_DURATION;
 use crate::capacity::{PlainLoad, Rating, SLOW_FACTOR, SentRequest, admit_plain, expected_loads};
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::Dispatcher;
@@ -13,8 +14,6 @@
 
 /// Passes from the arrival of a request at an idle engine to the end of its first one, on average.
 const FIRST_PASSES: f64 = 1.5;
-/// Assumed duration of a stream before the first one has completed.
-const DEFAULT_STREAM_DURATION: Duration = Duration::from_secs(2);
 /// Minimum of an expected response time, in seconds.
 const MIN_EXPECTED: f64 = 1e-3;
 /// Jitter of retry-after times, as a share of them.
--- a/src/direct/admission/pick.rs
+++ b/src/direct/admission/pick.rs
@@ -21,9 +21,9 @@
     pub(in crate::direct) upstream: Arc<Upstream>,
     pub(in crate::direct) candidate: Candidate,
     pub(in crate::direct) group: Arc<GroupState>,
-    /// When the row that lists the group was read; `None` for the group without a row.
+    /// When the row that lists the group was first read; `None` for the group without a row.
     pub(in crate::direct) row_time: Option<Instant>,
-    /// What is known of the request there, if speed and capacity are learned.
+    /// What is known of the request at this upstream, if speed and capacity are learned.
     pub(in crate::direct) sent: Option<SentRequest>,
 }
 
--- a/src/direct/admission/pick_group.rs
+++ b/src/direct/admission/pick_group.rs
@@ -18,9 +18,35 @@
 /// reports from all choosing the same group.
 const TIE_BREAK_SPREAD: f64 = 0.3;
 
-/// Upstreams of one group, with the row's statement that they are in it.
+/// Upstreams of one group, with their membership by the group's row.
 type Members<'m, 'u> = (Option<&'m Membership>, SmallVec<[&'u Arc<Upstream>; 16]>);
 
+/// Refusal of a request by the admission of a group, with the load that it is based on.
+type Refused = (Decision, LoadEstimate);
+
+/// State of all groups of a service together, on which the treatment of each depends.
+#[derive(Clone, Copy, Debug)]
+struct GroupOverview {
+    /// Whether a group runs.
+    has_running: bool,
+    /// Whether a group runs at its full share.
+    has_full: bool,
+    /// Number of eligible upstreams of all groups.
+    upstreams: usize,
+}
+
+impl GroupOverview {
+    fn new(groups: &[EligibleGroup<'_>], now: Instant) -> Self {
+        let running =
+            || groups.iter().map(|group| &group.state.recovery).filter(|it| it.is_running());
+        Self {
+            has_running: running().next().is_some(),
+            has_full: running().any(|recovery| recovery.share(now) >= 1.0),
+            upstreams: groups.iter().map(|group| group.upstreams.len()).sum(),
+        }
+    }
+}
+
 impl Dispatcher {
     /// Divides upstreams by their groups.
     pub(super) fn divide<'u>(
@@ -63,59 +89,44 @@
         groups: &'g [EligibleGroup<'u>],
         now: Instant,
     ) -> Result<&'g EligibleGroup<'u>, Refusal> {
-        let runs =
-            |group: &EligibleGroup<'_>| group.state.recovery.condition() == GroupCondition::Running;
-        let has_running = groups.iter().any(runs);
-        let has_full =
-            groups.iter().any(|group| runs(group) && group.state.recovery.share(now) >= 1.0);
         let is_first = history.attempts == 0;
         let offer = (is_first && request.service.engine.is_some()).then(|| request.offer());
         if let Some(offer) = &offer {
             record_arrival(request, offer, groups, now);
         }
-        let service_engines = groups.iter().map(|group| group.upstreams.len()).sum();
-        let mut refused: SmallVec<[(Decision, LoadEstimate); 4]> = SmallVec::new();
+        let overview = GroupOverview::new(groups, now);
+        let mut refused: SmallVec<[Refused; 4]> = SmallVec::new();
         let mut loads: SmallVec<[GroupLoad; 4]> = SmallVec::new();
         for group in groups {
             // Without a group that can take the load, a recovering one takes what it can.
-            let share = if has_full { group.state.recovery.share(now) } else { 1.0 };
+            let share = if overview.has_full { group.state.recovery.share(now) } else { 1.0 };
             let engine_load = self.engine_load(request, group, share, now);
             let stalled = engine_load.filter(EngineLoad::is_stalled);
             if let Some(load) = stalled {
                 self.record_stall(request, &group.state, load.inactive_for, now);
             }
-            let mut load = group_load(request, group, engine_load, share);
-            if let Some((offer, engine_load)) = offer.as_ref().zip(engine_load) {
-                let engine_load = probed(engine_load, group, now);
-                let estimate = LoadEstimate::new(
-                    engine_load,
-                    &group.candidates,
-                    &group.loads,
-                    service_engines,
-                );
-                let decision = request.state.admission.decide(offer, &estimate, now);
-                load.admits = decision.is_admitted;
-                if !decision.is_admitted {
-                    refused.push((decision, estimate));
-                }
-            }
-            let may_probe = has_running && is_first && load.admits && stalled.is_none();
-            load.condition = condition(request, history, group, may_probe, now);
-            loads.push(load);
+            let refusal = offer.as_ref().zip(engine_load).and_then(|(offer, engine_load)| {
+                admission_refusal(request, offer, group, engine_load, overview.upstreams, now)
+            });
+            let admits = refusal.is_none();
+            refused.extend(refusal);
+            let may_probe = overview.has_running && is_first && admits && stalled.is_none();
+            loads.push(GroupLoad {
+                condition: condition(request, history, group, may_probe, now),
+                admits,
+                ..group_load(request, group, engine_load, share)
+            });
         }
-        let chosen = choose_group(&loads);
+        let chosen = choose_group(&loads).map(|chosen| &groups[chosen]);
         let Some(offer) = offer else {
-            let chosen = chosen.map(|chosen| &groups[chosen]);
             return chosen.ok_or(history.refusal(Reason::NoUpstream));
         };
-        match chosen {
-            Some(chosen) => {
-                self.meter.decided(offer.priority, true);
-                request.state.admission.record_admitted(&offer, now);
-                Ok(&groups[chosen])
-            }
-            None => Err(self.refuse(request, history, &offer, &refused, now)),
-        }
+        let Some(chosen) = chosen else {
+            return Err(self.refuse(request, history, &offer, &refused, now));
+        };
+        self.meter.decided(offer.priority, true);
+        request.state.admission.record_admitted(&offer, now);
+        Ok(chosen)
     }
 
     /// Refuses a request that no group admits, with the shortest of their times.
@@ -124,7 +135,7 @@
         request: &CheckedRequest,
         history: &AttemptHistory,
         offer: &Offer,
-        refused: &[(Decision, LoadEstimate)],
+        refused: &[Refused],
         now: Instant,
     ) -> Refusal {
         let soonest = refused.iter().min_by_key(|(decision, _)| decision.wait);
@@ -151,8 +162,7 @@
         let upstreams = self.roster.service_upstreams(service);
         upstreams.iter().filter(|upstream| history.may_try(upstream)).any(|upstream| {
             let group = request.state.group(memberships.get(service, &upstream.listed.id));
-            !history.has_failed_in(&group.name)
-                && group.recovery.condition() == GroupCondition::Running
+            !history.has_failed_in(&group.name) && group.recovery.is_running()
         })
     }
 }
@@ -170,6 +180,22 @@
     request.state.admission.record_arrival(offer, own_requests, load_share(&candidates), now);
 }
 
+/// Decides whether a group admits a request. Returns the decision if it does not.
+fn admission_refusal(
+    request: &CheckedRequest,
+    offer: &Offer,
+    group: &EligibleGroup<'_>,
+    engine_load: EngineLoad,
+    service_engines: usize,
+    now: Instant,
+) -> Option<Refused> {
+    let engine_load = probed(engine_load, group, now);
+    let EligibleGroup { candidates, loads, .. } = group;
+    let estimate = LoadEstimate::new(engine_load, candidates, loads, service_engines);
+    let decision = request.state.admission.decide(offer, &estimate, now);
+    (!decision.is_admitted).then_some((decision, estimate))
+}
+
 /// Returns the load of a group on which admission is decided. If it is stalled and may be probed,
 /// it does not count as stalled for this request, which is the probe.
 fn probed(load: EngineLoad, group: &EligibleGroup<'_>, now: Instant) -> EngineLoad {
@@ -180,7 +206,8 @@
     }
 }
 
-/// Returns the load of a group as the choice sees it.
+/// Returns the load of a group by which it is compared with the others, as if it ran and admitted
+/// the request.
 fn group_load(
     request: &CheckedRequest,
     group: &EligibleGroup<'_>,
--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -214,7 +214,7 @@
         self.slow_upstreams.get_or_create(&labels).set(number);
     }
 
-    /// Records the learned capacity of the engines of a service.
+    /// Records the learned capacity of an engine, the least of the groups of a service.
     pub fn learned_capacity(&self, service: &str, requests: f64) {
         let labels = ServiceLabels { service: service.to_owned() };
         self.learned_capacity.get_or_create(&labels).set(requests);
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -169,12 +169,7 @@
                 self.suspect(request, &upstream, started, sign, StreamProgress::default());
                 self.await_verdict(request, history, &upstream, sign).await;
             }
-            // Another rank of a group that does not run would refuse as well.
-            let has_upstream =
-                failed.retry_after.is_none() || self.has_running_group(request, history);
-            let goes_on =
-                is_charged || (has_upstream && self.may_retry(request, history, failed.failure));
-            if !goes_on {
+            if !is_charged && !self.may_retry_failed(request, history, &failed) {
                 let refusal = history.refusal(failed.failure.reason);
                 let wait = failed.retry_after.filter(|_| refusal.outcome == Outcome::NotRun);
                 return Err(wait.map_or(refusal, |wait| refusal.retry_after(wait)));
@@ -183,6 +178,18 @@
         }
     }
 
+    /// Returns whether another attempt may follow a failed one.
+    fn may_retry_failed(
+        &self,
+        request: &CheckedRequest,
+        history: &AttemptHistory,
+        failed: &FailedAttempt,
+    ) -> bool {
+        // Another rank of a group that does not run would refuse as well.
+        let has_upstream = failed.retry_after.is_none() || self.has_running_group(request, history);
+        has_upstream && self.may_retry(request, history, failed.failure)
+    }
+
     /// Chooses an upstream for the next attempt, if the request may be sent.
     async fn choose_upstream(
         &self,
@@ -262,7 +269,7 @@
     }
 }
 
-/// Returns whether an attempt failed, or got an error of the upstream.
+/// Returns whether an attempt failed or brought a server error.
 fn is_error(result: &Result<Exchanged, FailedAttempt>) -> bool {
     match result {
         Ok(Exchanged::Complete(response)) => response.status().is_server_error(),
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -26,7 +26,7 @@
     /// The platform's store came back from an older copy. The topic is read as a whole.
     StoreRewound { topic: &'a str, era: u64 },
     /// The operator evacuated a failure domain or restored it, or the store has lost the
-    /// evacuation, which is then kept for a time. The age is that of the answer that told of it.
+    /// evacuation, which is then kept for a time. The age is that of the answer with the change.
     Evacuation {
         domain: &'a str,
         change: &'a str,
@@ -37,8 +37,7 @@
     },
     /// The list of upstreams changed.
     Upstream { upstream: &'a str, service: &'a str, change: &'a str, cursor: u64 },
-    /// The entry has learned of a group of a service, or that its members changed or that it is
-    /// gone.
+    /// A group of a service is new to this entry, has other members, or is gone.
     Group {
         service: &'a str,
         group: &'a str,
@@ -131,8 +130,8 @@
     },
     /// Crash counts could not be read from or shared with other entries.
     CrashesUnusable { detail: String },
-    /// An upstream names a limit, another one, or none any more. The source is the entry that told
-    /// of it, or "response".
+    /// An upstream names a limit, another one, or none any more. The source is the entry that
+    /// reported it, or "response".
     Limit { upstream: &'a str, before: Option<f64>, rate: Option<f64>, source: &'a str },
     /// An upstream is cold for a time: it gets this rate of requests per second from all entries
     /// together. The source is "listing", or "new" for one that started while its service had
@@ -163,15 +162,16 @@
         own: u32,
         others: Option<f64>,
         load_age_ms: Option<u64>,
-        /// Of the upstream and of the request, if they are learned.
+        /// Slowness of the upstream and work of the request, if they are learned.
         #[serde(skip_serializing_if = "Option::is_none")]
         slowness: Option<f64>,
         #[serde(skip_serializing_if = "Option::is_none")]
         work: Option<f64>,
         left_ms: u64,
     },
-    /// An upstream has become slow, or as fast as the others again. `changed` says of how many
-    /// upstreams of the service this is said, `slow_upstreams` how many are slow now.
+    /// An upstream has become slow, or as fast as the others again. `changed` is the number of
+    /// upstreams of the group that did so since the last review, this one included, and
+    /// `slow_upstreams` the number of slow ones of the service.
     Speed {
         upstream: &'a str,
         service: &'a str,
--- a/src/direct/groups/eligible_group.rs
+++ b/src/direct/groups/eligible_group.rs
@@ -10,7 +10,7 @@
 #[derive(Debug)]
 pub(in crate::direct) struct EligibleGroup<'a> {
     pub(in crate::direct) state: Arc<GroupState>,
-    /// When the row that lists the group was read; `None` for the group without a row.
+    /// When the row that lists the group was first read; `None` for the group without a row.
     pub(in crate::direct) row_time: Option<Instant>,
     pub(in crate::direct) upstreams: SmallVec<[&'a Arc<Upstream>; 16]>,
     pub(in crate::direct) candidates: SmallVec<[Candidate; 16]>,
--- a/src/direct/groups/group_change.rs
+++ b/src/direct/groups/group_change.rs
@@ -1,6 +1,6 @@
 use crate::membership::GroupRow;
 
-/// What a change of a row told of a group.
+/// Change of what is known of a group.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GroupChange {
     /// The group has these members, and was not known before.
--- a/src/direct/groups/group_directory.rs
+++ b/src/direct/groups/group_directory.rs
@@ -29,11 +29,13 @@
     memberships: Option<Arc<Memberships>>,
 }
 
+/// A row of a group as it was last read.
 #[derive(Debug)]
 struct KnownRow {
     row: GroupRow,
     /// Version of the row in the platform's table.
     version: u64,
+    /// When these contents were first read.
     read_at: Instant,
 }
 
@@ -42,7 +44,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns which upstream is in which group, or `None` if there never was a group.
+    /// Returns the groups of the upstreams, or `None` if there never was a group.
     pub fn memberships(&self) -> Option<Arc<Memberships>> {
         self.lock().memberships.clone()
     }
@@ -86,7 +88,7 @@
         state.rows.values().any(|known| !services.insert(known.row.service.as_str()))
     }
 
-    /// Applies a change of the platform's table. Returns what it told, if it is about a group.
+    /// Applies a change of the platform's table. Returns the change of a group, if there is one.
     ///
     /// ```
     /// # use ebonyusher::direct::{GroupDirectory, RowChange};
@@ -119,7 +121,7 @@
     }
 
     /// Forgets the groups whose rows are not among these, which are all rows of the table. Returns
-    /// what was known of them.
+    /// these changes.
     pub fn retain(&self, rows: &[RowChange]) -> SmallVec<[GroupChange; 2]> {
         let keys: HashSet<&str> = rows.iter().map(RowChange::key).collect();
         let mut state = self.lock();
--- a/src/direct/groups/group_feed.rs
+++ b/src/direct/groups/group_feed.rs
@@ -8,11 +8,11 @@
 use crate::direct::{DirectMeter, RowChange};
 use crate::event_log::{EventLog, Level};
 
-/// Feeds the rows of groups to the directory, and logs and counts what they tell.
+/// Applies the rows of groups to the directory, logs the changes and updates the gauge.
 #[derive(Debug)]
 pub(in crate::direct) struct GroupFeed {
     pub(in crate::direct) directory: Arc<GroupDirectory>,
-    /// Told whether a service has several groups.
+    /// Is on, unless set otherwise, while a service has several groups.
     pub(in crate::direct) capacity_switch: Arc<CapacitySwitch>,
     pub(in crate::direct) meter: Arc<DirectMeter>,
     pub(in crate::direct) log: EventLog,
@@ -31,7 +31,7 @@
 
     fn record(&self, changes: impl IntoIterator<Item = GroupChange>) {
         for change in changes {
-            let (row, text) = match &change {
+            let (row, name) = match &change {
                 GroupChange::Learned(row) => (row, "learned"),
                 GroupChange::Changed(row) => (row, "changed"),
                 GroupChange::Gone(row) => (row, "gone"),
@@ -43,7 +43,7 @@
             let event = Event::Group {
                 service: &row.service,
                 group: row.group.as_str(),
-                change: text,
+                change: name,
                 epoch: row.epoch,
                 term: row.term,
                 members: row.members.len(),
--- a/src/direct/groups/group_load.rs
+++ b/src/direct/groups/group_load.rs
@@ -1,24 +1,13 @@
 use std::time::Duration;
 
+use super::GroupCondition;
+
 /// Step in which expected waits are compared. Smaller differences are within the error of the load
 /// reports.
 const WAIT_STEP: Duration = Duration::from_millis(20);
 /// Step, as a part of the target, in which gaps beyond the target are compared.
 const GAP_STEP: f64 = 0.25;
 
-/// What an entry knows of whether a group runs, in the order in which groups are preferred.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum GroupCondition {
-    /// The group is not known to run, and this request is to find out.
-    Probe,
-    /// The group responds.
-    Running,
-    /// The group has not responded yet.
-    Unknown,
-    /// The group stalls, its ranks refuse requests, or it just failed this request.
-    Down,
-}
-
 /// State of a group on which the choice among the groups of a service is based.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GroupLoad {
--- a/src/direct/groups/group_recovery.rs
+++ b/src/direct/groups/group_recovery.rs
@@ -31,9 +31,9 @@
     #[default]
     Unknown,
     Running,
-    /// Since this time, the group stalls or its ranks refuse requests.
+    /// The group has stalled, or its ranks refused requests, since this time.
     Down(Instant),
-    /// The first response after that came at this time.
+    /// The group has responded again since this time.
     Recovering(Instant),
 }
 
@@ -85,6 +85,11 @@
         }
     }
 
+    /// Returns whether the group responds.
+    pub fn is_running(&self) -> bool {
+        self.condition() == GroupCondition::Running
+    }
+
     /// Returns the share of its slots that the group may use.
     pub fn share(&self, now: Instant) -> f64 {
         match self.0.lock().unwrap_or_else(PoisonError::into_inner).phase {
--- a/src/direct/groups/group_state.rs
+++ b/src/direct/groups/group_state.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 
 use super::{GroupCondition, GroupRecovery};
-use crate::capacity::ServiceCapacity;
+use crate::capacity::GroupCapacity;
 use crate::direct::{GroupOutage, Liveness, ReturnQueue, StreamStats};
 use crate::membership::GroupName;
 
@@ -14,7 +14,7 @@
     pub(in crate::direct) return_queue: ReturnQueue,
     pub(in crate::direct) outage: GroupOutage,
     pub(in crate::direct) recovery: GroupRecovery,
-    pub(in crate::direct) capacity: ServiceCapacity,
+    pub(in crate::direct) capacity: GroupCapacity,
 }
 
 impl GroupState {
@@ -23,7 +23,7 @@
         Self { name, ..Self::default() }
     }
 
-    /// Returns whether the group stalls or its ranks refuse requests, as far as is known.
+    /// Returns whether the group is known to be stalled, or its ranks to refuse requests.
     pub(in crate::direct) fn is_down(&self) -> bool {
         self.recovery.condition() == GroupCondition::Down
     }
--- a/src/direct/groups/memberships.rs
+++ b/src/direct/groups/memberships.rs
@@ -11,7 +11,7 @@
     pub service: String,
     /// Name of the group.
     pub group: GroupName,
-    /// When this entry read the row for the first time.
+    /// When this entry first read the row with its present contents.
     pub read_at: Instant,
 }
 
--- a/src/direct/upstreams/upstream.rs
+++ b/src/direct/upstreams/upstream.rs
@@ -62,7 +62,8 @@
     idle: Vec<Connection>,
     /// Work in flight, in usual requests.
     work: f64,
-    /// Work of requests that failed.
+    /// Work of requests that failed. It counts as in flight for some time: an upstream that fails
+    /// requests fast has few in flight, and would attract the next ones.
     failed_work: DecayingSum,
     speed: SpeedEstimator,
     /// When the upstream was last avoided or paused.
