Learned capacity is never below one request

Cause: half of the slots is 0.5 for an engine with one slot; found by the read-through. Change: the lower bound is at least 1.

--- a/src/capacity/capacity_estimator.rs
+++ b/src/capacity/capacity_estimator.rs
@@ -122,7 +122,7 @@
             let next = (self.capacity + INCREASE).min(self.window.max_load + 1.0);
             self.capacity = next.max(self.capacity);
         }
-        self.capacity = self.capacity.clamp(self.slots * 0.5, self.max);
+        self.capacity = self.capacity.clamp((self.slots * 0.5).max(1.0), self.max);
     }
 }
 
