Groups, limits, evacuations: split files with two jobs, join repeated code

PeerRank repeated the handling of a call without an answer seven times. The doc of Sharers::AtMost said that its number does not include this entry; it does.

Change: LeaderMonitor, InFlight, Measured and OtherEntries have files of their own. PeerRank has one function that awaits an answer and one that reads the state without the sidecar. ColdUpstreams looks up a current incarnation in one place. Clearer names: may_be_rank_loss, EvacuationUpdates::log_change, the fields of InFlight, and the order of entries that share a limit, which was called a rank. No change of behavior, constants or assertions.

Workspace tests not run in full.

--- a/src/direct/attempts/failed_attempt.rs
+++ b/src/direct/attempts/failed_attempt.rs
@@ -24,8 +24,8 @@
         Self { failure, detail: detail.into(), sign: None, retry_after: None, refused_idle: false }
     }
 
-    /// Returns whether the failure may come from the loss of a rank, which takes its group away.
-    pub(in crate::direct) fn is_group_sign(&self) -> bool {
+    /// Returns whether the failure may come from the loss of a rank, which stops its group.
+    pub(in crate::direct) fn may_be_rank_loss(&self) -> bool {
         self.refused_idle
             || self.sign == Some(CrashSign::ConnectionBroken)
             || self.failure.reason == Reason::UpstreamDown
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -161,7 +161,7 @@
                 return Ok(UpstreamResponse::Complete(response));
             }
             history.record_failure(failed.failure);
-            if failed.is_group_sign() || group.is_down() {
+            if failed.may_be_rank_loss() || group.is_down() {
                 history.record_group_failure(&group.name);
             }
             self.log_failed(request, history, &upstream, &failed, started);
--- a/src/direct/feeds/evacuation_updates.rs
+++ b/src/direct/feeds/evacuation_updates.rs
@@ -56,6 +56,7 @@
         left.map_or(wait, |left| left.min(wait))
     }
 
+    /// Restores the failure domains that a whole answer lacks, or keeps them for the grace time.
     fn restore_missing(&self, changes: &Changes<RoutingChange>, reading: &Reading) {
         let read = changes.items.iter().filter_map(|change| match change {
             RoutingChange::Evacuated(domain) => Some(domain.as_str()),
@@ -66,7 +67,7 @@
         for domain in self.evacuations.missing(&read) {
             match reading.grace {
                 Some(grace) if self.evacuations.keep(&domain, reading.sent + grace) => {
-                    self.write(&domain, "missing", version, reading, Duration::ZERO);
+                    self.log_change(&domain, "missing", version, reading, Duration::ZERO);
                 }
                 Some(_) => {}
                 None => self.restore(&domain, version, reading),
@@ -76,17 +77,24 @@
 
     fn evacuate(&self, domain: &str, version: u64, reading: &Reading) {
         if self.evacuations.evacuate(domain, version, Instant::now()) {
-            self.write(domain, "evacuated", version, reading, Duration::ZERO);
+            self.log_change(domain, "evacuated", version, reading, Duration::ZERO);
         }
     }
 
     fn restore(&self, domain: &str, version: u64, reading: &Reading) {
         if let Some(known) = self.evacuations.restore(domain) {
-            self.write(domain, "restored", version, reading, known.since.elapsed());
+            self.log_change(domain, "restored", version, reading, known.since.elapsed());
         }
     }
 
-    fn write(&self, domain: &str, change: &str, version: u64, reading: &Reading, known: Duration) {
+    fn log_change(
+        &self,
+        domain: &str,
+        change: &str,
+        version: u64,
+        reading: &Reading,
+        known: Duration,
+    ) {
         let (age_ms, known_ms) = (millis(reading.sent.elapsed()), millis(known));
         let event = Event::Evacuation { domain, change, version, age_ms, known_ms };
         self.log.write(Level::Warn, &event);
--- a/src/direct/limits/cold_upstreams.rs
+++ b/src/direct/limits/cold_upstreams.rs
@@ -49,7 +49,8 @@
     pub source: ColdSource,
 }
 
-/// The upstreams that are cold, which is a limit with an end.
+/// The upstreams that are cold: for some time after its start an upstream gets only a limited rate of
+/// requests.
 #[derive(Debug, Default)]
 pub(super) struct ColdUpstreams {
     /// Settings by service. Upstreams of other services are never cold.
@@ -104,9 +105,7 @@
             return None;
         }
         let is_new = self.record_seen(listed) && self.served.contains(&listed.service);
-        let known = self.upstreams.get(&listed.id);
-        let known = known.filter(|known| known.incarnation == listed.started_at_ms);
-        let known = known.filter(|known| known.until > now);
+        let known = self.known(listed, now);
         let start = self.starts.get(&listed.service);
         let (time, source) = if !listed.cold.is_zero() {
             (listed.cold, ColdSource::Listing)
@@ -137,6 +136,13 @@
         change
     }
 
+    /// Returns what is known of an incarnation whose cold time has not ended.
+    fn known(&self, listed: &ListedUpstream, now: Instant) -> Option<&ColdUpstream> {
+        let known = self.upstreams.get(&listed.id)?;
+        let is_current = known.incarnation == listed.started_at_ms && known.until > now;
+        is_current.then_some(known)
+    }
+
     /// Records an incarnation. Returns whether it was not known.
     fn record_seen(&mut self, listed: &ListedUpstream) -> bool {
         if self.seen.len() >= MAX_SEEN && !self.seen.contains_key(&listed.id) {
@@ -154,12 +160,8 @@
 
     /// Returns whether an upstream is cold.
     pub(super) fn contains(&self, listed: &ListedUpstream, now: Instant) -> bool {
-        let known = self.upstreams.get(&listed.id);
-        known.is_some_and(|known| {
-            known.incarnation == listed.started_at_ms
-                && known.until > now
-                && self.starts.contains_key(&known.service)
-        })
+        let known = self.known(listed, now);
+        known.is_some_and(|known| self.starts.contains_key(&known.service))
     }
 
     /// Returns when this entry may send a cold upstream the next request. `share` returns the share of
--- a/src/direct/limits/limited_upstream.rs
+++ b/src/direct/limits/limited_upstream.rs
@@ -5,6 +5,7 @@
 /// Number of entries that share a limit, per request per second of it. Each may send one request
 /// at any time within its share, so with more entries these alone would exceed a low limit.
 const ENTRIES_PER_RATE: f64 = 2.0;
+
 /// What is known of the limit of one incarnation of an upstream.
 #[derive(Clone, Debug)]
 pub(super) struct LimitedUpstream {
--- a/src/direct/limits/mod.rs
+++ b/src/direct/limits/mod.rs
@@ -5,6 +5,7 @@
 mod limit_sharing;
 mod limited_upstream;
 mod named_limit;
+mod other_entries;
 mod share;
 mod upstream_limits;
 
--- a/src/direct/limits/share.rs
+++ b/src/direct/limits/share.rs
@@ -17,9 +17,10 @@
 /// The entries that share limits.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Sharers<'a> {
-    /// They are not known for certain; there are at most so many beside this one.
+    /// The others are not known for certain. This entry (first field) is one of at most so many
+    /// (second field).
     AtMost(&'a str, f64),
-    /// This entry and the others.
+    /// This entry (first field) and the others (second field).
     Known(&'a str, &'a [&'a str]),
 }
 
@@ -41,19 +42,19 @@
         match sharers {
             Sharers::AtMost(own, entries) => Self {
                 interval: Duration::from_secs_f64(entries.max(1.0) / rate),
-                phase: rank(id, own) as f64 / u64::MAX as f64,
+                phase: order(id, own) as f64 / u64::MAX as f64,
                 is_known: false,
             },
             Sharers::Known(own, others) => {
                 let shares = most_sharers.max(1.0).min(others.len() as f64 + 1.0);
-                let own_rank = rank(id, own);
-                let before = others.iter().filter(|other| rank(id, other) < own_rank).count();
+                let own_order = order(id, own);
+                let before = others.iter().filter(|other| order(id, other) < own_order).count();
                 let before = before as f64;
                 if before < shares {
                     let interval = Duration::from_secs_f64(shares / rate);
                     return Self { interval, phase: (before + 1.0) / shares, is_known: true };
                 }
-                let spread = TRIAL_SPREAD.mul_f64(own_rank as f64 / u64::MAX as f64);
+                let spread = TRIAL_SPREAD.mul_f64(own_order as f64 / u64::MAX as f64);
                 Self { interval: TRIAL_INTERVAL + spread, phase: 1.0, is_known: true }
             }
         }
@@ -78,7 +79,7 @@
     }
 }
 
-/// Returns the rank of an entry among those that share an upstream's limit.
-fn rank(upstream: &str, entry: &str) -> u64 {
+/// Returns the number by which the entries that share an upstream's limit are ordered.
+fn order(upstream: &str, entry: &str) -> u64 {
     xxh3_64(format!("{upstream} {entry}").as_bytes())
 }
--- a/src/direct/limits/upstream_limits.rs
+++ b/src/direct/limits/upstream_limits.rs
@@ -2,26 +2,17 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use smallvec::SmallVec;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::cold_upstreams::ColdUpstreams;
 use super::limited_upstream::LimitedUpstream;
+use super::other_entries::OtherEntries;
 use super::share::{Share, Sharers};
 use super::{ColdChange, LimitRow, NamedLimit, RowLimit};
 use crate::direct::{ColdStart, ListedUpstream};
 use crate::units::unix_millis;
 
-/// Time between two renewals of an entry's row, at least.
-const MIN_RENEWAL_INTERVAL: Duration = Duration::from_secs(8);
-/// Time between the renewals of any two entries: each is read by all.
-const RENEWAL_SPACING: Duration = Duration::from_secs(1);
-/// Number of renewals after which an entry without one no longer counts.
-const LEASE_RENEWALS: u32 = 3;
-/// Number of renewals for which this entry's own row, as read from the table, proves that it knows
-/// the others.
-const PROOF_RENEWALS: u32 = 2;
 /// Time between two reads of the table for each entry that shares limits.
 const READ_SPACING: Duration = Duration::from_millis(3);
 /// Time in milliseconds for which the end of a limit is told to the other entries.
@@ -55,12 +46,7 @@
 struct State {
     upstreams: HashMap<String, LimitedUpstream>,
     cold: ColdUpstreams,
-    /// Last renewal of each other entry, and when it was read.
-    others: HashMap<String, (u64, Instant)>,
-    /// Number of the last renewal that this entry has begun to write.
-    renewal: u64,
-    /// When this entry last read that renewal in the table.
-    proven: Option<Instant>,
+    others: OtherEntries,
 }
 
 impl UpstreamLimits {
@@ -137,8 +123,8 @@
     ) -> Option<Instant> {
         let known = state.upstreams.get(&listed.id);
         let known = known.filter(|known| known.incarnation == listed.started_at_ms)?;
-        let others = state.live_others(now);
-        known.next(&listed.id, self.sharers(state.is_proven(now), &others))
+        let others = state.others.live(now);
+        known.next(&listed.id, self.sharers(state.others.is_proven(now), &others))
     }
 
     fn next_cold(
@@ -150,10 +136,10 @@
         if !state.cold.contains(listed, now) {
             return None;
         }
-        let State { cold, others, proven, .. } = state;
+        let State { cold, others, .. } = state;
         let share = |rate, most_sharers| {
-            let live = live_others(others, now);
-            let sharers = self.sharers(is_proven(*proven, live.len(), now), &live);
+            let live = others.live(now);
+            let sharers = self.sharers(others.is_proven(now), &live);
             Share::new(rate, most_sharers, &listed.id, sharers)
         };
         cold.next(&listed.id, share, now)
@@ -246,14 +232,14 @@
 
     /// Returns the time between two renewals of this entry's row.
     pub(super) fn renewal_interval(&self, now: Instant) -> Duration {
-        self.lock().renewal_interval(now)
+        self.lock().others.renewal_interval(now)
     }
 
     /// Returns the time between two reads of the table, which bounds the reads of all entries
     /// together while they write about limits.
     pub(in crate::direct) fn read_interval(&self, now: Instant) -> Duration {
         let state = self.lock();
-        READ_SPACING * u32::try_from(state.live_others(now).len()).unwrap_or(u32::MAX)
+        READ_SPACING * u32::try_from(state.others.live(now).len()).unwrap_or(u32::MAX)
     }
 
     /// Drops what is known of upstreams that are not listed any more, and old ends of limits.
@@ -285,9 +271,7 @@
     pub fn apply(&self, entry: &str, row: &LimitRow, now: Instant) -> Vec<LimitChange> {
         let mut state = self.lock();
         if entry == self.entry {
-            if row.renewal == state.renewal {
-                state.proven = Some(now);
-            }
+            state.others.record_own(row.renewal, now);
             return Vec::new();
         }
         let said = |limit: &RowLimit| LimitedUpstream {
@@ -300,10 +284,7 @@
         let had_limits = state.has_limits();
         let changes =
             limits.filter_map(|limit| state.learn(&limit.upstream, said(limit))).collect();
-        let known = state.others.get(entry);
-        if known.is_none_or(|(renewal, _)| *renewal != row.renewal) {
-            state.others.insert(entry.to_owned(), (row.renewal, now));
-        }
+        state.others.record(entry, row.renewal, now);
         // Only entries that renew their rows count among those that share a limit.
         if !had_limits && state.has_limits() {
             self.changed.notify_one();
@@ -314,14 +295,14 @@
     /// Returns the row that tells the others what this entry knows, for the next renewal.
     pub fn next_row(&self) -> LimitRow {
         let mut state = self.lock();
-        state.renewal += 1;
+        let renewal = state.others.begin_renewal();
         let limit = |(id, known): (&String, &LimitedUpstream)| RowLimit {
             upstream: id.clone(),
             incarnation: known.incarnation,
             rate: known.rate,
             heard: known.heard,
         };
-        LimitRow { renewal: state.renewal, limits: state.upstreams.iter().map(limit).collect() }
+        LimitRow { renewal, limits: state.upstreams.iter().map(limit).collect() }
     }
 
     /// Waits until the row of this entry is to be written.
@@ -354,38 +335,4 @@
         }
         (before != rate).then(|| LimitChange { upstream: id.to_owned(), before, rate })
     }
-
-    fn live_others(&self, now: Instant) -> SmallVec<[&str; 16]> {
-        live_others(&self.others, now)
-    }
-
-    /// Returns whether this entry knows the others for certain.
-    fn is_proven(&self, now: Instant) -> bool {
-        is_proven(self.proven, self.live_others(now).len(), now)
-    }
-
-    fn renewal_interval(&self, now: Instant) -> Duration {
-        renewal_interval(self.live_others(now).len())
-    }
-}
-
-/// Returns the other entries whose rows were renewed lately.
-fn live_others(others: &HashMap<String, (u64, Instant)>, now: Instant) -> SmallVec<[&str; 16]> {
-    let lease = renewal_interval(others.len()) * LEASE_RENEWALS;
-    let is_live = |at: &Instant| now.saturating_duration_since(*at) < lease;
-    let live = others.iter().filter(|(_, (_, at))| is_live(at));
-    live.map(|(entry, _)| entry.as_str()).collect()
-}
-
-/// Returns whether an entry that last read its own row at `proven` knows the others, of which it
-/// counts this number.
-fn is_proven(proven: Option<Instant>, others: usize, now: Instant) -> bool {
-    let max_age = renewal_interval(others) * PROOF_RENEWALS;
-    proven.is_some_and(|at| now.saturating_duration_since(at) < max_age)
-}
-
-/// Returns the time between two renewals of an entry among this number of others.
-fn renewal_interval(others: usize) -> Duration {
-    let others = u32::try_from(others).unwrap_or(u32::MAX);
-    MIN_RENEWAL_INTERVAL.max(RENEWAL_SPACING * others.saturating_add(1))
 }
--- a/src/direct/responses/relay.rs
+++ b/src/direct/responses/relay.rs
@@ -33,7 +33,7 @@
 pub(in crate::direct) struct EventTiming {
     first: Option<Instant>,
     last: Option<Instant>,
-    /// Whether the stream goes on in another group, of whose speed the next gap tells nothing.
+    /// Whether the stream goes on in another group, whose speed the next gap does not show.
     is_moved: bool,
 }
 
@@ -104,7 +104,7 @@
                         self.dispatcher.suspect(request, &upstream, started, sign, progress);
                     }
                     upstream.record_loss();
-                    if broken.is_group_sign() || group.is_down() {
+                    if broken.may_be_rank_loss() || group.is_down() {
                         self.history.record_group_failure(&group.name);
                     }
                     if let Some(sign) = broken.sign {
--- a/src/direct/upstreams/upstream.rs
+++ b/src/direct/upstreams/upstream.rs
@@ -1,5 +1,4 @@
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -10,7 +9,7 @@
 use crate::direct::attempts::Connection;
 use crate::direct::groups::GroupState;
 use crate::direct::quarantine::UpstreamSuspects;
-use crate::direct::upstreams::LoadReport;
+use crate::direct::upstreams::{InFlight, LoadReport, Measured};
 use crate::direct::{Candidate, Inactivity, ListedUpstream, Liveness, Load};
 
 /// First backoff after the upstream could not be reached, refused a request, or gave no valid
@@ -24,9 +23,6 @@
 const MAX_IDLE_CONNECTIONS: usize = 4;
 /// Idle time after which a connection is not reused, shorter than the usual timeout of upstreams.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
-/// Time without activity of any engine during a request from which its response time says nothing
-/// of its own engine.
-const MAX_INACTIVE_TIME: Duration = Duration::from_millis(250);
 /// Longest pause that is kept, longer than any incarnation lives.
 const MAX_PAUSE: Duration = Duration::from_secs(365 * 24 * 3_600);
 
@@ -67,107 +63,10 @@
     speed: SpeedEstimator,
     /// When the upstream was last avoided or paused.
     avoided: Option<Instant>,
-    /// Whether the upstream is called slow in the log.
+    /// Whether the log last reported the upstream as slow.
     is_slow: bool,
 }
 
-/// What an entry has measured of an upstream.
-#[derive(Clone, Copy, Debug)]
-pub(in crate::direct) struct Measured {
-    /// Work in flight and of requests that failed lately, in usual requests.
-    pub(in crate::direct) work: f64,
-    pub(in crate::direct) is_busy: bool,
-    pub(in crate::direct) speed: SpeedEstimator,
-    pub(in crate::direct) slow_start: SlowStart,
-    /// Number of requests that can run at a time, if the upstream has reported it.
-    pub(in crate::direct) slots: Option<u32>,
-}
-
-/// A request counted as in flight at an upstream until dropped.
-#[derive(Debug)]
-pub(in crate::direct) struct InFlight {
-    upstream: Arc<Upstream>,
-    /// State of the group in which the upstream was as the request was sent.
-    group: Arc<GroupState>,
-    /// Active time at which the request was sent.
-    sent: Duration,
-    /// Whether the upstream has responded to the request.
-    responded: AtomicBool,
-    /// When the request was sent.
-    started: Instant,
-    /// What was known of the request, if speed and capacity are learned.
-    measured: Option<SentRequest>,
-    /// Whether a complete response or an event has arrived.
-    is_answered: AtomicBool,
-}
-
-impl InFlight {
-    /// Records a complete response, or the first event of a stream. Returns the time to it, unless
-    /// nothing is learned or all engines were stalled meanwhile.
-    pub(in crate::direct) fn record_first_event(&self, now: Instant) -> Option<FirstEvent> {
-        let first = self.first_event(now)?;
-        self.upstream.lock().speed.record(first.relative_time(), now);
-        Some(first)
-    }
-
-    /// Records that a complete response or an event has arrived.
-    pub(in crate::direct) fn record_answered(&self) {
-        self.is_answered.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns the first event if it has arrived now, unless nothing follows from it.
-    fn first_event(&self, now: Instant) -> Option<FirstEvent> {
-        let sent = self.measured?;
-        let time = now.saturating_duration_since(self.started);
-        let active_time = self.group.liveness.active_time().saturating_sub(self.sent);
-        let is_stalled = sent.is_engine && time.saturating_sub(active_time) > MAX_INACTIVE_TIME;
-        (!is_stalled).then_some(FirstEvent { sent, time })
-    }
-
-    /// Records activity of the upstream.
-    pub(in crate::direct) fn record_activity(&self) {
-        let now = Instant::now();
-        let liveness = &self.group.liveness;
-        let active_time = liveness.record_activity(now);
-        if !self.responded.swap(true, Ordering::Relaxed) {
-            liveness.record_response_time(active_time.saturating_sub(self.sent));
-        }
-        let mut state = self.upstream.lock();
-        if state.is_measured_in(liveness) {
-            state.inactivity.record_activity(active_time);
-        }
-        state.last_activity = Some(now);
-    }
-
-    /// Returns the state of the group in which the request runs.
-    pub(in crate::direct) const fn group(&self) -> &Arc<GroupState> {
-        &self.group
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let is_answered = self.is_answered.load(Ordering::Relaxed);
-        let now = Instant::now();
-        let unanswered = self.first_event(now).filter(|_| !is_answered);
-        let mut state = self.upstream.lock();
-        if let Some(unanswered) = unanswered {
-            state.speed.record_unanswered(unanswered.relative_time(), now);
-        }
-        state.in_flight = state.in_flight.saturating_sub(1);
-        state.work -= work_of(self.measured);
-        if state.in_flight == 0 {
-            // Drops what rounding has left.
-            state.work = 0.0;
-        }
-        let liveness = &self.group.liveness;
-        if state.in_flight == 0 && state.is_measured_in(liveness) {
-            let limit = liveness.silence_limit();
-            state.inactivity.record_idle(liveness.active_time(), limit, now);
-        }
-    }
-}
-
 impl Upstream {
     /// Creates an upstream of which only the listing is known.
     pub fn new(listed: ListedUpstream) -> Self {
@@ -229,28 +128,58 @@
     pub(in crate::direct) fn begin_request(
         self: &Arc<Self>,
         group: &Arc<GroupState>,
-        measured: Option<SentRequest>,
+        request: Option<SentRequest>,
     ) -> InFlight {
         let liveness = &group.liveness;
-        let sent = liveness.active_time();
+        let active_time = liveness.active_time();
         let mut state = self.lock();
         state.in_flight += 1;
-        state.work += work_of(measured);
+        state.work += work_of(request);
         if !state.is_measured_in(liveness) {
             // The active times of two groups can't be compared.
             state.inactivity = Inactivity::default();
             state.liveness = Some(Arc::clone(liveness));
         }
-        state.inactivity.record_request(sent);
-        InFlight {
-            upstream: Arc::clone(self),
-            group: Arc::clone(group),
-            sent,
-            responded: AtomicBool::new(false),
-            started: Instant::now(),
-            measured,
-            is_answered: AtomicBool::new(false),
+        state.inactivity.record_request(active_time);
+        InFlight::new(Arc::clone(self), Arc::clone(group), active_time, request)
+    }
+
+    /// Ends the count of a request as in flight.
+    pub(super) fn end_request(
+        &self,
+        liveness: &Liveness,
+        request: Option<SentRequest>,
+        unanswered: Option<FirstEvent>,
+        now: Instant,
+    ) {
+        let mut state = self.lock();
+        if let Some(unanswered) = unanswered {
+            state.speed.record_unanswered(unanswered.relative_time(), now);
+        }
+        state.in_flight = state.in_flight.saturating_sub(1);
+        state.work -= work_of(request);
+        if state.in_flight == 0 {
+            // Drops what rounding has left.
+            state.work = 0.0;
+        }
+        if state.in_flight == 0 && state.is_measured_in(liveness) {
+            let limit = liveness.silence_limit();
+            state.inactivity.record_idle(liveness.active_time(), limit, now);
+        }
+    }
+
+    /// Records the time to a complete response or to the first event of a stream.
+    pub(super) fn record_first_event(&self, first: &FirstEvent, now: Instant) {
+        self.lock().speed.record(first.relative_time(), now);
+    }
+
+    /// Records that the upstream has sent something at an active time of its group.
+    pub(super) fn record_activity(&self, liveness: &Liveness, active_time: Duration, now: Instant) {
+        let mut state = self.lock();
+        if state.is_measured_in(liveness) {
+            state.inactivity.record_activity(active_time);
         }
+        state.last_activity = Some(now);
     }
 
     /// Returns whether requests that may run again should be moved to another upstream.
@@ -380,7 +309,7 @@
         std::mem::replace(&mut state.is_slow, is_slow) != is_slow
     }
 
-    /// Returns whether the upstream is called slow in the log.
+    /// Returns whether the log last reported the upstream as slow.
     pub(in crate::direct) fn is_slow(&self) -> bool {
         self.lock().is_slow
     }
@@ -403,8 +332,8 @@
 }
 
 /// Returns the work that a request counts for.
-fn work_of(measured: Option<SentRequest>) -> f64 {
-    measured.map_or(1.0, |sent| sent.work)
+fn work_of(request: Option<SentRequest>) -> f64 {
+    request.map_or(1.0, |sent| sent.work)
 }
 
 impl State {
--- a/src/remap/agent.rs
+++ b/src/remap/agent.rs
@@ -107,7 +107,7 @@
         }
     }
 
-    /// Refuses a read for the leader of a group that the rank was last not seen in.
+    /// Refuses a read by the leader of a group other than the one in which the rank was last seen.
     fn admit_read(&self, leader: &LeaderTerm) -> Result<(), RankError> {
         self.watch.record_call(leader);
         if self.watch.is_in(&leader.group) { Ok(()) } else { Err(RankError::Refused) }
--- a/src/remap/assembly.rs
+++ b/src/remap/assembly.rs
@@ -91,7 +91,8 @@
         let local = clients.iter().position(PeerRank::is_local);
         let local = local.ok_or(AssembleError::NotReady)?;
         let mut ranks = RankSet::new(clients, self.leader.group.clone(), epoch, *fence);
-        let last_armed = self.switcher.map(|local| armed_last(local, size)).unwrap_or_default();
+        let last_armed =
+            self.switcher.map(|switcher| armed_last(switcher, size)).unwrap_or_default();
         let settled = self.settle(&mut ranks, local, &last_armed).await;
         // The ranks refuse tokens below those of the orders that were given, also if this failed.
         *fence = ranks.fence();
--- a/src/remap/mod.rs
+++ b/src/remap/mod.rs
@@ -10,6 +10,7 @@
 mod found_rank;
 mod group_map;
 mod group_memory;
+mod leader_monitor;
 mod leader_term;
 mod leader_watch;
 mod leadership;
--- a/src/remap/peer_rank.rs
+++ b/src/remap/peer_rank.rs
@@ -1,3 +1,4 @@
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -26,7 +27,6 @@
 /// Time after which the state of a bypassed sidecar's rank is read through it again. It must hear of
 /// the leader before it presumes the leader lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(600);
-
 /// Max time since a rank was seen in the leader's group for an order that no sidecar beside the rank
 /// checks. A rank that moves takes longer than that to form another group.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_secs(1);
@@ -116,6 +116,28 @@
         may_call(since).then_some(&sidecar.client)
     }
 
+    /// Awaits the sidecar's answer for at most `limit`. Without one the sidecar is bypassed.
+    async fn answer<T, E>(
+        &self,
+        limit: Duration,
+        call: impl Future<Output = Result<Result<T, RankError>, E>>,
+    ) -> Option<Result<T, RankError>> {
+        let answer = timeout(limit, call).await.ok().and_then(Result::ok);
+        if answer.is_none() {
+            self.set_bypassed_since(Some(Instant::now()));
+        }
+        answer
+    }
+
+    /// Reads the state without the sidecar.
+    async fn direct_state(&self) -> Result<RankState, RankError> {
+        let state = self.direct.state().await?;
+        let lag_ms = if self.is_local() { 0 } else { DIRECT_LAG_MS };
+        let state = RankState { lag_ms, ..state };
+        self.confirm(&state);
+        Ok(state)
+    }
+
     /// Reads a state that is not older than this call, without the sidecar.
     async fn state_from_now(&self) -> Result<RankState, RankError> {
         sleep(Duration::from_millis(DIRECT_LAG_MS)).await;
@@ -141,9 +163,7 @@
         if !self.is_local() && self.is_confirmed() {
             return Ok(());
         }
-        let state = self.direct.state().await?;
-        let lag_ms = if self.is_local() { 0 } else { DIRECT_LAG_MS };
-        self.confirm(&RankState { lag_ms, ..state });
+        self.direct_state().await?;
         if self.is_confirmed() { Ok(()) } else { Err(RankError::Refused) }
     }
 
@@ -169,16 +189,8 @@
         command: &RankCommand,
     ) -> Result<(), RankError> {
         let order = PrepareOrder { version, digest, epoch: command.epoch, fence: command.fence };
-        let given = timeout(self.call_timeout, sidecar.prepare(self.leader.clone(), order)).await;
-        given.ok().and_then(Result::ok).unwrap_or_else(|| {
-            self.bypass_sidecar();
-            Err(RankError::Unknown)
-        })
-    }
-
-    /// Bypasses the sidecar after a call without an answer.
-    fn bypass_sidecar(&self) {
-        self.set_bypassed_since(Some(Instant::now()));
+        let call = sidecar.prepare(self.leader.clone(), order);
+        self.answer(self.call_timeout, call).await.unwrap_or(Err(RankError::Unknown))
     }
 
     fn set_bypassed_since(&self, since: Option<Instant>) {
@@ -194,19 +206,13 @@
 impl<P: RankClient> RankClient for PeerRank<P> {
     async fn state(&self) -> Result<RankState, RankError> {
         if let Some(sidecar) = self.sidecar_to_probe() {
-            match timeout(self.call_timeout, sidecar.state(self.leader.clone())).await {
-                Ok(Ok(state)) => {
-                    self.set_bypassed_since(None);
-                    return state.inspect(|state| self.confirm(state));
-                }
-                Ok(Err(_)) | Err(_) => self.bypass_sidecar(),
+            let call = sidecar.state(self.leader.clone());
+            if let Some(state) = self.answer(self.call_timeout, call).await {
+                self.set_bypassed_since(None);
+                return state.inspect(|state| self.confirm(state));
             }
         }
-        let state = self.direct.state().await?;
-        let lag_ms = if self.is_local() { 0 } else { DIRECT_LAG_MS };
-        let state = RankState { lag_ms, ..state };
-        self.confirm(&state);
-        Ok(state)
+        self.direct_state().await
     }
 
     async fn prepared_state(
@@ -219,12 +225,9 @@
         }
         let Some(sidecar) = self.sidecar() else { return self.state_from_now().await };
         let call = sidecar.prepared_state(self.leader.clone(), version, millis(max_wait));
-        match timeout(max_wait + self.call_timeout, call).await {
-            Ok(Ok(state)) => state.inspect(|state| self.confirm(state)),
-            Ok(Err(_)) | Err(_) => {
-                self.bypass_sidecar();
-                self.state_from_now().await
-            }
+        match self.answer(max_wait + self.call_timeout, call).await {
+            Some(state) => state.inspect(|state| self.confirm(state)),
+            None => self.state_from_now().await,
         }
     }
 
@@ -243,18 +246,15 @@
         // that. So there is no direct call if the sidecar does not answer.
         let Connection::Sidecar(_) = self.connection else { return self.direct.counts().await };
         let Some(sidecar) = self.sidecar() else { return Err(RankError::Unknown) };
-        let counted = timeout(self.call_timeout, sidecar.counts(self.leader.clone())).await;
-        counted.ok().and_then(Result::ok).unwrap_or_else(|| {
-            self.bypass_sidecar();
-            Err(RankError::Unknown)
-        })
+        let call = sidecar.counts(self.leader.clone());
+        self.answer(self.call_timeout, call).await.unwrap_or(Err(RankError::Unknown))
     }
 
     async fn held(&self) -> Result<Vec<HeldExperts>, RankError> {
         if let Some(sidecar) = self.sidecar() {
-            match timeout(self.call_timeout, sidecar.held(self.leader.clone())).await {
-                Ok(Ok(held)) => return held,
-                Ok(Err(_)) | Err(_) => self.bypass_sidecar(),
+            let call = sidecar.held(self.leader.clone());
+            if let Some(held) = self.answer(self.call_timeout, call).await {
+                return held;
             }
         }
         self.direct.held().await
@@ -275,12 +275,9 @@
         } else {
             self.call_timeout
         };
-        let given = timeout(limit, sidecar.command(self.leader.clone(), command.clone())).await;
-        given.ok().and_then(Result::ok).unwrap_or_else(|| {
-            // The sidecar may have forwarded the order.
-            self.bypass_sidecar();
-            Err(RankError::Unknown)
-        })
+        let call = sidecar.command(self.leader.clone(), command.clone());
+        // The sidecar may have forwarded an order that it did not answer.
+        self.answer(limit, call).await.unwrap_or(Err(RankError::Unknown))
     }
 
     async fn command_at(&self, other: &Self, command: &RankCommand) -> Result<(), RankError> {
@@ -289,10 +286,6 @@
         };
         other.check_group().await?;
         let call = sidecar.command_at(self.leader.clone(), other.addr, command.clone());
-        let given = timeout(self.call_timeout, call).await;
-        given.ok().and_then(Result::ok).unwrap_or_else(|| {
-            self.bypass_sidecar();
-            Err(RankError::Unknown)
-        })
+        self.answer(self.call_timeout, call).await.unwrap_or(Err(RankError::Unknown))
     }
 }
--- a/src/remap/selected_ranks.rs
+++ b/src/remap/selected_ranks.rs
@@ -52,7 +52,7 @@
     pub fn absent(&self, switcher: Option<usize>) -> Option<usize> {
         let mut absent = (0..self.size()).filter(|rank| self.ranks[*rank].is_none());
         let (absent, None) = (absent.next()?, absent.next()) else { return None };
-        let last_armed = switcher.map(|local| armed_last(local, self.size()))?;
+        let last_armed = armed_last(switcher?, self.size());
         (last_armed.contains(&absent) && !self.silent.is_empty()).then_some(absent)
     }
 
--- a/tests/it/several_groups/host_client.rs
+++ b/tests/it/several_groups/host_client.rs
@@ -19,7 +19,8 @@
 pub(super) struct HostClient {
     world: Arc<World>,
     host: usize,
-    /// Number of groups whose leaders' terms, modulo this, are the numbers of their groups.
+    /// Number of groups, `None` if orders are not checked. A leader's term modulo it is the number
+    /// of the leader's group.
     checked_terms: Option<u64>,
 }
 
