--- a/src/direct/limits/cold_upstreams.rs
+++ b/src/direct/limits/cold_upstreams.rs
@@ -146,7 +146,11 @@
     /// Records an incarnation. Returns whether it was not known.
     fn record_seen(&mut self, listed: &ListedUpstream) -> bool {
         if self.seen.len() >= MAX_SEEN && !self.seen.contains_key(&listed.id) {
-            self.seen.clear();
+            // Without all of them, every upstream that runs for long would be taken for a new one.
+            let oldest = self.seen.iter().min_by_key(|(_, started)| **started);
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                self.seen.remove(&id);
+            }
         }
         self.seen.insert(listed.id.clone(), listed.started_at_ms) != Some(listed.started_at_ms)
     }
