--- a/tests/it/capacity_by_priority.rs
+++ b/tests/it/capacity_by_priority.rs
@@ -51,20 +51,39 @@
     let play = Play::new(bursts(total, 0.6), &vec![1.0; entries]).run(16.0, seed);
 
     assert!(play.admitted(URGENT, 4.0, 15.0) >= 0.95);
-    assert!(play.admitted(MIDDLE, 4.0, 15.0) >= 0.85);
-    // With 14 entries, each hears of an engine only every few seconds, so their choices are uneven.
-    let on_time = if entries > 6 { 0.85 } else { 0.9 };
-    for kind in [URGENT, MIDDLE, BULK] {
-        assert!(
-            play.on_time(kind, 4.0, 15.0) >= on_time,
-            "{kind}: {}",
-            play.on_time(kind, 4.0, 15.0)
-        );
-    }
-    // The tightest target allows a queue of 1.4 requests. With 14 entries, the returning callers of
-    // the burst still use most of that, but no more.
-    let max_queue = if entries > 6 { 1.0 } else { 0.5 };
-    assert!(play.mean_queue(13.5, 15.0) <= max_queue);
+    let middle = play.admitted(MIDDLE, 4.0, 15.0);
+    assert!(middle >= play.admitted(BULK, 4.0, 15.0) - 0.05, "{middle}");
+}
+
+/// Plays bursts of the least urgent kind of several sizes, with few and many entries. Returns the
+/// plays in which something does not hold.
+fn bursts_without(holds: impl Fn(&Play) -> bool) -> Vec<(f64, usize, u64)> {
+    let totals = [1.0, 1.4, 2.0, 2.5].into_iter();
+    let plays = totals.flat_map(|total| [1, 6, 14].map(|entries| (total, entries)));
+    let plays = plays.flat_map(|(total, entries)| (1..=4).map(move |seed| (total, entries, seed)));
+    let run =
+        |total, entries, seed| Play::new(bursts(total, 0.6), &vec![1.0; entries]).run(16.0, seed);
+    plays.filter(|(total, entries, seed)| !holds(&run(*total, *entries, *seed))).collect()
+}
+
+/// Guards against admitted requests that are late: 95 in 100 are to be on time.
+#[test]
+fn what_is_admitted_in_a_burst_is_on_time() {
+    let is_on_time = |play: &Play| {
+        [URGENT, MIDDLE, BULK].iter().all(|kind| play.on_time(*kind, 4.0, 15.0) >= 0.95)
+    };
+
+    let late = bursts_without(is_on_time);
+
+    assert_eq!(late, []);
+}
+
+/// Guards against a queue that outlives a burst by more than a second.
+#[test]
+fn the_queue_of_a_burst_is_gone_after_a_second() {
+    let queued = bursts_without(|play| play.mean_queue(13.5, 15.0) <= 0.25);
+
+    assert_eq!(queued, []);
 }
 
 /// Guards against a burst of the most urgent kind that finds the engines full of the least urgent.
@@ -75,7 +94,18 @@
     let play = Play::new(bursts(1.4, 0.8), &[1.0; 14]).run(20.0, seed);
 
     assert!(play.admitted(URGENT, 15.0, 18.0) >= 0.95, "{}", play.admitted(URGENT, 15.0, 18.0));
-    assert!(play.on_time(URGENT, 15.0, 18.0) >= 0.85, "{}", play.on_time(URGENT, 15.0, 18.0));
+}
+
+/// Guards against a burst of the most urgent kind that is admitted and late: 95 in 100 are to be on
+/// time.
+#[test]
+fn a_burst_of_the_most_urgent_is_on_time() {
+    let run = |seed| Play::new(bursts(1.4, 0.8), &[1.0; 14]).run(20.0, seed);
+
+    let late: Vec<u64> =
+        (1..=4).filter(|seed| run(*seed).on_time(URGENT, 15.0, 18.0) < 0.95).collect();
+
+    assert_eq!(late, Vec::<u64>::new());
 }
 
 /// Guards against refusals without need.
@@ -157,7 +187,7 @@
     let repeating = (served(1) + served(2)) / 2.0;
     let patient = (3..=6).map(served).sum::<f64>() / 4.0;
     assert!(repeating <= patient + 0.05, "repeating {repeating}, patient {patient}");
-    assert!(play.on_time(0, 8.0, 20.0) >= 0.9, "{}", play.on_time(0, 8.0, 20.0));
+    assert!(play.on_time(0, 8.0, 20.0) >= 0.95, "{}", play.on_time(0, 8.0, 20.0));
 }
 
 /// Guards against a kind that is served better by one entry than by another.
