The share of the load is taken from the group that ran a request

Cause: ranks of a broken group refuse with reports of no load, which are the freshest; with the other groups' responses an entry counted them, took its own share of the load for larger than it is, and with it its part of the slack of the retry budget. Change: the share is computed over the upstreams of the group that ran the request. With one group nothing changes. No test of its own yet: the sum of the shares of several entries with a broken group isn't covered by a test.

--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -178,13 +178,22 @@
         Ok(Exchanged::Complete(Response::from_parts(head, body)))
     }
 
-    /// Records this entry's share of the service's load, once a request has run: reports of upstreams
-    /// that only refuse tell nothing of what other entries send.
+    /// Records this entry's share of the service's load, once a request has run, by the upstreams of
+    /// the group that ran it: reports of upstreams that only refuse, as those of a broken group do,
+    /// tell nothing of what other entries send.
     fn record_load_share(&self, request: &CheckedRequest, group: &GroupState) {
-        let (now, liveness) = (Instant::now(), &group.liveness);
-        let upstreams = self.roster.service_upstreams(&request.service.name);
+        let (now, service) = (Instant::now(), &request.service.name);
+        let upstreams = self.roster.service_upstreams(service);
+        let memberships = self.group_directory.memberships();
+        let is_member = |upstream: &&Arc<Upstream>| {
+            memberships.as_ref().is_none_or(|memberships| {
+                let membership = memberships.get(service, &upstream.listed.id);
+                request.state.group(membership).name == group.name
+            })
+        };
+        let members = upstreams.iter().filter(is_member);
         let candidates: SmallVec<[Candidate; 16]> =
-            upstreams.iter().map(|upstream| upstream.candidate(liveness, now)).collect();
+            members.map(|upstream| upstream.candidate(&group.liveness, now)).collect();
         if let Some(share) = load_share(&candidates) {
             request.state.retry_budget.record_load_share(share);
         }
