Review, case 1: a leaving worker gets requests after channels to the store go silent

Cause: entries give up a silent call for the list of upstreams only after 4.0 s and more, longer than contact_ms (3.0 s). Change: a script with stand-ins for store, workers and clients; nothing outside review/.

--- /dev/null
+++ b/review/1/case.rs
@@ -0,0 +1,161 @@
+//! Open channels to the platform's store go silent; a worker then reports `draining`. Checks the
+//! rule DRAIN: no request may reach the worker later than `drain_ms` after the store acknowledged
+//! that, from machines that are in touch again.
+
+#[path = "../standin/common.rs"]
+mod common;
+
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use common::*;
+
+/// `contact_ms` and `drain_ms` of the site akwaaba-kites.
+const CONTACT_S: f64 = 3.0;
+const DRAIN_S: f64 = 2.0;
+/// Time from the registration of the new worker to the silence of the channels, and to the report of
+/// the old one.
+const SILENCE_AFTER_S: f64 = 0.3;
+const REPORT_AFTER_S: f64 = 1.0;
+/// The worker serves `drain_ms` and this time longer, then exits.
+const LINGER_S: f64 = 1.2;
+const REQUESTS_PER_S: f64 = 64.0;
+
+const CONFIG: &str = r#"{"version":7,"route_table":[
+{"name":"r-pay","hostname":"kites.example","prefix":"/pay/","kind":"unsafe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"members-ledger","max_attempts":1,"anonymous":false},
+{"name":"r-look","hostname":"kites.example","prefix":"/look/","kind":"safe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"members-ledger","max_attempts":2,"anonymous":false}],
+"backends":[{"name":"members-ledger","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"club-1","api_keys":["key-of-club-1"],"priority":1}]}"#;
+
+/// Work of the ledger: 60 ms in the mean.
+fn work_ms(random: &mut Random) -> f64 {
+    30.0 + 60.0 * random.unit()
+}
+
+fn main() {
+    limit_time(100.0);
+    let case = std::env::args().nth(1).expect("the folder of the case");
+    let temp = std::env::args().nth(2).expect("a temporary folder");
+    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Record::create(&format!("{case}/record.txt"));
+    let store = Store::start();
+    let proxy = Proxy::start(store.addr);
+    store.put("op", "config", CONFIG);
+    let zones = ["osu", "tema", "madina"];
+    let mut workers: Vec<Arc<Worker>> =
+        (0..3).map(|at| start_worker(&record, &store, at + 1, zones[at])).collect();
+    let (mut entry_1, addrs_1) = start_entry(&temp, "edge-osu-1", "osu", proxy.addr);
+    let (mut entry_2, addrs_2) = start_entry(&temp, "edge-tema-1", "tema", proxy.addr);
+    wait_ready(&[addrs_1, addrs_2]);
+    let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
+    let begin = record.now();
+    let load_s = 14.0;
+    let frontends = [addrs_1.frontend, addrs_2.frontend];
+    let load = start_load(&record, &outcomes, frontends, load_s);
+    sleep_s(begin + 4.0 - record.now());
+    // A release: the new worker starts first, the old one drains.
+    let began = record.now();
+    workers.push(start_worker(&record, &store, 4, "osu"));
+    record.line("i-ledger-4 registers");
+    sleep_s(began + SILENCE_AFTER_S - record.now());
+    let silenced = record.now();
+    if has_trouble {
+        proxy.silence();
+        record.line("the open channels to the store go silent; new ones work");
+    }
+    sleep_s(began + REPORT_AFTER_S - record.now());
+    workers[0].drain();
+    let reported = record.now();
+    sleep_s(DRAIN_S + LINGER_S);
+    workers[0].exit();
+    load.join().unwrap();
+    sleep_s(1.5);
+    if entry_1.has_ended() || entry_2.has_ended() {
+        record.verdict("an entry ended by itself");
+        finish(1);
+    }
+    let in_touch = if has_trouble { silenced + CONTACT_S } else { 0.0 };
+    judge(&record, &workers, &outcomes.lock().unwrap(), reported + DRAIN_S, in_touch);
+}
+
+fn start_worker(record: &Arc<Record>, store: &Arc<Store>, number: usize, zone: &str) -> Arc<Worker> {
+    let id = format!("i-ledger-{number}");
+    Worker::start(record, store, &id, zone, "members-ledger", 6, work_ms)
+}
+
+/// Sends orders and look-ups to the entries in turn, each on a new channel.
+fn start_load(
+    record: &Arc<Record>,
+    outcomes: &Arc<Mutex<Vec<Outcome>>>,
+    frontends: [std::net::SocketAddr; 2],
+    seconds: f64,
+) -> thread::JoinHandle<()> {
+    let (record, outcomes) = (Arc::clone(record), Arc::clone(outcomes));
+    thread::spawn(move || {
+        let (begin, mut clients) = (record.now(), Vec::new());
+        let interval = 1.0 / REQUESTS_PER_S;
+        for at in 0..(seconds / interval) as usize {
+            sleep_s(begin + at as f64 * interval - record.now());
+            let (record, outcomes) = (Arc::clone(&record), Arc::clone(&outcomes));
+            clients.push(thread::spawn(move || {
+                let is_order = at % 4 != 3;
+                let (method, path) = if is_order { ("POST", "/pay/1") } else { ("GET", "/look/1") };
+                let name = if is_order { "order" } else { "lookup" };
+                let headers =
+                    [("Host", "kites.example"), ("Authorization", "Bearer key-of-club-1")];
+                let body: &[u8] = if is_order { b"dues" } else { b"" };
+                let (id, limit) = (format!("{name}-{at:05}"), Duration::from_millis(1_500));
+                let entry = frontends[(at / 4) % 2];
+                let ended = request(&record, entry, method, path, &headers, &id, body, limit);
+                outcomes.lock().unwrap().push(ended);
+            }));
+        }
+        clients.into_iter().for_each(|client| client.join().unwrap());
+    })
+}
+
+fn judge(
+    record: &Record,
+    workers: &[Arc<Worker>],
+    outcomes: &[Outcome],
+    bound: f64,
+    in_touch: f64,
+) -> ! {
+    let served = outcomes.iter().filter(|ended| ended.status == 200).count();
+    if served * 2 < outcomes.len() {
+        record.verdict(&format!("only {served} of {} were served", outcomes.len()));
+        finish(2);
+    }
+    let sent = |attempt: &str| {
+        outcomes.iter().find(|ended| ended.attempt == attempt).map_or(0.0, |ended| ended.sent)
+    };
+    let arrivals = workers[0].arrivals.lock().unwrap();
+    let late: Vec<&Arrival> = arrivals
+        .iter()
+        .filter(|arrival| arrival.at > bound && sent(&arrival.attempt) > in_touch)
+        .collect();
+    for arrival in &late {
+        let over = arrival.at - bound;
+        record.line(&format!("LATE: {} reached i-ledger-1 {over:.3} s after drain_ms", arrival.attempt));
+    }
+    let runs: Vec<String> =
+        workers.iter().flat_map(|w| w.runs.lock().unwrap().clone()).map(|(id, _)| id).collect();
+    let is_lost = |arrival: &&&Arrival| {
+        arrival.attempt.starts_with("order") && !runs.contains(&arrival.attempt)
+    };
+    let lost: Vec<&str> = late.iter().filter(is_lost).map(|a| a.attempt.as_str()).collect();
+    let failed = outcomes.iter().filter(|ended| !matches!(ended.status, 200 | 503)).count();
+    record.verdict(&format!(
+        "{} of {} served; {failed} ended otherwise than with 200 or 503; {} requests sent after {in_touch:.3} \
+         reached the draining worker later than drain_ms (after {bound:.3}); of these {} orders were accepted and never ended: {lost:?}",
+        served, outcomes.len(), late.len(), lost.len()
+    ));
+    if late.is_empty() {
+        record.verdict("DRAIN held");
+        finish(0)
+    }
+    record.verdict("DRAIN is broken");
+    finish(1);
+}
