Review, case 2: a request that crashes workers is sent on after channels to the store go silent

Cause: entries follow the rows in which they share crashes by calls of up to 20 s, and give up a silent one only 1 s after that, instead of within contact_ms (3.0 s).

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -6,8 +6,6 @@
 mod common;
 
 use std::sync::{Arc, Mutex};
-use std::thread;
-use std::time::Duration;
 
 use common::*;
 
@@ -22,18 +20,6 @@
 const LINGER_S: f64 = 1.2;
 const REQUESTS_PER_S: f64 = 64.0;
 
-const CONFIG: &str = r#"{"version":7,"route_table":[
-{"name":"r-pay","hostname":"kites.example","prefix":"/pay/","kind":"unsafe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"members-ledger","max_attempts":1,"anonymous":false},
-{"name":"r-look","hostname":"kites.example","prefix":"/look/","kind":"safe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"members-ledger","max_attempts":2,"anonymous":false}],
-"backends":[{"name":"members-ledger","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
-"tenants":[{"name":"club-1","api_keys":["key-of-club-1"],"priority":1}]}"#;
-
-/// Work of the ledger: 60 ms in the mean.
-fn work_ms(random: &mut Random) -> f64 {
-    30.0 + 60.0 * random.unit()
-}
-
 fn main() {
     limit_time(100.0);
     let case = std::env::args().nth(1).expect("the folder of the case");
@@ -42,7 +28,7 @@
     let record = Record::create(&format!("{case}/record.txt"));
     let store = Store::start();
     let proxy = Proxy::start(store.addr);
-    store.put("op", "config", CONFIG);
+    store.put("op", "config", LEDGER_CONFIG);
     let zones = ["osu", "tema", "madina"];
     let mut workers: Vec<Arc<Worker>> =
         (0..3).map(|at| start_worker(&record, &store, at + 1, zones[at])).collect();
@@ -52,8 +38,8 @@
     let outcomes: Arc<Mutex<Vec<Outcome>>> = Arc::default();
     let begin = record.now();
     let load_s = 14.0;
-    let frontends = [addrs_1.frontend, addrs_2.frontend];
-    let load = start_load(&record, &outcomes, frontends, load_s);
+    let frontends = vec![addrs_1.frontend, addrs_2.frontend];
+    let load = start_load(&record, &outcomes, frontends, REQUESTS_PER_S, load_s);
     sleep_s(begin + 4.0 - record.now());
     // A release: the new worker starts first, the old one drains.
     let began = record.now();
@@ -82,38 +68,7 @@
 
 fn start_worker(record: &Arc<Record>, store: &Arc<Store>, number: usize, zone: &str) -> Arc<Worker> {
     let id = format!("i-ledger-{number}");
-    Worker::start(record, store, &id, zone, "members-ledger", 6, work_ms)
-}
-
-/// Sends orders and look-ups to the entries in turn, each on a new channel.
-fn start_load(
-    record: &Arc<Record>,
-    outcomes: &Arc<Mutex<Vec<Outcome>>>,
-    frontends: [std::net::SocketAddr; 2],
-    seconds: f64,
-) -> thread::JoinHandle<()> {
-    let (record, outcomes) = (Arc::clone(record), Arc::clone(outcomes));
-    thread::spawn(move || {
-        let (begin, mut clients) = (record.now(), Vec::new());
-        let interval = 1.0 / REQUESTS_PER_S;
-        for at in 0..(seconds / interval) as usize {
-            sleep_s(begin + at as f64 * interval - record.now());
-            let (record, outcomes) = (Arc::clone(&record), Arc::clone(&outcomes));
-            clients.push(thread::spawn(move || {
-                let is_order = at % 4 != 3;
-                let (method, path) = if is_order { ("POST", "/pay/1") } else { ("GET", "/look/1") };
-                let name = if is_order { "order" } else { "lookup" };
-                let headers =
-                    [("Host", "kites.example"), ("Authorization", "Bearer key-of-club-1")];
-                let body: &[u8] = if is_order { b"dues" } else { b"" };
-                let (id, limit) = (format!("{name}-{at:05}"), Duration::from_millis(1_500));
-                let entry = frontends[(at / 4) % 2];
-                let ended = request(&record, entry, method, path, &headers, &id, body, limit);
-                outcomes.lock().unwrap().push(ended);
-            }));
-        }
-        clients.into_iter().for_each(|client| client.join().unwrap());
-    })
+    Worker::start(record, store, &id, zone, "members-ledger", 6, ledger_ms)
 }
 
 fn judge(
@@ -128,6 +83,7 @@
         record.verdict(&format!("only {served} of {} were served", outcomes.len()));
         finish(2);
     }
+    let all_lost = lost_orders(workers);
     let sent = |attempt: &str| {
         outcomes.iter().find(|ended| ended.attempt == attempt).map_or(0.0, |ended| ended.sent)
     };
@@ -140,12 +96,8 @@
         let over = arrival.at - bound;
         record.line(&format!("LATE: {} reached i-ledger-1 {over:.3} s after drain_ms", arrival.attempt));
     }
-    let runs: Vec<String> =
-        workers.iter().flat_map(|w| w.runs.lock().unwrap().clone()).map(|(id, _)| id).collect();
-    let is_lost = |arrival: &&&Arrival| {
-        arrival.attempt.starts_with("order") && !runs.contains(&arrival.attempt)
-    };
-    let lost: Vec<&str> = late.iter().filter(is_lost).map(|a| a.attempt.as_str()).collect();
+    let lost: Vec<&str> =
+        late.iter().map(|a| a.attempt.as_str()).filter(|id| all_lost.iter().any(|l| l == id)).collect();
     let failed = outcomes.iter().filter(|ended| !matches!(ended.status, 200 | 503)).count();
     record.verdict(&format!(
         "{} of {} served; {failed} ended otherwise than with 200 or 503; {} requests sent after {in_touch:.3} \
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -768,6 +768,28 @@
         self.record.line(&format!("{} reports draining, acknowledged by the store", self.id));
     }
 
+    pub fn has_ended(&self) -> bool {
+        self.ended.load(Ordering::SeqCst)
+    }
+
+    /// Crashes: all channels end and nothing listens any more. The entry in the store is removed
+    /// after three heartbeat intervals of silence.
+    pub fn crash(&self) {
+        if self.ended.swap(true, Ordering::SeqCst) {
+            return;
+        }
+        self.record.line(&format!("{} crashes", self.id));
+        thread::sleep(Duration::from_millis(5));
+        for stream in self.streams.lock().unwrap().drain(..) {
+            stream.shutdown(Shutdown::Both).ok();
+        }
+        let (store, id) = (Arc::clone(&self.store), self.id.clone());
+        thread::spawn(move || {
+            sleep_s(3.0 * HEARTBEAT_S);
+            store.remove("servers", &id);
+        });
+    }
+
     /// Exits: the process ends and its entry is removed.
     pub fn exit(&self) {
         self.ended.store(true, Ordering::SeqCst);
@@ -806,6 +828,11 @@
                 stream.write_all(&answer(503, &[echo, not_run], b""))?;
                 continue;
             }
+            if request.path().ends_with("/deadly") {
+                thread::sleep(Duration::from_millis(20));
+                self.crash();
+                return Ok(());
+            }
             thread::sleep(Duration::from_secs_f64((self.work_ms)(&mut random) / 1e3));
             *self.running.lock().unwrap() -= 1;
             if self.ended.load(Ordering::SeqCst) {
@@ -880,3 +907,58 @@
     record.line(&format!("client gets {status} for {attempt} after {took:.3} s"));
     Outcome { attempt: attempt.to_owned(), sent, status, took }
 }
+
+/// Sends orders (three of four) and look-ups to the entries in turn, each on a new channel.
+pub fn start_load(
+    record: &Arc<Record>,
+    outcomes: &Arc<Mutex<Vec<Outcome>>>,
+    frontends: Vec<SocketAddr>,
+    per_s: f64,
+    seconds: f64,
+) -> thread::JoinHandle<()> {
+    let (record, outcomes) = (Arc::clone(record), Arc::clone(outcomes));
+    thread::spawn(move || {
+        let (begin, mut clients) = (record.now(), Vec::new());
+        for at in 0..(seconds * per_s) as usize {
+            sleep_s(begin + at as f64 / per_s - record.now());
+            let (record, outcomes) = (Arc::clone(&record), Arc::clone(&outcomes));
+            let entry = frontends[(at / 4) % frontends.len()];
+            clients.push(thread::spawn(move || {
+                let is_order = at % 4 != 3;
+                let (method, path) = if is_order { ("POST", "/pay/1") } else { ("GET", "/look/1") };
+                let name = if is_order { "order" } else { "lookup" };
+                let body: &[u8] = if is_order { b"dues" } else { b"" };
+                let (id, limit) = (format!("{name}-{at:05}"), Duration::from_millis(1_500));
+                let ended = request(&record, entry, method, path, &CLIENT, &id, body, limit);
+                outcomes.lock().unwrap().push(ended);
+            }));
+        }
+        clients.into_iter().for_each(|client| client.join().unwrap());
+    })
+}
+
+/// Headers of the clients.
+pub const CLIENT: [(&str, &str); 2] =
+    [("Host", "kites.example"), ("Authorization", "Bearer key-of-club-1")];
+
+/// Orders that a worker received and that no worker ended.
+pub fn lost_orders(workers: &[Arc<Worker>]) -> Vec<String> {
+    let runs: Vec<String> =
+        workers.iter().flat_map(|w| w.runs.lock().unwrap().clone()).map(|(id, _)| id).collect();
+    let received = workers.iter().flat_map(|w| w.arrivals.lock().unwrap().clone());
+    let ids = received.map(|arrival| arrival.attempt);
+    ids.filter(|id| id.starts_with("order") && !runs.contains(id)).collect()
+}
+
+/// Work of the ledger: 60 ms in the mean.
+pub fn ledger_ms(random: &mut Random) -> f64 {
+    30.0 + 60.0 * random.unit()
+}
+
+/// A config with the two kinds of requests of the ledger, as on akwaaba-kites.
+pub const LEDGER_CONFIG: &str = r#"{"version":7,"route_table":[
+{"name":"r-pay","hostname":"kites.example","prefix":"/pay/","kind":"unsafe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"members-ledger","max_attempts":1,"anonymous":false},
+{"name":"r-look","hostname":"kites.example","prefix":"/look/","kind":"safe","timeout_ms":800,"target_latency_ms":300,"priority":2,"service":"members-ledger","max_attempts":2,"anonymous":false}],
+"backends":[{"name":"members-ledger","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}],
+"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+"tenants":[{"name":"club-1","api_keys":["key-of-club-1"],"priority":1}]}"#;
