--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,5 +1,5 @@
-//! Open channels to the platform's store go silent; a worker then reports `draining`. Checks the
-//! rule DRAIN: no request may reach the worker later than `drain_ms` after the store acknowledged
+//! Open channels to the platform's store go silent; two workers then report `draining`. Checks the
+//! rule DRAIN: no request may reach them later than `drain_ms` after the store acknowledged
 //! that, from machines that are in touch again.
 
 #[path = "../standin/common.rs"]
@@ -12,13 +12,15 @@
 /// `contact_ms` and `drain_ms` of the site akwaaba-kites.
 const CONTACT_S: f64 = 3.0;
 const DRAIN_S: f64 = 2.0;
-/// Time from the registration of the new worker to the silence of the channels, and to the report of
-/// the old one.
+/// Time from the registration of the new workers to the silence of the channels, and to the report
+/// of the old ones.
 const SILENCE_AFTER_S: f64 = 0.3;
 const REPORT_AFTER_S: f64 = 1.0;
-/// The worker serves `drain_ms` and this time longer, then exits.
+/// The old workers serve `drain_ms` and this time longer, then exit.
 const LINGER_S: f64 = 1.2;
 const REQUESTS_PER_S: f64 = 64.0;
+/// Number of workers that are replaced at a time.
+const RELEASED: usize = 2;
 
 fn main() {
     limit_time(100.0);
@@ -41,10 +43,12 @@
     let frontends = vec![addrs_1.frontend, addrs_2.frontend];
     let load = start_load(&record, &outcomes, frontends, REQUESTS_PER_S, load_s);
     sleep_s(begin + 4.0 - record.now());
-    // A release: the new worker starts first, the old one drains.
+    // A release of two workers: the new ones start first, the old ones drain.
     let began = record.now();
-    workers.push(start_worker(&record, &store, 4, "osu"));
-    record.line("i-ledger-4 registers");
+    for at in 0..RELEASED {
+        workers.push(start_worker(&record, &store, 4 + at, zones[at]));
+        record.line(&format!("i-ledger-{} registers", 4 + at));
+    }
     sleep_s(began + SILENCE_AFTER_S - record.now());
     let silenced = record.now();
     if has_trouble {
@@ -52,10 +56,10 @@
         record.line("the open channels to the store go silent; new ones work");
     }
     sleep_s(began + REPORT_AFTER_S - record.now());
-    workers[0].drain();
+    workers[..RELEASED].iter().for_each(|worker| worker.drain());
     let reported = record.now();
     sleep_s(DRAIN_S + LINGER_S);
-    workers[0].exit();
+    workers[..RELEASED].iter().for_each(|worker| worker.exit());
     load.join().unwrap();
     sleep_s(1.5);
     if entry_1.has_ended() || entry_2.has_ended() {
@@ -87,21 +91,22 @@
     let sent = |attempt: &str| {
         outcomes.iter().find(|ended| ended.attempt == attempt).map_or(0.0, |ended| ended.sent)
     };
-    let arrivals = workers[0].arrivals.lock().unwrap();
+    let arrivals: Vec<Arrival> =
+        workers[..RELEASED].iter().flat_map(|w| w.arrivals.lock().unwrap().clone()).collect();
     let late: Vec<&Arrival> = arrivals
         .iter()
         .filter(|arrival| arrival.at > bound && sent(&arrival.attempt) > in_touch)
         .collect();
     for arrival in &late {
         let over = arrival.at - bound;
-        record.line(&format!("LATE: {} reached i-ledger-1 {over:.3} s after drain_ms", arrival.attempt));
+        record.line(&format!("LATE: {} reached a draining worker {over:.3} s after drain_ms", arrival.attempt));
     }
     let lost: Vec<&str> =
         late.iter().map(|a| a.attempt.as_str()).filter(|id| all_lost.iter().any(|l| l == id)).collect();
     let failed = outcomes.iter().filter(|ended| !matches!(ended.status, 200 | 503)).count();
     record.verdict(&format!(
         "{} of {} served; {failed} ended otherwise than with 200 or 503; {} requests sent after {in_touch:.3} \
-         reached the draining worker later than drain_ms (after {bound:.3}); of these {} orders were accepted and never ended: {lost:?}",
+         reached the draining workers later than drain_ms (after {bound:.3}); of these {} orders were accepted and never ended: {lost:?}",
         served, outcomes.len(), late.len(), lost.len()
     ));
     if late.is_empty() {
