Review, case 3: workers that are gone get requests after the store turned an entry away

Cause: an entry puts removals from the list off by 2.3 s from its own first answered call, which comes up to 1.84 s after the store's return, longer than contact_ms (3.0 s). Change: a script; the judgement of DRAIN moves to review/standin.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -67,52 +67,11 @@
         finish(1);
     }
     let in_touch = if has_trouble { silenced + CONTACT_S } else { 0.0 };
-    judge(&record, &workers, &outcomes.lock().unwrap(), reported + DRAIN_S, in_touch);
+    let outcomes = outcomes.lock().unwrap().clone();
+    judge_drain(&record, &workers, RELEASED, &outcomes, reported + DRAIN_S, in_touch)
 }
 
 fn start_worker(record: &Arc<Record>, store: &Arc<Store>, number: usize, zone: &str) -> Arc<Worker> {
     let id = format!("i-ledger-{number}");
     Worker::start(record, store, &id, zone, "members-ledger", 6, ledger_ms)
 }
-
-fn judge(
-    record: &Record,
-    workers: &[Arc<Worker>],
-    outcomes: &[Outcome],
-    bound: f64,
-    in_touch: f64,
-) -> ! {
-    let served = outcomes.iter().filter(|ended| ended.status == 200).count();
-    if served * 2 < outcomes.len() {
-        record.verdict(&format!("only {served} of {} were served", outcomes.len()));
-        finish(2);
-    }
-    let all_lost = lost_orders(workers);
-    let sent = |attempt: &str| {
-        outcomes.iter().find(|ended| ended.attempt == attempt).map_or(0.0, |ended| ended.sent)
-    };
-    let arrivals: Vec<Arrival> =
-        workers[..RELEASED].iter().flat_map(|w| w.arrivals.lock().unwrap().clone()).collect();
-    let late: Vec<&Arrival> = arrivals
-        .iter()
-        .filter(|arrival| arrival.at > bound && sent(&arrival.attempt) > in_touch)
-        .collect();
-    for arrival in &late {
-        let over = arrival.at - bound;
-        record.line(&format!("LATE: {} reached a draining worker {over:.3} s after drain_ms", arrival.attempt));
-    }
-    let lost: Vec<&str> =
-        late.iter().map(|a| a.attempt.as_str()).filter(|id| all_lost.iter().any(|l| l == id)).collect();
-    let failed = outcomes.iter().filter(|ended| !matches!(ended.status, 200 | 503)).count();
-    record.verdict(&format!(
-        "{} of {} served; {failed} ended otherwise than with 200 or 503; {} requests sent after {in_touch:.3} \
-         reached the draining workers later than drain_ms (after {bound:.3}); of these {} orders were accepted and never ended: {lost:?}",
-        served, outcomes.len(), late.len(), lost.len()
-    ));
-    if late.is_empty() {
-        record.verdict("DRAIN held");
-        finish(0)
-    }
-    record.verdict("DRAIN is broken");
-    finish(1);
-}
--- a/review/standin/common.rs
+++ b/review/standin/common.rs
@@ -501,54 +501,106 @@
 
 // ---------------------------------------------------------------- proxy
 
-/// Passes channels on to an address. Those that are open can be made silent for good: they stay
-/// open and nothing is passed on any more. New ones work.
+/// Passes channels on to an address. Open ones can be made silent for good: they stay open and
+/// nothing is passed on any more; new ones work. And for a time, no response can be given: what
+/// arrives is lost, and a channel on which anything is lost delivers nothing further.
 pub struct Proxy {
     pub addr: SocketAddr,
-    generation: Arc<AtomicU64>,
+    state: Arc<ProxyState>,
+}
+
+#[derive(Default)]
+struct ProxyState {
+    generation: AtomicU64,
+    is_away: AtomicBool,
+    /// What was lost while no response was given.
+    lost: Mutex<Vec<String>>,
+}
+
+/// One channel through a proxy.
+struct Channel {
+    born: u64,
+    is_dead: AtomicBool,
+    proxy: Arc<ProxyState>,
+}
+
+impl Channel {
+    /// Returns whether bytes are passed on.
+    fn passes(&self, bytes: &[u8]) -> bool {
+        if self.proxy.is_away.load(Ordering::SeqCst) {
+            self.is_dead.store(true, Ordering::SeqCst);
+            self.proxy.lost.lock().unwrap().push(String::from_utf8_lossy(bytes).into_owned());
+        }
+        !self.is_dead.load(Ordering::SeqCst)
+            && self.proxy.generation.load(Ordering::SeqCst) == self.born
+    }
+
+    fn is_alive(&self) -> bool {
+        !self.is_dead.load(Ordering::SeqCst)
+            && !self.proxy.is_away.load(Ordering::SeqCst)
+            && self.proxy.generation.load(Ordering::SeqCst) == self.born
+    }
 }
 
 impl Proxy {
     pub fn start(to: SocketAddr) -> Self {
         let listener = listen();
         let addr = listener.local_addr().unwrap();
-        let generation = Arc::new(AtomicU64::new(0));
-        let current = Arc::clone(&generation);
+        let state = Arc::new(ProxyState::default());
+        let proxy = Arc::clone(&state);
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
                 let Ok(far) = TcpStream::connect(to) else { continue };
                 near.set_nodelay(true).ok();
                 far.set_nodelay(true).ok();
-                let born = current.load(Ordering::SeqCst);
+                let born = proxy.generation.load(Ordering::SeqCst);
+                let (is_dead, proxy) = (AtomicBool::new(false), Arc::clone(&proxy));
+                let channel = Arc::new(Channel { born, is_dead, proxy });
                 for (from, to) in [(&near, &far), (&far, &near)] {
                     let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
-                    let current = Arc::clone(&current);
-                    thread::spawn(move || pump(from, to, born, &current));
+                    let channel = Arc::clone(&channel);
+                    thread::spawn(move || pump(from, to, &channel));
                 }
             }
         });
-        Self { addr, generation }
+        Self { addr, state }
+    }
+
+    /// Makes all open channels silent for good.
+    pub fn silence(&self) {
+        self.state.generation.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Gives no response from now on.
+    pub fn go_away(&self) {
+        self.state.is_away.store(true, Ordering::SeqCst);
+    }
+
+    /// Gives responses again, on new channels.
+    pub fn come_back(&self) {
+        self.state.is_away.store(false, Ordering::SeqCst);
     }
 
-    /// Makes all open channels silent. Returns how often that was done.
-    pub fn silence(&self) -> u64 {
-        self.generation.fetch_add(1, Ordering::SeqCst) + 1
+    /// Waits until something with this text is lost from now on.
+    pub fn wait_lost(&self, text: &str) {
+        self.state.lost.lock().unwrap().clear();
+        while !self.state.lost.lock().unwrap().iter().any(|lost| lost.contains(text)) {
+            thread::sleep(Duration::from_millis(5));
+        }
     }
 }
 
-fn pump(mut from: TcpStream, mut to: TcpStream, born: u64, current: &AtomicU64) {
+fn pump(mut from: TcpStream, mut to: TcpStream, channel: &Channel) {
     let mut buffer = [0; 16 << 10];
     loop {
-        let read = from.read(&mut buffer);
-        let is_silent = current.load(Ordering::SeqCst) != born;
-        match read {
+        match from.read(&mut buffer) {
             Ok(count) if count > 0 => {
-                if !is_silent && to.write_all(&buffer[..count]).is_err() {
+                if channel.passes(&buffer[..count]) && to.write_all(&buffer[..count]).is_err() {
                     return;
                 }
             }
             _ => {
-                if !is_silent {
+                if channel.is_alive() {
                     to.shutdown(Shutdown::Both).ok();
                 }
                 return;
@@ -688,6 +740,8 @@
     store: Arc<Store>,
     running: Mutex<usize>,
     draining: AtomicBool,
+    /// Whether it sends no more heartbeats.
+    is_silent: AtomicBool,
     ended: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
     work_ms: fn(&mut Random) -> f64,
@@ -719,6 +773,7 @@
             store: Arc::clone(store),
             running: Mutex::default(),
             draining: AtomicBool::new(false),
+            is_silent: AtomicBool::new(false),
             ended: AtomicBool::new(false),
             streams: Mutex::default(),
             work_ms,
@@ -728,7 +783,8 @@
         thread::spawn(move || {
             while !beating.ended.load(Ordering::SeqCst) {
                 sleep_s(HEARTBEAT_S);
-                if !beating.ended.load(Ordering::SeqCst) {
+                let is_over = |flag: &AtomicBool| flag.load(Ordering::SeqCst);
+                if !is_over(&beating.ended) && !is_over(&beating.is_silent) {
                     beating.beat();
                 }
             }
@@ -790,6 +846,13 @@
         });
     }
 
+    /// Leaves without a report: its entry is removed from the store, and it goes on serving.
+    pub fn deregister(&self) {
+        self.is_silent.store(true, Ordering::SeqCst);
+        self.store.remove("servers", &self.id);
+        self.record.line(&format!("the entry of {} is removed; it serves on", self.id));
+    }
+
     /// Exits: the process ends and its entry is removed.
     pub fn exit(&self) {
         self.ended.store(true, Ordering::SeqCst);
@@ -962,3 +1025,48 @@
 "backends":[{"name":"members-ledger","health_path":"/healthz","max_connections":110,"protocol":"h1","tls":false}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[{"name":"club-1","api_keys":["key-of-club-1"],"priority":1}]}"#;
+
+/// Judges the rule DRAIN: of requests that clients sent after `in_touch`, none may reach one of the
+/// first `leaving` workers after `bound`.
+pub fn judge_drain(
+    record: &Record,
+    workers: &[Arc<Worker>],
+    leaving: usize,
+    outcomes: &[Outcome],
+    bound: f64,
+    in_touch: f64,
+) -> ! {
+    let served = outcomes.iter().filter(|ended| ended.status == 200).count();
+    if served * 2 < outcomes.len() {
+        record.verdict(&format!("only {served} of {} were served", outcomes.len()));
+        finish(2);
+    }
+    let all_lost = lost_orders(workers);
+    let sent = |attempt: &str| {
+        outcomes.iter().find(|ended| ended.attempt == attempt).map_or(0.0, |ended| ended.sent)
+    };
+    let arrivals: Vec<Arrival> =
+        workers[..leaving].iter().flat_map(|w| w.arrivals.lock().unwrap().clone()).collect();
+    let late: Vec<&Arrival> = arrivals
+        .iter()
+        .filter(|arrival| arrival.at > bound && sent(&arrival.attempt) > in_touch)
+        .collect();
+    for arrival in &late {
+        let over = arrival.at - bound;
+        record.line(&format!("LATE: {} reached a leaving worker {over:.3} s after drain_ms", arrival.attempt));
+    }
+    let lost: Vec<&str> =
+        late.iter().map(|a| a.attempt.as_str()).filter(|id| all_lost.iter().any(|l| l == id)).collect();
+    let failed = outcomes.iter().filter(|ended| !matches!(ended.status, 200 | 503)).count();
+    record.verdict(&format!(
+        "{} of {} served; {failed} ended otherwise than with 200 or 503; {} requests sent after {in_touch:.3} \
+         reached the leaving workers later than drain_ms (after {bound:.3}); of these {} orders were accepted and never ended: {lost:?}",
+        served, outcomes.len(), late.len(), lost.len()
+    ));
+    if late.is_empty() {
+        record.verdict("DRAIN held");
+        finish(0)
+    }
+    record.verdict("DRAIN is broken");
+    finish(1);
+}
