--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -63,8 +63,7 @@
     load.join().unwrap();
     sleep_s(1.5);
     if entry_1.has_ended() || entry_2.has_ended() {
-        record.verdict("an entry ended by itself");
-        finish(1);
+        cannot_run("an entry ended by itself");
     }
     let in_touch = if has_trouble { silenced + CONTACT_S } else { 0.0 };
     let outcomes = outcomes.lock().unwrap().clone();
