Log: each retry charged with the sums of its window; age and proof of settings put in force

Change: retry-charged (service, requests, retries, slack of the window) for each retry; settings-in-force has age_ms and proof_age_ms.

--- a/src/direct/admission/mod.rs
+++ b/src/direct/admission/mod.rs
@@ -13,6 +13,6 @@
 pub use choice::{Candidate, OtherEntriesLoad, choose, estimate_loads, load_share};
 pub use engine_load::{Admission, EngineLoad, LatencyTargets};
 pub(super) use pick::Chosen;
-pub use retry_budget::{RetryBudget, RetryLimits};
+pub use retry_budget::{Charge, RetryBudget, RetryLimits};
 pub use return_queue::ReturnQueue;
 pub use stream_stats::StreamStats;
--- a/src/direct/admission/retry_budget.rs
+++ b/src/direct/admission/retry_budget.rs
@@ -28,6 +28,19 @@
     pub slack_share: f64,
 }
 
+/// What a budget says to one retry, with the sums of the window before it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Charge {
+    /// Whether the budget allows the retry, which is then charged.
+    pub is_granted: bool,
+    /// Requests of callers within the window.
+    pub requests: u32,
+    /// Retries charged within the window, without this one.
+    pub retries: u32,
+    /// Part of the slack that this entry takes at present, in retries.
+    pub slack: f64,
+}
+
 /// Sliding-window budget for the retries of one service at one entry, such that all entries
 /// together stay within the limits.
 ///
@@ -68,7 +81,7 @@
     /// let budget = RetryBudget::new(limits);
     /// (0..10_000).for_each(|_| budget.record_load_share(0.2));
     /// let now = tokio::time::Instant::now();
-    /// assert_eq!((0..99).filter(|_| budget.spend(now)).count(), 15);
+    /// assert_eq!((0..99).filter(|_| budget.spend(now).is_granted).count(), 15);
     /// ```
     pub fn record_load_share(&self, share: f64) {
         let share = (share * SAFE_PART).clamp(self.limits.slack_share, 1.0);
@@ -81,7 +94,7 @@
         self.with_buckets(now, |bucket, _| bucket.requests += 1);
     }
 
-    /// Takes one retry from the budget. Returns whether the budget allowed it.
+    /// Takes one retry from the budget, if that allows it.
     ///
     /// ```
     /// # use std::time::Duration;
@@ -90,18 +103,18 @@
     /// let limits = RetryLimits { share: 0.2, window, slack: 3.0, slack_share: 1.0 };
     /// let budget = RetryBudget::new(limits);
     /// let now = tokio::time::Instant::now();
-    /// assert_eq!((0..9).filter(|_| budget.spend(now)).count(), 3);
-    /// assert!(budget.spend(now + Duration::from_secs(12)));
+    /// assert_eq!((0..9).filter(|_| budget.spend(now).is_granted).count(), 3);
+    /// assert!(budget.spend(now + Duration::from_secs(12)).is_granted);
     /// ```
-    pub fn spend(&self, now: Instant) -> bool {
+    pub fn spend(&self, now: Instant) -> Charge {
         let RetryLimits { share, slack, .. } = self.limits;
         let slack = slack * *self.load_share.lock().unwrap_or_else(PoisonError::into_inner);
-        // Rounding must not take a whole retry away.
-        let slack = slack + ROUNDING;
         self.with_buckets(now, |bucket, (requests, retries)| {
-            let is_allowed = f64::from(retries) + 1.0 <= share * f64::from(requests) + slack;
-            bucket.retries += u32::from(is_allowed);
-            is_allowed
+            let allowed = share * f64::from(requests) + slack;
+            // Rounding must not take a whole retry away.
+            let is_granted = f64::from(retries) + 1.0 <= allowed + ROUNDING;
+            bucket.retries += u32::from(is_granted);
+            Charge { is_granted, requests, retries, slack }
         })
     }
 
--- a/src/direct/dispatch_log.rs
+++ b/src/direct/dispatch_log.rs
@@ -8,13 +8,14 @@
 use super::event::Event;
 use super::quarantine::CrashSign;
 use super::quarantine::hex;
-use super::{Candidate, Quarantine, Upstream};
+use super::{Candidate, Charge, Quarantine, Upstream};
 use crate::admission::{Basis, LoadEstimate};
 use crate::capacity::{PlainLoad, SLOW_FACTOR, SentRequest};
 use crate::direct::attempts::{AttemptHistory, FailedAttempt};
 use crate::direct::responses::StreamProgress;
 use crate::event_log::Level;
 use crate::membership::GroupName;
+use crate::outcome::Reason;
 use crate::units::{BootTime, millis};
 
 impl Dispatcher {
@@ -88,6 +89,21 @@
         self.log.write(Level::Warn, &event);
     }
 
+    pub(super) fn log_charge(&self, request: &CheckedRequest, reason: Reason, charge: &Charge) {
+        let event = Event::RetryCharged {
+            id: request.id.to_str().unwrap_or_default(),
+            service: &request.service.name,
+            reason: reason.as_str(),
+            granted: charge.is_granted,
+            requests: charge.requests,
+            retries: charge.retries,
+            slack: charge.slack,
+        };
+        // A request at a silent upstream asks again and again.
+        let level = if charge.is_granted { Level::Info } else { Level::Debug };
+        self.log.write(level, &event);
+    }
+
     pub(super) fn log_draining(&self, request: &CheckedRequest, upstream: &Upstream) {
         let id = request.id.to_str().unwrap_or_default();
         let upstream = &upstream.listed.id;
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -220,7 +220,14 @@
         // While no upstream has received the request, another attempt is no repetition for the
         // upstreams, so it is not charged to the budget.
         let unreached = failure.reason == Reason::UpstreamDown && !history.reached_upstream();
-        unreached || request.state.retry_budget.spend(Instant::now())
+        unreached || self.charge_retry(request, failure.reason)
+    }
+
+    /// Takes a retry from the budget of the request's service. Returns whether that allows it.
+    fn charge_retry(&self, request: &CheckedRequest, reason: Reason) -> bool {
+        let charge = request.state.retry_budget.spend(Instant::now());
+        self.log_charge(request, reason, &charge);
+        charge.is_granted
     }
 
     /// Returns whether an idempotent request may be retried after a server error.
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -18,7 +18,15 @@
     /// The process read its own settings file again.
     Reloaded { ok: bool, detail: &'a str },
     /// Settings were put in force.
-    SettingsInForce { revision: u64, before: u64 },
+    SettingsInForce {
+        revision: u64,
+        before: u64,
+        /// Time since the call with this answer was sent.
+        age_ms: u64,
+        /// Time since the call whose answer last proved that the settings were the newest.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        proof_age_ms: Option<u64>,
+    },
     /// Settings were written that can't be used; the previous ones stay in force.
     SettingsUnusable { reason: &'a str, in_force: u64 },
     /// The platform responds again, or no longer responds.
@@ -227,6 +235,19 @@
         detail: String,
         took_ms: u64,
     },
+    /// A retry was charged to the budget of its service, or the budget did not allow it. The sums are
+    /// those of the window before it, at this entry.
+    RetryCharged {
+        id: &'a str,
+        service: &'a str,
+        reason: &'a str,
+        granted: bool,
+        /// Requests of callers and retries within the window.
+        requests: u32,
+        retries: u32,
+        /// Part of the common slack that this entry takes, in retries.
+        slack: f64,
+    },
     /// The entry closed the connection of an attempt whose response was not complete, because the
     /// caller left or the deadline passed. `silent_ms` is for how long the upstream had sent
     /// nothing on any connection of this entry.
--- a/src/direct/feeds/routing_follower.rs
+++ b/src/direct/feeds/routing_follower.rs
@@ -11,7 +11,7 @@
     Changes, Cursor, DirectMeter, Directory, DirectoryError, Freshness, RoutingChange,
 };
 use crate::event_log::{EventLog, Level};
-use crate::units::BootTime;
+use crate::units::{BootTime, millis};
 
 /// Maximum time that one call waits for newer settings. Each response confirms that the settings
 /// are fresh.
@@ -60,7 +60,7 @@
                     self.evacuation_updates.apply(&changes, &reading);
                     version = read;
                     cursor = Some(changes.cursor);
-                    if self.apply(changes) {
+                    if self.apply(changes, sent_at) {
                         self.freshness.confirm(sent_at);
                     }
                 }
@@ -84,7 +84,10 @@
     }
 
     /// Puts the newest usable settings in force. Returns whether they are the newest ones written.
-    fn apply(&self, changes: Changes<RoutingChange>) -> bool {
+    fn apply(&self, changes: Changes<RoutingChange>, sent: BootTime) -> bool {
+        let now = BootTime::now();
+        let age_ms = millis(now.since(sent));
+        let proof_age_ms = self.freshness.age(now).map(millis);
         let mut is_newest = true;
         for change in changes.items {
             match change {
@@ -96,7 +99,8 @@
                     }
                     if let Some(before) = self.publisher.publish(*routing) {
                         self.meter.revision(revision);
-                        let event = Event::SettingsInForce { revision, before };
+                        let event =
+                            Event::SettingsInForce { revision, before, age_ms, proof_age_ms };
                         self.log.write(Level::Info, &event);
                     }
                 }
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -26,8 +26,8 @@
 mod upstreams;
 
 pub use admission::{
-    Admission, Candidate, EngineLoad, LatencyTargets, OtherEntriesLoad, RetryBudget, RetryLimits,
-    ReturnQueue, StreamStats, choose, estimate_loads, load_share,
+    Admission, Candidate, Charge, EngineLoad, LatencyTargets, OtherEntriesLoad, RetryBudget,
+    RetryLimits, ReturnQueue, StreamStats, choose, estimate_loads, load_share,
 };
 pub use direct_meter::DirectMeter;
 pub use feeds::{
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -235,7 +235,7 @@
             if is_request {
                 budget.earn(at);
                 earned.push(now);
-            } else if budget.spend(at) {
+            } else if budget.spend(at).is_granted {
                 spent.push(now);
             }
         }
--- a/tests/it/large_fleet.rs
+++ b/tests/it/large_fleet.rs
@@ -194,7 +194,7 @@
                 budget.earn(now);
                 // The reports of a moment may be off by half.
                 budget.record_load_share(rng.random_range(0.5..1.5) / f64::from(entries));
-                retries += (0..4).filter(|_| budget.spend(now)).count();
+                retries += (0..4).filter(|_| budget.spend(now).is_granted).count();
             }
         }
         let allowed = 0.2 * f64::from(entries * REQUESTS_PER_ENTRY) + SLACK;
