Tests that fail: knowledge stays old after connections to the platform go silent

Settings are read again 3.03 s after the silence where 3 s are allowed, and each silent connection in the pool of the store's client takes another second; the list of upstreams and shared rows are read again after 4.1 to 6.6 s and after 16.3 s. Change: a directory that leaves calls in flight unanswered at 80 moments, and a proxy whose open connections go silent.

--- a/tests/it/large_fleet.rs
+++ b/tests/it/large_fleet.rs
@@ -112,7 +112,7 @@
     }
 }
 
-fn entry_file(at: usize) -> DirectFile {
+pub fn entry_file(at: usize) -> DirectFile {
     let any_port = "127.0.0.1:0".parse().unwrap();
     DirectFile {
         name: format!("entry-{at}"),
@@ -132,7 +132,7 @@
     }
 }
 
-fn header_names() -> HeaderNames {
+pub fn header_names() -> HeaderNames {
     let name = HeaderName::from_static;
     HeaderNames {
         attempt: name("attempt"),
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -33,6 +33,7 @@
 mod routing;
 mod settings_order;
 mod several_groups;
+mod silent_platform;
 mod suspects;
 mod term_store;
 mod test_cluster;
