Silent connections to the platform are noticed in time, on all topics

After open connections had gone silent, requests were handled by settings older than allowed. Cause: a call for settings waits 1.9 s and was given up 1.0 s later; with the backoff that is 3.03 to 3.08 s where detection-ms is 3 s. The next call took another connection from the pool of the store's client, as silent: another second for each. Change: one type, ChannelWatch, has the time limits of all calls of an entry, by detection-ms; a call that goes unanswered ends the waiting calls on the other topics. The construction of an entry has a file of its own, since it had outgrown its function. Why it works: settings are asked about every 1.9 s, so silence that hits them is noticed 2.65 s after it at the latest, and that holds for all topics. Not covered: a single connection of another topic that goes silent alone.

--- a/src/direct/feeds/mod.rs
+++ b/src/direct/feeds/mod.rs
@@ -1,5 +1,6 @@
 //! Settings, upstreams and shared rows, as the platform tells of them.
 
+mod channel_watch;
 mod cold_updates;
 mod directory;
 mod evacuation_updates;
@@ -10,6 +11,7 @@
 mod upstream_follower;
 mod watch;
 
+pub(super) use channel_watch::ChannelWatch;
 pub(super) use cold_updates::ColdUpdates;
 pub use directory::{
     Changes, Cursor, Directory, DirectoryError, ListChange, ListedUpstream, RoutingChange,
--- a/src/direct/feeds/routing_follower.rs
+++ b/src/direct/feeds/routing_follower.rs
@@ -4,18 +4,18 @@
 use tokio::time::{Instant, sleep};
 
 use crate::direct::event::Event;
+use crate::direct::feeds::channel_watch::SHORTEST_WAIT;
 use crate::direct::feeds::evacuation_updates::Reading;
 use crate::direct::feeds::upstream_follower::RELIST_GRACE;
-use crate::direct::feeds::{ColdUpdates, EvacuationUpdates, PlatformHealth, RoutingPublisher};
+use crate::direct::feeds::{
+    ChannelWatch, ColdUpdates, EvacuationUpdates, PlatformHealth, RoutingPublisher,
+};
 use crate::direct::{
     Changes, Cursor, DirectMeter, Directory, DirectoryError, Freshness, RoutingChange,
 };
 use crate::event_log::{EventLog, Level};
 use crate::units::{BootTime, millis};
 
-/// Maximum time that one call waits for newer settings. Each response confirms that the settings
-/// are fresh.
-const MAX_WAIT: Duration = Duration::from_millis(1_900);
 /// Minimum number of calls within the maximum age of fresh settings, so that one may fail.
 const CALLS_PER_MAX_AGE: u32 = 2;
 /// Time after which a call without a response is given up and the next one sent, beyond the time
@@ -26,6 +26,7 @@
 #[derive(Debug)]
 pub(in crate::direct) struct RoutingFollower<D> {
     pub(in crate::direct) directory: Arc<D>,
+    pub(in crate::direct) channels: Arc<ChannelWatch>,
     pub(in crate::direct) publisher: RoutingPublisher,
     pub(in crate::direct) evacuation_updates: EvacuationUpdates,
     pub(in crate::direct) cold_updates: ColdUpdates,
@@ -46,7 +47,8 @@
         loop {
             let (sent_at, sent) = (BootTime::now(), Instant::now());
             let wait = self.evacuation_updates.next_wait(max_wait, sent);
-            match self.directory.routing(cursor, health.next_wait(wait)).await {
+            let wait = health.next_wait(wait);
+            match self.channels.call(wait, self.directory.routing(cursor, wait)).await {
                 Ok(changes) => {
                     health.record_success();
                     let Cursor { era, version: read } = changes.cursor;
@@ -74,13 +76,14 @@
         }
     }
 
-    /// Returns the maximum time that one call waits for changes.
+    /// Returns the maximum time that one call waits for changes. Each response confirms that the
+    /// settings are fresh.
     fn max_wait(&self) -> Duration {
         let max_age = self.freshness.max_age();
         let for_age = max_age.map(|age| age.saturating_sub(LOSS_TIME) / CALLS_PER_MAX_AGE);
         // One call may be lost, and the next one slow.
         let for_evacuations = self.evacuation_time.map(|time| time.saturating_sub(LOSS_TIME * 2));
-        [for_age, for_evacuations].into_iter().flatten().fold(MAX_WAIT, Duration::min)
+        [for_age, for_evacuations].into_iter().flatten().fold(SHORTEST_WAIT, Duration::min)
     }
 
     /// Puts the newest usable settings in force. Returns whether they are the newest ones written.
--- a/src/direct/feeds/row_follower.rs
+++ b/src/direct/feeds/row_follower.rs
@@ -3,7 +3,7 @@
 
 use tokio::time::{Instant, sleep};
 
-use crate::direct::feeds::PlatformHealth;
+use crate::direct::feeds::{ChannelWatch, PlatformHealth};
 use crate::direct::groups::GroupFeed;
 use crate::direct::limits::LimitSharing;
 use crate::direct::quarantine::CrashSharing;
@@ -19,6 +19,7 @@
 #[derive(Debug)]
 pub(in crate::direct) struct RowFollower<D> {
     pub(in crate::direct) directory: Arc<D>,
+    pub(in crate::direct) channels: Arc<ChannelWatch>,
     pub(in crate::direct) crash_sharing: CrashSharing,
     pub(in crate::direct) limit_sharing: Arc<LimitSharing>,
     pub(in crate::direct) group_feed: GroupFeed,
@@ -31,7 +32,8 @@
         let mut health = PlatformHealth::new("shared rows", self.log.clone());
         let mut cursor = None;
         loop {
-            match self.directory.rows(cursor, health.next_wait(MAX_WAIT)).await {
+            let wait = health.next_wait(MAX_WAIT);
+            match self.channels.call(wait, self.directory.rows(cursor, wait)).await {
                 Ok(changes) => {
                     health.record_success();
                     changes.items.iter().for_each(|change| self.apply(change));
--- a/src/direct/feeds/upstream_follower.rs
+++ b/src/direct/feeds/upstream_follower.rs
@@ -5,7 +5,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::direct::event::Event;
-use crate::direct::feeds::{ColdUpdates, PlatformHealth};
+use crate::direct::feeds::{ChannelWatch, ColdUpdates, PlatformHealth};
 use crate::direct::{Changes, Cursor, Directory, DirectoryError, ListChange, Roster, RosterChange};
 use crate::event_log::{EventLog, Level};
 
@@ -38,6 +38,7 @@
 #[derive(Debug)]
 pub(in crate::direct) struct UpstreamFollower<D> {
     directory: Arc<D>,
+    channels: Arc<ChannelWatch>,
     roster: Arc<Roster>,
     cold_updates: ColdUpdates,
     log: EventLog,
@@ -56,6 +57,7 @@
     /// Creates a follower that keeps to these bounds.
     pub(in crate::direct) fn new(
         directory: Arc<D>,
+        channels: Arc<ChannelWatch>,
         roster: Arc<Roster>,
         cold_updates: ColdUpdates,
         bounds: ListBounds,
@@ -66,14 +68,26 @@
         let max_wait = (bounds.drain + bounds.detection).mul_f64(WAIT_SHARE).min(MAX_WAIT);
         let missing = HashMap::new();
         let cursor = None;
-        Self { directory, roster, cold_updates, log, health, missing, cursor, interval, max_wait }
+        Self {
+            directory,
+            channels,
+            roster,
+            cold_updates,
+            log,
+            health,
+            missing,
+            cursor,
+            interval,
+            max_wait,
+        }
     }
 
     /// Follows the list until the process ends.
     pub(in crate::direct) async fn run(mut self) {
         loop {
             let wait = self.health.next_wait(self.next_wait());
-            match self.directory.upstreams(self.cursor, wait).await {
+            let call = self.directory.upstreams(self.cursor, wait);
+            match self.channels.call(wait, call).await {
                 Ok(changes) => {
                     self.health.record_success();
                     let has_changes = !changes.items.is_empty();
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod direct_meter;
 mod dispatch_log;
 mod dispatcher;
+mod entry_parts;
 mod event;
 mod feeds;
 mod groups;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -10,30 +10,18 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::dispatcher::Dispatcher;
+use super::entry_parts::EntryParts;
 use super::event::Event;
 use super::handler::DirectHandler;
-use super::limits::{LimitSharing, UpstreamLimits};
 use super::monitoring::{MetricsHandler, ReadinessHandler};
-use super::quarantine::CrashRecorder;
-use super::quarantine::CrashSharing;
 use super::quarantine::Trials;
-use super::{
-    BodyMemory, Crashes, DirectMeter, Directory, Evacuations, Freshness, GroupDirectory,
-    HeaderNames, RetryLimits, Roster,
-};
-use crate::capacity::CapacitySwitch;
+use super::{DirectMeter, Directory, HeaderNames};
 use crate::cli::Node;
-use crate::direct::attempts::HeaderWatch;
-use crate::direct::feeds::{
-    ColdUpdates, EvacuationUpdates, ListBounds, RoutingFollower, RoutingPublisher, RowFollower,
-    UpstreamFollower,
-};
-use crate::direct::groups::GroupFeed;
+use crate::direct::feeds::RoutingPublisher;
 use crate::event_log::{EventLog, Level};
 use crate::net::{H1Limits, Shutdown, serve_h1};
 use crate::platform::Table;
-use crate::settings::{DirectFile, ParseError, RetrySettings};
+use crate::settings::{DirectFile, ParseError};
 use crate::units::millis;
 
 /// Time in which the balancer before the entries notices that the process is no longer ready: it
@@ -46,8 +34,6 @@
 /// the settings are not applied: a shorter one may come into force at any time, and a connection
 /// that closes while a request arrives loses the request.
 const IDLE_TIME: Duration = Duration::from_secs(90);
-/// Safety margin below the maximum age of the settings that API keys are checked against.
-const KEY_AGE_MARGIN: Duration = Duration::from_millis(100);
 /// Maximum number of waiting claims of trials.
 const TRIAL_QUEUE: usize = 16;
 /// Maximum size of a request head. The limit in the settings is not applied.
@@ -102,7 +88,12 @@
             grace: Duration::from_secs_f64(file.grace_seconds),
             log,
         };
-        node.spawn_tasks(file, header_names, directory, Listeners { listener, readiness, metrics });
+        node.spawn_tasks(
+            file,
+            header_names,
+            &directory,
+            Listeners { listener, readiness, metrics },
+        );
         let listen = node.addr.to_string();
         let version = env!("CARGO_PKG_VERSION");
         let event = Event::Started { version, listen, domain: &file.domain };
@@ -114,103 +105,26 @@
         &mut self,
         file: &DirectFile,
         header_names: HeaderNames,
-        directory: Arc<D>,
+        directory: &Arc<D>,
         listeners: Listeners,
     ) {
-        let key_age = file.key_age_ms.map(|ms| Duration::from_secs_f64(ms / 1e3));
-        let key_age = key_age.map(|age| age.saturating_sub(KEY_AGE_MARGIN));
-        let freshness = Arc::new(Freshness::new(key_age));
-        let roster = Arc::new(Roster::default());
-        let evacuations = Arc::new(Evacuations::default());
-        let meter = Arc::new(DirectMeter::new());
+        let parts = EntryParts::new(file, self.log.clone());
         let (publisher, routing) = RoutingPublisher::new();
-        let first_quarantine = Duration::from_secs_f64(file.quarantine_seconds);
-        let crashes = Arc::new(Crashes::new(first_quarantine));
-        let limits = Arc::new(UpstreamLimits::new(&file.name, file.retries.entries));
-        let group_directory = Arc::new(GroupDirectory::default());
-        let capacity_switch = Arc::new(CapacitySwitch::new(file.learned_capacity));
         let (trials, trial_claims) = mpsc::channel(TRIAL_QUEUE);
-        let dispatcher = Arc::new(Dispatcher {
-            header_watch: HeaderWatch::new(&header_names),
-            header_names,
-            domain: file.domain.clone(),
-            roster: Arc::clone(&roster),
-            evacuations: Arc::clone(&evacuations),
-            group_directory: Arc::clone(&group_directory),
-            freshness: Arc::clone(&freshness),
-            retry_limits: retry_limits(&file.retries),
-            service_states: std::sync::Mutex::default(),
-            crash_recorder: Arc::new(CrashRecorder {
-                crashes: Arc::clone(&crashes),
-                roster: Arc::clone(&roster),
-                trials: Trials(trials),
-                log: self.log.clone(),
-            }),
-            body_memory: BodyMemory::default(),
-            capacity_switch: Arc::clone(&capacity_switch),
-            meter: Arc::clone(&meter),
-            limits: Arc::clone(&limits),
-            log: self.log.clone(),
-        });
-        let crash_sharing = CrashSharing { crashes, log: self.log.clone() };
-        let publish_crashes = crash_sharing.clone().publish(Arc::clone(&directory));
-        let grant_trials = crash_sharing.clone().grant_trials(Arc::clone(&directory), trial_claims);
-        let cold_updates = ColdUpdates {
-            limits: Arc::clone(&limits),
-            meter: Arc::clone(&meter),
-            log: self.log.clone(),
-        };
-        let limit_sharing = Arc::new(LimitSharing {
-            limits,
-            roster: Arc::clone(&roster),
-            meter: Arc::clone(&meter),
-            log: self.log.clone(),
-        });
-        let publish_limits = Arc::clone(&limit_sharing).publish(Arc::clone(&directory));
-        let row_follower = RowFollower {
-            directory: Arc::clone(&directory),
-            crash_sharing,
-            limit_sharing,
-            group_feed: GroupFeed {
-                directory: group_directory,
-                capacity_switch,
-                meter: Arc::clone(&meter),
-                log: self.log.clone(),
-            },
-            log: self.log.clone(),
-        };
-        let evacuation_updates =
-            EvacuationUpdates { evacuations, meter: Arc::clone(&meter), log: self.log.clone() };
-        let routing_follower = RoutingFollower {
-            directory: Arc::clone(&directory),
-            publisher,
-            evacuation_updates,
-            cold_updates: cold_updates.clone(),
-            freshness: Arc::clone(&freshness),
-            evacuation_time: file.evacuate_ms.map(|ms| Duration::from_secs_f64(ms / 1e3)),
-            meter: Arc::clone(&meter),
-            log: self.log.clone(),
-        };
-        let upstream_follower =
-            UpstreamFollower::new(directory, Arc::clone(&roster), cold_updates, file.into());
         let stop = &self.background_stop;
-        tokio::spawn(stop.clone().run_until_cancelled_owned(routing_follower.run()));
-        tokio::spawn(stop.clone().run_until_cancelled_owned(upstream_follower.run()));
-        tokio::spawn(stop.clone().run_until_cancelled_owned(row_follower.run()));
-        tokio::spawn(stop.clone().run_until_cancelled_owned(publish_limits));
-        tokio::spawn(stop.clone().run_until_cancelled_owned(publish_crashes));
-        tokio::spawn(stop.clone().run_until_cancelled_owned(grant_trials));
+        parts.follow(directory, publisher, trial_claims, file, stop);
         let ready = ReadinessHandler {
             routing: routing.clone(),
-            roster,
-            freshness,
+            roster: Arc::clone(&parts.roster),
+            freshness: Arc::clone(&parts.freshness),
             leaving: Arc::clone(&self.leaving),
             ready: AtomicBool::new(false),
             log: self.log.clone(),
         };
+        let meter = Arc::clone(&parts.meter);
         let handler = DirectHandler {
             routing,
-            dispatcher,
+            dispatcher: Arc::new(parts.into_dispatcher(file, header_names, Trials(trials))),
             meter: Arc::clone(&meter),
             tasks: self.tasks.clone(),
             leaving: Arc::clone(&self.leaving),
@@ -308,23 +222,3 @@
     readiness: TcpListener,
     metrics: Option<TcpListener>,
 }
-
-impl From<&DirectFile> for ListBounds {
-    fn from(file: &DirectFile) -> Self {
-        Self {
-            drain: Duration::from_secs_f64(file.drain_ms / 1e3),
-            detection: Duration::from_secs_f64(file.detection_ms / 1e3),
-        }
-    }
-}
-
-/// Returns the limits of retries. Until an entry knows its share of the load, it takes an even part
-/// of the slack of the maximum number of entries.
-fn retry_limits(file: &RetrySettings) -> RetryLimits {
-    RetryLimits {
-        share: file.share,
-        window: Duration::from_secs_f64(file.window_seconds),
-        slack: file.slack,
-        slack_share: 1.0 / file.entries.max(1.0),
-    }
-}
--- a/src/direct/quarantine/mod.rs
+++ b/src/direct/quarantine/mod.rs
@@ -24,5 +24,5 @@
 pub(super) use hex::hex;
 pub use shared_crashes::SharedCrashes;
 pub use survivals::Survivals;
-pub(super) use trial::Trials;
+pub(super) use trial::{TrialClaim, Trials};
 pub(super) use upstream_suspects::UpstreamSuspects;
--- a/tests/it/silent_platform.rs
+++ b/tests/it/silent_platform.rs
@@ -24,7 +24,7 @@
 }
 
 /// Time after which a directory gives up a call, beyond the time that it waits for changes.
-const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A directory without changes. The calls that are in flight at one moment are never answered; those
 /// made later are.
