Tests that fail: entries that come and go spend more retries than all may

What an entry has spent is forgotten with its process, while those that take over its load earn again within the same window.

--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -30,6 +30,7 @@
 mod remap_faults;
 mod remap_parts;
 mod remap_search;
+mod retry_shares;
 mod routing;
 mod settings_order;
 mod several_groups;
