Retries of all entries stay within their common budget while entries come and go

Cause: an entry that ends forgets what it has spent; those that take over its load earn again by the same callers within the same window, and their parts of the slack, which followed their share of the load, rise. Change: an entry spends by the fewest requests of any window that ended within the last one; of the slack, entries that know each other by rows of the table take equal parts, and none before its row has stood for a window. The window is measured on the clock that runs on while a machine is suspended. The share of the load is no longer used for this. The test of many entries drove the shares by reports; it drives what entries know of each other now, with the same bound, and asks for half of it at least. Why it works: entries that spend within one window have a moment in common that counts for all, and at a moment each request is at one entry.

--- a/src/direct/admission/retry_budget.rs
+++ b/src/direct/admission/retry_budget.rs
@@ -2,38 +2,30 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use tokio::time::Instant;
+use crate::units::BootTime;
 
 /// Number of buckets that the window is divided into.
-const BUCKETS: u32 = 10;
-/// Smoothing factor of the exponentially weighted moving average of the share of the load. In a
-/// burst, as after a restart of all entries, each sees its own requests before those of others.
-const LOAD_SMOOTHING: f64 = 0.005;
-/// Part of the share of the load that is used, since reports of others' requests are always late.
-const SAFE_PART: f64 = 0.75;
+const BUCKETS: u64 = 10;
 /// Larger than any rounding error of a slack.
 const ROUNDING: f64 = 1e-6;
 
-/// Limits on the retries of one entry, such that all entries together stay within the limits in the
-/// settings.
+/// Limits on the retries of all entries together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLimits {
     /// Retries allowed per request of callers within the window.
     pub share: f64,
     /// Length of the window. The limit holds in every span of this length.
     pub window: Duration,
-    /// Retries of all entries together that are allowed beyond the share within the window.
+    /// Retries that are allowed beyond the share within the window.
     pub slack: f64,
-    /// Part of the slack that this entry takes at least, and until it knows its share of the load.
-    pub slack_share: f64,
 }
 
-/// What a budget says to one retry, with the sums of the window before it.
+/// What a budget says to one retry, with the sums that decided.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Charge {
     /// Whether the budget allows the retry, which is then charged.
     pub is_granted: bool,
-    /// Requests of callers within the window.
+    /// Requests of callers that count.
     pub requests: u32,
     /// Retries charged within the window, without this one.
     pub retries: u32,
@@ -44,19 +36,21 @@
 /// Sliding-window budget for the retries of one service at one entry, such that all entries
 /// together stay within the limits.
 ///
-/// Entries don't know how many they are. Each takes as much of the slack as it has of the service's
-/// load; the shares of all entries add up to one.
+/// Load moves between entries, and what an entry has spent is forgotten when it ends, while those
+/// that take over its load earn by the same callers. Therefore an entry spends by the fewest requests
+/// that it had in any window that ended within the last one. For entries that spend within one window
+/// there is then a moment that counts for all of them, and at any moment each request is at one entry.
 #[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
-    /// Smoothed share of this entry in the service's load.
-    load_share: Mutex<f64>,
+    /// Buckets of two windows that had requests or retries, the oldest first.
     buckets: Mutex<VecDeque<Bucket>>,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Bucket {
-    started: Instant,
+    /// Number of the bucket, counted from the start of the clock.
+    number: u64,
     requests: u32,
     retries: u32,
 }
@@ -64,52 +58,31 @@
 impl RetryBudget {
     /// Creates a budget without any requests on record.
     pub const fn new(limits: RetryLimits) -> Self {
-        Self {
-            limits,
-            load_share: Mutex::new(limits.slack_share),
-            buckets: Mutex::new(VecDeque::new()),
-        }
-    }
-
-    /// Records this entry's present share of the service's load.
-    ///
-    /// ```
-    /// # use std::time::Duration;
-    /// # use ebonyusher::direct::{RetryBudget, RetryLimits};
-    /// let window = Duration::from_secs(10);
-    /// let limits = RetryLimits { share: 0.2, window, slack: 100.0, slack_share: 0.01 };
-    /// let budget = RetryBudget::new(limits);
-    /// (0..10_000).for_each(|_| budget.record_load_share(0.2));
-    /// let now = tokio::time::Instant::now();
-    /// assert_eq!((0..99).filter(|_| budget.spend(now).is_granted).count(), 15);
-    /// ```
-    pub fn record_load_share(&self, share: f64) {
-        let share = (share * SAFE_PART).clamp(self.limits.slack_share, 1.0);
-        let mut load_share = self.load_share.lock().unwrap_or_else(PoisonError::into_inner);
-        *load_share += LOAD_SMOOTHING * (share - *load_share);
+        Self { limits, buckets: Mutex::new(VecDeque::new()) }
     }
 
     /// Counts a request from a caller.
-    pub fn earn(&self, now: Instant) {
-        self.with_buckets(now, |bucket, _| bucket.requests += 1);
+    pub fn earn(&self, now: BootTime) {
+        self.with_buckets(now, |_, bucket| bucket.requests += 1);
     }
 
-    /// Takes one retry from the budget, if that allows it.
+    /// Takes one retry from the budget, if that allows it. `slack_part` is the part of the slack that
+    /// this entry may take, from 0 to 1.
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use ebonyusher::direct::{RetryBudget, RetryLimits};
-    /// let window = Duration::from_secs(10);
-    /// let limits = RetryLimits { share: 0.2, window, slack: 3.0, slack_share: 1.0 };
+    /// # use ebonyusher::{direct::{RetryBudget, RetryLimits}, units::BootTime};
+    /// let limits = RetryLimits { share: 0.2, window: Duration::from_secs(10), slack: 30.0 };
     /// let budget = RetryBudget::new(limits);
-    /// let now = tokio::time::Instant::now();
-    /// assert_eq!((0..9).filter(|_| budget.spend(now).is_granted).count(), 3);
-    /// assert!(budget.spend(now + Duration::from_secs(12)).is_granted);
+    /// let at = |s| BootTime::after_boot(Duration::from_secs(s));
+    /// assert_eq!((0..9).filter(|_| budget.spend(at(50), 0.1).is_granted).count(), 3);
+    /// assert!(budget.spend(at(62), 0.1).is_granted);
     /// ```
-    pub fn spend(&self, now: Instant) -> Charge {
+    pub fn spend(&self, now: BootTime, slack_part: f64) -> Charge {
         let RetryLimits { share, slack, .. } = self.limits;
-        let slack = slack * *self.load_share.lock().unwrap_or_else(PoisonError::into_inner);
-        self.with_buckets(now, |bucket, (requests, retries)| {
+        let slack = slack * slack_part;
+        self.with_buckets(now, |earlier, bucket| {
+            let (requests, retries) = count(earlier, bucket);
             let allowed = share * f64::from(requests) + slack;
             // Rounding must not take a whole retry away.
             let is_granted = f64::from(retries) + 1.0 <= allowed + ROUNDING;
@@ -118,34 +91,38 @@
         })
     }
 
-    /// Drops the buckets before the window, and calls `act` with the newest bucket and the sums of
-    /// requests and retries.
-    fn with_buckets<T>(&self, now: Instant, act: impl FnOnce(&mut Bucket, (u32, u32)) -> T) -> T {
-        let bucket_length = self.limits.window / BUCKETS;
-        let kept = self.limits.window + bucket_length;
+    /// Drops the buckets that no longer count, and calls `act` with the others and the present one.
+    fn with_buckets<T>(
+        &self,
+        now: BootTime,
+        act: impl FnOnce(&VecDeque<Bucket>, &mut Bucket) -> T,
+    ) -> T {
+        let length = self.limits.window.as_secs_f64() / BUCKETS as f64;
+        let number = (now.since(BootTime::default()).as_secs_f64() / length) as u64;
         let mut buckets = self.buckets.lock().unwrap_or_else(PoisonError::into_inner);
-        while buckets
-            .front()
-            .is_some_and(|bucket| now.saturating_duration_since(bucket.started) > kept)
-        {
+        while buckets.front().is_some_and(|bucket| bucket.number + 2 * BUCKETS < number) {
             buckets.pop_front();
         }
-        // Of the oldest bucket, which may straddle the start of the window, only the retries count.
-        let is_within_window =
-            |bucket: &&Bucket| now.saturating_duration_since(bucket.started) <= self.limits.window;
-        let requests = buckets.iter().filter(is_within_window).map(|bucket| bucket.requests).sum();
-        let retries = buckets.iter().map(|bucket| bucket.retries).sum();
-        let sums = (requests, retries);
-        let is_current =
-            |bucket: &&mut Bucket| now.saturating_duration_since(bucket.started) < bucket_length;
-        match buckets.back_mut().filter(is_current) {
-            Some(bucket) => act(bucket, sums),
-            None => {
-                let mut bucket = Bucket { started: now, requests: 0, retries: 0 };
-                let result = act(&mut bucket, sums);
-                buckets.push_back(bucket);
-                result
-            }
-        }
+        let is_current = buckets.back().is_some_and(|bucket| bucket.number >= number);
+        let current = is_current.then(|| buckets.pop_back()).flatten();
+        let mut current = current.unwrap_or(Bucket { number, requests: 0, retries: 0 });
+        let result = act(&buckets, &mut current);
+        buckets.push_back(current);
+        result
     }
 }
+
+/// Returns the fewest requests of any window that ended within the last one, and the retries of the
+/// last one. Of the oldest bucket, which may straddle the start of the window, only the retries count.
+fn count(earlier: &VecDeque<Bucket>, current: &Bucket) -> (u32, u32) {
+    let all = || earlier.iter().chain([current]);
+    let requests_until = |last: u64| {
+        let is_within = |bucket: &&Bucket| bucket.number + BUCKETS > last && bucket.number <= last;
+        all().filter(is_within).map(|bucket| bucket.requests).sum()
+    };
+    let first = current.number.saturating_sub(BUCKETS);
+    let requests = (first..=current.number).map(requests_until).min().unwrap_or_default();
+    let is_recent = |bucket: &&Bucket| bucket.number + BUCKETS >= current.number;
+    let retries = all().filter(is_recent).map(|bucket| bucket.retries).sum();
+    (requests, retries)
+}
--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -7,7 +7,6 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
 use crate::capacity::SentRequest;
@@ -15,7 +14,7 @@
 use crate::direct::checked_request::CheckedRequest;
 use crate::direct::dispatcher::{BegunStream, Dispatcher, Exchanged};
 use crate::direct::groups::GroupState;
-use crate::direct::{Candidate, Load, Upstream, load_share};
+use crate::direct::{Load, Upstream};
 use crate::entry::Failure;
 use crate::net::header_str;
 use crate::outcome::Reason;
@@ -69,7 +68,6 @@
             upstream.record_success();
             group.outage.record_response();
             self.record_progress(request, group);
-            self.record_load_share(request, group);
             return Ok(Exchanged::Begun(BegunStream { head, body, conn, in_flight }));
         }
         let ends_with_connection = is_close_delimited(&head.headers, &body);
@@ -172,33 +170,11 @@
                 group.outage.record_response();
             }
             self.record_progress(request, group);
-            self.record_load_share(request, group);
         }
         upstream.record_success();
         Ok(Exchanged::Complete(Response::from_parts(head, body)))
     }
 
-    /// Records this entry's share of the service's load, once a request has run, by the upstreams of
-    /// the group that ran it: reports of upstreams that only refuse, as those of a broken group do,
-    /// tell nothing of what other entries send.
-    fn record_load_share(&self, request: &CheckedRequest, group: &GroupState) {
-        let (now, service) = (Instant::now(), &request.service.name);
-        let upstreams = self.roster.service_upstreams(service);
-        let memberships = self.group_directory.memberships();
-        let is_member = |upstream: &&Arc<Upstream>| {
-            memberships.as_ref().is_none_or(|memberships| {
-                let membership = memberships.get(service, &upstream.listed.id);
-                request.state.group(membership).name == group.name
-            })
-        };
-        let members = upstreams.iter().filter(is_member);
-        let candidates: SmallVec<[Candidate; 16]> =
-            members.map(|upstream| upstream.candidate(&group.liveness, now)).collect();
-        if let Some(share) = load_share(&candidates) {
-            request.state.retry_budget.record_load_share(share);
-        }
-    }
-
     /// Checks that a success response comes from the upstream itself: it has the seal, and it has
     /// no content encoding.
     fn check_success(&self, upstream: &Upstream, head: &Parts) -> Result<(), FailedAttempt> {
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -15,7 +15,7 @@
 use super::service_state::ServiceState;
 use super::{
     BodyMemory, Delivery, DirectMeter, Evacuations, Freshness, GroupDirectory, HeaderNames,
-    Liveness, RetryLimits, Roster, Upstream,
+    KnownEntries, Liveness, RetryLimits, Roster, Upstream,
 };
 use crate::capacity::CapacitySwitch;
 use crate::direct::admission::Chosen;
@@ -27,7 +27,7 @@
 use crate::entry::Failure;
 use crate::event_log::EventLog;
 use crate::outcome::{Outcome, Reason, Refusal};
-use crate::units::millis;
+use crate::units::{BootTime, millis};
 
 /// Minimum time before the deadline for another attempt to be made.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
@@ -48,6 +48,7 @@
     pub(super) service_states: Mutex<HashMap<String, Arc<ServiceState>>>,
     pub(super) crash_recorder: Arc<CrashRecorder>,
     pub(super) limits: Arc<UpstreamLimits>,
+    pub(super) known_entries: Arc<KnownEntries>,
     pub(super) body_memory: BodyMemory,
     /// Whether the speed and the capacity of upstreams are learned.
     pub(super) capacity_switch: Arc<CapacitySwitch>,
@@ -225,7 +226,8 @@
 
     /// Takes a retry from the budget of the request's service. Returns whether that allows it.
     fn charge_retry(&self, request: &CheckedRequest, reason: Reason) -> bool {
-        let charge = request.state.retry_budget.spend(Instant::now());
+        let now = BootTime::now();
+        let charge = request.state.retry_budget.spend(now, self.known_entries.part(now));
         self.log_charge(request, reason, &charge);
         charge.is_granted
     }
--- a/src/direct/entry_parts.rs
+++ b/src/direct/entry_parts.rs
@@ -6,11 +6,12 @@
 use tokio_util::sync::CancellationToken;
 
 use super::dispatcher::Dispatcher;
+use super::entries::EntrySharing;
 use super::limits::{LimitSharing, UpstreamLimits};
 use super::quarantine::{CrashRecorder, CrashSharing, TrialClaim, Trials};
 use super::{
     BodyMemory, Crashes, DirectMeter, Directory, Evacuations, Freshness, GroupDirectory,
-    HeaderNames, RetryLimits, Roster,
+    HeaderNames, KnownEntries, RetryLimits, Roster,
 };
 use crate::capacity::CapacitySwitch;
 use crate::direct::attempts::HeaderWatch;
@@ -36,6 +37,7 @@
     evacuations: Arc<Evacuations>,
     crashes: Arc<Crashes>,
     limits: Arc<UpstreamLimits>,
+    known_entries: Arc<KnownEntries>,
     group_directory: Arc<GroupDirectory>,
     capacity_switch: Arc<CapacitySwitch>,
     log: EventLog,
@@ -54,6 +56,11 @@
             evacuations: Arc::default(),
             crashes: Arc::new(Crashes::new(first_quarantine)),
             limits: Arc::new(UpstreamLimits::new(&file.name, file.retries.entries)),
+            known_entries: Arc::new(KnownEntries::new(
+                &file.name,
+                file.retries.entries,
+                Duration::from_secs_f64(file.retries.window_seconds),
+            )),
             group_directory: Arc::default(),
             capacity_switch: Arc::new(CapacitySwitch::new(file.learned_capacity)),
             log,
@@ -121,7 +128,11 @@
             log: self.log.clone(),
         });
         spawn(stop, Arc::clone(&limit_sharing).publish(Arc::clone(directory)));
+        let entry_sharing =
+            Arc::new(EntrySharing::new(Arc::clone(&self.known_entries), self.log.clone()));
+        spawn(stop, Arc::clone(&entry_sharing).publish(Arc::clone(directory)));
         let row_follower = RowFollower {
+            entry_sharing,
             directory: Arc::clone(directory),
             channels,
             crash_sharing,
@@ -164,6 +175,7 @@
             capacity_switch: self.capacity_switch,
             meter: self.meter,
             limits: self.limits,
+            known_entries: self.known_entries,
             log: self.log,
         }
     }
@@ -175,14 +187,11 @@
     }
 }
 
-/// Returns the limits of retries. Until an entry knows its share of the load, it takes an even part
-/// of the slack of the maximum number of entries.
 fn retry_limits(file: &RetrySettings) -> RetryLimits {
     RetryLimits {
         share: file.share,
         window: Duration::from_secs_f64(file.window_seconds),
         slack: file.slack,
-        slack_share: 1.0 / file.entries.max(1.0),
     }
 }
 
--- a/src/direct/feeds/row_follower.rs
+++ b/src/direct/feeds/row_follower.rs
@@ -3,6 +3,7 @@
 
 use tokio::time::{Instant, sleep};
 
+use crate::direct::entries::EntrySharing;
 use crate::direct::feeds::{ChannelWatch, PlatformHealth};
 use crate::direct::groups::GroupFeed;
 use crate::direct::limits::LimitSharing;
@@ -23,6 +24,7 @@
     pub(in crate::direct) crash_sharing: CrashSharing,
     pub(in crate::direct) limit_sharing: Arc<LimitSharing>,
     pub(in crate::direct) group_feed: GroupFeed,
+    pub(in crate::direct) entry_sharing: Arc<EntrySharing>,
     pub(in crate::direct) log: EventLog,
 }
 
@@ -40,6 +42,7 @@
                     if cursor.is_none() {
                         self.crash_sharing.share_missing(&changes.items);
                         self.group_feed.retain(&changes.items);
+                        self.entry_sharing.apply_all(&changes.items);
                     }
                     cursor = Some(changes.cursor);
                     let interval = self.limit_sharing.limits.read_interval(Instant::now());
@@ -59,5 +62,6 @@
         self.crash_sharing.apply(change);
         self.limit_sharing.apply(change);
         self.group_feed.apply(change);
+        self.entry_sharing.apply(change);
     }
 }
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -72,7 +72,7 @@
             Ok(request) => request,
             Err(refusal) => return finish_refused(tracker, refusal),
         };
-        request.state.retry_budget.earn(Instant::now());
+        request.state.retry_budget.earn(BootTime::now());
         let mut history = AttemptHistory::default();
         let dispatch = self.dispatcher.dispatch(&request, &mut history, None);
         let result = timeout_at(request.give_up_at(None), dispatch).await;
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -10,6 +10,7 @@
 mod direct_meter;
 mod dispatch_log;
 mod dispatcher;
+mod entries;
 mod entry_parts;
 mod event;
 mod feeds;
@@ -31,6 +32,7 @@
     RetryLimits, ReturnQueue, StreamStats, choose, estimate_loads, load_share,
 };
 pub use direct_meter::DirectMeter;
+pub use entries::{EntryRow, KnownEntries};
 pub use feeds::{
     Changes, Cursor, Directory, DirectoryError, Freshness, ListChange, ListedUpstream,
     RoutingChange, RowChange,
--- a/src/units/boot_time.rs
+++ b/src/units/boot_time.rs
@@ -3,7 +3,7 @@
 use nix::time::{ClockId, clock_gettime};
 
 /// A point in time on `CLOCK_BOOTTIME`, which keeps running while the machine is suspended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct BootTime(Duration);
 
 impl BootTime {
--- a/tests/it/direct_parts.rs
+++ b/tests/it/direct_parts.rs
@@ -225,17 +225,16 @@
         events in prop::collection::vec((0_u64..400, any::<bool>()), 1..400),
     ) {
         const WINDOW_MS: u64 = 10_000;
-        let limits = RetryLimits { share: 0.2, window: Duration::from_millis(WINDOW_MS), slack: 6.0, slack_share: 1.0 };
+        let limits = RetryLimits { share: 0.2, window: Duration::from_millis(WINDOW_MS), slack: 6.0 };
         let budget = RetryBudget::new(limits);
-        let start = Instant::now();
         let (mut now, mut earned, mut spent) = (0, Vec::new(), Vec::new());
         for (delay_ms, is_request) in events {
             now += delay_ms;
-            let at = start + Duration::from_millis(now);
+            let at = BootTime::after_boot(Duration::from_millis(now));
             if is_request {
                 budget.earn(at);
                 earned.push(now);
-            } else if budget.spend(at).is_granted {
+            } else if budget.spend(at, 1.0).is_granted {
                 spent.push(now);
             }
         }
--- a/tests/it/large_fleet.rs
+++ b/tests/it/large_fleet.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use ebonyusher::direct::{
-    Changes, Cursor, DirectNode, Directory, DirectoryError, HeaderNames, Inactivity, ListChange,
-    ListedUpstream, RetryBudget, RetryLimits, RoutingChange, RowChange, SilenceLimit,
+    Changes, Cursor, DirectNode, Directory, DirectoryError, HeaderNames, Inactivity, KnownEntries,
+    ListChange, ListedUpstream, RetryBudget, RetryLimits, RoutingChange, RowChange, SilenceLimit,
 };
 use ebonyusher::event_log::{EventLog, Level};
 use ebonyusher::platform::{Row, Table, TableError, Txn};
 use ebonyusher::settings::{DirectFile, RetrySettings};
+use ebonyusher::units::BootTime;
 use ebonyusher_standin::MemPlatform;
 use http::HeaderName;
 use rand::rngs::SmallRng;
@@ -177,28 +178,36 @@
     assert!(per_entry <= max_calls * time.as_secs_f64(), "{per_entry} calls of each entry");
 }
 
-/// Guards against a budget that is divided by a fixed number of entries. Each entry hears only of
-/// some upstreams' loads, and all begin without knowing their shares, as after a restart.
+/// Guards against a budget that is divided by a fixed number of entries. All begin without knowing the
+/// others, as after a restart, and learn of each other while requests fail.
 #[test]
 fn the_retries_of_many_entries_stay_within_their_common_budget() {
     const SLACK: f64 = 264.0;
     const REQUESTS_PER_ENTRY: u32 = 70;
-    let (mut rng, window) = (SmallRng::seed_from_u64(7), Duration::from_secs(10));
+    let window = Duration::from_secs(10);
     for entries in [5_u32, 53, 370] {
-        let limits = RetryLimits { share: 0.2, window, slack: SLACK, slack_share: 1.0 / 512.0 };
-        let budgets: Vec<RetryBudget> = (0..entries).map(|_| RetryBudget::new(limits)).collect();
-        let (start, mut retries) = (Instant::now(), 0);
-        for at in 0..REQUESTS_PER_ENTRY {
-            for budget in &budgets {
-                let now = start + window * at / REQUESTS_PER_ENTRY;
+        let limits = RetryLimits { share: 0.2, window, slack: SLACK };
+        let fleet: Vec<(RetryBudget, KnownEntries)> = (0..entries)
+            .map(|at| (RetryBudget::new(limits), KnownEntries::new(&at.to_string(), 512.0, window)))
+            .collect();
+        let mut retries = 0;
+        for at in 0..REQUESTS_PER_ENTRY * 2 {
+            let now = BootTime::after_boot(window * 10 + window * at / REQUESTS_PER_ENTRY);
+            for (number, (budget, known)) in fleet.iter().enumerate() {
+                // It learns of all within the first twentieth of the play.
+                if at < 7 {
+                    let others = (0..entries).filter(|other| other % 7 == at);
+                    others.for_each(|other| known.record(&other.to_string(), now));
+                    known.record(&number.to_string(), now);
+                }
                 budget.earn(now);
-                // The reports of a moment may be off by half.
-                budget.record_load_share(rng.random_range(0.5..1.5) / f64::from(entries));
-                retries += (0..4).filter(|_| budget.spend(now).is_granted).count();
+                let granted = (0..4).filter(|_| budget.spend(now, known.part(now)).is_granted);
+                retries += if at < REQUESTS_PER_ENTRY { 0 } else { granted.count() };
             }
         }
         let allowed = 0.2 * f64::from(entries * REQUESTS_PER_ENTRY) + SLACK;
         assert!(retries as f64 <= allowed, "{entries} entries: {retries} retries of {allowed}");
+        assert!(retries as f64 >= 0.5 * allowed, "{entries} entries: only {retries}");
     }
 }
 
--- a/tests/it/retry_shares.rs
+++ b/tests/it/retry_shares.rs
@@ -3,9 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use ebonyusher::direct::{RetryBudget, RetryLimits};
+use ebonyusher::direct::{KnownEntries, RetryBudget, RetryLimits};
+use ebonyusher::units::BootTime;
 use rstest::rstest;
-use tokio::time::Instant;
 
 const WINDOW: Duration = Duration::from_secs(10);
 const SHARE: f64 = 0.2;
@@ -20,24 +20,24 @@
 /// An entry that serves its part of the requests while it runs.
 struct Entry {
     budget: RetryBudget,
+    known: KnownEntries,
 }
 
 impl Entry {
-    fn start() -> Self {
-        let limits =
-            RetryLimits { share: SHARE, window: WINDOW, slack: SLACK, slack_share: 1.0 / 512.0 };
-        Self { budget: RetryBudget::new(limits) }
+    fn start(name: usize) -> Self {
+        let limits = RetryLimits { share: SHARE, window: WINDOW, slack: SLACK };
+        let known = KnownEntries::new(&name.to_string(), 512.0, WINDOW);
+        Self { budget: RetryBudget::new(limits), known }
     }
 
-    /// Takes a request, of which `load_share` tells this entry's part of all. Returns the number of
-    /// retries.
-    fn serve(&self, now: Instant, load_share: f64, is_storm: bool) -> usize {
+    /// Takes a request. Returns the number of retries.
+    fn serve(&self, now: BootTime, is_storm: bool) -> usize {
         self.budget.earn(now);
-        self.budget.record_load_share(load_share);
         if !is_storm {
             return 0;
         }
-        (0..20).filter(|_| self.budget.spend(now).is_granted).count()
+        let spend = || self.budget.spend(now, self.known.part(now));
+        (0..20).filter(|_| spend().is_granted).count()
     }
 }
 
@@ -45,8 +45,8 @@
 /// spent, and new ones start in their place. Returns by how much the retries of any window exceed
 /// what is allowed.
 fn largest_excess(entries: usize, running: impl Fn(u64) -> usize) -> f64 {
-    let start = Instant::now();
-    let mut fleet: Vec<Option<Entry>> = (0..entries).map(|_| Some(Entry::start())).collect();
+    let mut fleet: Vec<Option<Entry>> = (0..entries).map(|_| None).collect();
+    let mut names = 0;
     let mut spent: VecDeque<(Duration, usize)> = VecDeque::new();
     let mut excess = f64::MIN;
     let mut due = 0.0;
@@ -56,16 +56,21 @@
         for (at, entry) in fleet.iter_mut().enumerate() {
             match entry {
                 Some(_) if at >= count => *entry = None,
-                None if at < count => *entry = Some(Entry::start()),
+                None if at < count => *entry = Some(Entry::start(at)),
                 _ => {}
             }
         }
+        names = names.max(count);
+        let now = BootTime::after_boot(WINDOW * 10 + time);
+        for entry in fleet.iter().flatten() {
+            (0..names).for_each(|name| entry.known.record(&name.to_string(), now));
+        }
         due += f64::from(RATE) * STEP.as_secs_f64();
         let mut retries = 0;
         for at in 0..due as usize {
             let entry = fleet[(step as usize * 7 + at) % count].as_ref().expect("runs");
             let is_storm = time.as_secs() >= STORM_START;
-            retries += entry.serve(start + time, 1.0 / count as f64, is_storm);
+            retries += entry.serve(now, is_storm);
         }
         due = due.fract();
         spent.push_back((time, retries));
