Entries of other writers take no worker away and end no process

What is known of a worker holds while its entry can't be read. Why it works: an odd entry may stand in front of a worker, but only until an answer says so.

--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -135,7 +135,7 @@
         body: Bytes,
     ) -> Result<Exchanged, FailedAttempt> {
         if head.status == StatusCode::MISDIRECTED_REQUEST {
-            upstream.end();
+            self.roster.reject(upstream);
             return Err(FailedAttempt::new(
                 Failure::not_run(Reason::WrongService),
                 "request misdirected",
@@ -254,7 +254,7 @@
         }
         let mut conn = Connection::open(upstream.addr()).await.map_err(|err| {
             self.crash_recorder.record_failed_connection(upstream, &err);
-            upstream.record_refusal();
+            upstream.record_unreachable();
             FailedAttempt::new(Failure::not_run(Reason::UpstreamDown), err.to_string())
         })?;
         let http_request = self.build_request(request, upstream, last_event)?;
--- a/src/direct/entry_parts.rs
+++ b/src/direct/entry_parts.rs
@@ -91,6 +91,7 @@
                 meter: Arc::clone(&self.meter),
                 log: self.log.clone(),
             },
+            roster: Arc::clone(&self.roster),
             cold_updates: cold_updates.clone(),
             freshness: Arc::clone(&self.freshness),
             evacuation_time: file.evacuate_ms.map(from_millis),
--- a/src/direct/feeds/routing_follower.rs
+++ b/src/direct/feeds/routing_follower.rs
@@ -11,7 +11,7 @@
     ChannelWatch, ColdUpdates, EvacuationUpdates, PlatformHealth, RoutingPublisher,
 };
 use crate::direct::{
-    Changes, Cursor, DirectMeter, Directory, DirectoryError, Freshness, RoutingChange,
+    Changes, Cursor, DirectMeter, Directory, DirectoryError, Freshness, Roster, RoutingChange,
 };
 use crate::event_log::{EventLog, Level};
 use crate::units::{BootTime, millis};
@@ -29,6 +29,7 @@
     pub(in crate::direct) channels: Arc<ChannelWatch>,
     pub(in crate::direct) publisher: RoutingPublisher,
     pub(in crate::direct) evacuation_updates: EvacuationUpdates,
+    pub(in crate::direct) roster: Arc<Roster>,
     pub(in crate::direct) cold_updates: ColdUpdates,
     pub(in crate::direct) freshness: Arc<Freshness>,
     /// Time in which an evacuation must take effect, if it is limited.
@@ -99,6 +100,8 @@
                     let revision = routing.revision;
                     if revision > self.publisher.revision() {
                         self.cold_updates.set_starts(&routing);
+                        let names = routing.services().map(|service| service.name.clone());
+                        self.roster.set_services(names.collect());
                     }
                     if let Some(before) = self.publisher.publish(*routing) {
                         self.meter.revision(revision);
--- a/src/direct/feeds/upstream_follower.rs
+++ b/src/direct/feeds/upstream_follower.rs
@@ -121,7 +121,7 @@
         let is_full_list = self.cursor.is_none();
         let version = changes.cursor.version;
         let previous: HashSet<String> =
-            if is_full_list { self.roster.ids().into_iter().collect() } else { HashSet::new() };
+            if is_full_list { self.roster.listed_ids() } else { HashSet::new() };
         let mut listed = HashSet::new();
         for change in changes.items {
             match change {
@@ -136,6 +136,8 @@
                 }
                 ListChange::Gone(id) => self.remove_or_defer(id, version),
                 ListChange::Unusable(id, reason) => {
+                    // What is known of an upstream holds, though its entry was overwritten.
+                    listed.insert(id.clone());
                     let change = format!("unusable: {reason}");
                     self.write(Level::Warn, &id, "", &change, version);
                 }
--- a/src/direct/upstreams/mod.rs
+++ b/src/direct/upstreams/mod.rs
@@ -2,6 +2,7 @@
 
 mod evacuations;
 mod group_outage;
+mod hidden_listings;
 mod in_flight;
 mod inactivity;
 mod liveness;
--- a/src/direct/upstreams/roster.rs
+++ b/src/direct/upstreams/roster.rs
@@ -1,6 +1,9 @@
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use std::net::SocketAddr;
+
+use super::hidden_listings::HiddenListings;
 use crate::direct::{ListedUpstream, Upstream};
 
 /// Maximum number of departed incarnations on record; beyond it the one started first is dropped.
@@ -32,6 +35,9 @@
 struct State {
     services: HashMap<String, Upstreams>,
     by_id: HashMap<String, Arc<Upstream>>,
+    hidden: HiddenListings,
+    /// Services in the settings; before the first settings, all are taken for these.
+    named: Option<HashSet<String>>,
     /// Start times of the incarnations that drained and left, by id. An older copy of the list may
     /// name them again.
     departed: HashMap<String, u64>,
@@ -45,8 +51,9 @@
     /// Applies a listing from the platform.
     ///
     /// An incarnation that drains keeps draining, whatever later listings say. Of several upstreams
-    /// at one address, only the one that started last is kept: the others, for example from before
-    /// a power cut, stay listed until their registration expires.
+    /// at one address, only the one that started last is used: the others, for example from before
+    /// a power cut, stay listed until their registration expires. They are used again if that one
+    /// goes, or turns out to be no upstream.
     ///
     /// ```
     /// # use std::time::Duration;
@@ -67,40 +74,38 @@
     /// assert_eq!(roster.service_upstreams("ledger").len(), 1);
     /// ```
     pub fn apply(&self, listed: ListedUpstream) -> RosterChange {
-        let mut state = self.lock();
-        let known = state.by_id.get(&listed.id).cloned();
-        if let Some(known) = &known {
-            if known.is_same_incarnation(&listed) {
-                let starts_draining = listed.draining && !known.is_draining();
-                if starts_draining {
-                    known.drain();
-                }
-                return if starts_draining { RosterChange::Draining } else { RosterChange::None };
-            }
-            if known.listed.started_at_ms > listed.started_at_ms {
-                return RosterChange::None;
-            }
-            state.remove(&listed.id);
-        }
-        if state.has_departed(&listed) {
-            return RosterChange::None;
-        }
-        if state.others_at_address(&listed).any(|other| other.started_at_ms > listed.started_at_ms)
-        {
-            return RosterChange::None;
-        }
-        let older: Vec<String> =
-            state.others_at_address(&listed).map(|other| other.id.clone()).collect();
-        for id in older {
-            state.remove(&id);
-        }
-        state.add(listed);
-        if known.is_some() { RosterChange::Replaced } else { RosterChange::Added }
+        self.lock().apply(listed)
     }
 
     /// Removes an upstream. Returns whether it was present.
     pub fn remove(&self, id: &str) -> bool {
-        self.lock().remove(id)
+        let mut state = self.lock();
+        state.hidden.remove(id);
+        let Some(upstream) = state.remove(id) else {
+            return false;
+        };
+        state.show_hidden_at(upstream.addr());
+        true
+    }
+
+    /// Ends an upstream at whose address another one answers, as that one says.
+    pub(in crate::direct) fn reject(&self, upstream: &Upstream) {
+        let mut state = self.lock();
+        upstream.end();
+        let is_current = |known: &Arc<Upstream>| std::ptr::eq(&raw const **known, upstream);
+        if state.by_id.get(&upstream.listed.id).is_some_and(is_current) {
+            state.remove(&upstream.listed.id);
+            state.hidden.reject(upstream.listed.clone());
+            state.show_hidden_at(upstream.addr());
+        }
+    }
+
+    /// Sets the services that are in the settings. A listing of any other service takes no address
+    /// from an upstream of these.
+    pub(in crate::direct) fn set_services(&self, services: HashSet<String>) {
+        let mut state = self.lock();
+        state.named = Some(services);
+        state.show_hidden(|_| true);
     }
 
     /// Returns the upstreams of a service.
@@ -138,9 +143,77 @@
     pub fn ids(&self) -> Vec<String> {
         self.lock().by_id.keys().cloned().collect()
     }
+
+    /// Returns the ids of all listings, also of those that name no upstream to use.
+    pub(in crate::direct) fn listed_ids(&self) -> HashSet<String> {
+        let state = self.lock();
+        state.by_id.keys().cloned().chain(state.hidden.ids()).collect()
+    }
 }
 
 impl State {
+    fn apply(&mut self, listed: ListedUpstream) -> RosterChange {
+        if self.hidden.is_rejected(&listed) {
+            return RosterChange::None;
+        }
+        self.hidden.remove(&listed.id);
+        let known = self.by_id.get(&listed.id).cloned();
+        if let Some(known) = &known {
+            if self.is_named(&known.listed) && !self.is_named(&listed) {
+                return RosterChange::None;
+            }
+            if known.is_same_incarnation(&listed) {
+                let starts_draining = listed.draining && !known.is_draining();
+                if starts_draining {
+                    known.drain();
+                }
+                return if starts_draining { RosterChange::Draining } else { RosterChange::None };
+            }
+            // An entry of another writer may name a start later than any of the upstream's own.
+            if known.listed.started_at_ms > listed.started_at_ms && !known.is_unreachable() {
+                return RosterChange::None;
+            }
+        }
+        if self.has_departed(&listed) {
+            return RosterChange::None;
+        }
+        if let Some(known) = &known {
+            self.remove(&known.listed.id);
+        }
+        let precedence = self.precedence(&listed);
+        if self.others_at_address(&listed).any(|other| self.precedence(other) > precedence) {
+            self.hidden.insert(listed);
+            return RosterChange::None;
+        }
+        let older: Vec<ListedUpstream> = self.others_at_address(&listed).cloned().collect();
+        for other in older {
+            self.remove(&other.id);
+            self.hidden.insert(other);
+        }
+        self.add(listed);
+        if known.is_some() { RosterChange::Replaced } else { RosterChange::Added }
+    }
+
+    fn is_named(&self, listed: &ListedUpstream) -> bool {
+        self.named.as_ref().is_none_or(|named| named.contains(&listed.service))
+    }
+
+    /// Returns the order in which upstreams at one address are used: the greatest one is.
+    fn precedence(&self, listed: &ListedUpstream) -> (bool, Option<u64>) {
+        (self.is_named(listed), listed.started_at_ms)
+    }
+
+    /// Applies the hidden listings at an address again.
+    fn show_hidden_at(&mut self, addr: SocketAddr) {
+        self.show_hidden(|listed| listed.addr == addr);
+    }
+
+    fn show_hidden(&mut self, is_meant: impl Fn(&ListedUpstream) -> bool) {
+        for listed in self.hidden.take(is_meant) {
+            self.apply(listed);
+        }
+    }
+
     /// Returns the other upstreams at the same address, if the start times that decide between them
     /// are known.
     fn others_at_address(&self, listed: &ListedUpstream) -> impl Iterator<Item = &ListedUpstream> {
@@ -179,15 +252,13 @@
         Arc::make_mut(service).push(upstream);
     }
 
-    fn remove(&mut self, id: &str) -> bool {
-        let Some(upstream) = self.by_id.remove(id) else {
-            return false;
-        };
+    fn remove(&mut self, id: &str) -> Option<Arc<Upstream>> {
+        let upstream = self.by_id.remove(id)?;
         self.record_departure(&upstream);
         upstream.end();
         if let Some(service) = self.services.get_mut(&upstream.listed.service) {
             Arc::make_mut(service).retain(|other| !Arc::ptr_eq(other, &upstream));
         }
-        true
+        Some(upstream)
     }
 }
--- a/src/direct/upstreams/upstream.rs
+++ b/src/direct/upstreams/upstream.rs
@@ -43,6 +43,9 @@
 #[derive(Debug, Default)]
 struct State {
     draining: bool,
+    has_answered: bool,
+    /// Whether no connection could be opened, and it has never answered.
+    is_unreachable: bool,
     in_flight: u32,
     load: Option<LoadReport>,
     losses: u32,
@@ -115,6 +118,18 @@
         self.drain();
     }
 
+    /// Records that no connection to it could be opened.
+    pub(in crate::direct) fn record_unreachable(&self) {
+        let mut state = self.lock();
+        state.is_unreachable = !state.has_answered;
+        state.begin_backoff();
+    }
+
+    /// Returns whether no connection to it could be opened, and it has never answered.
+    pub(super) fn is_unreachable(&self) -> bool {
+        self.lock().is_unreachable
+    }
+
     /// Waits until this incarnation has ended without draining.
     pub(in crate::direct) async fn ended(&self) {
         self.ended.cancelled().await;
@@ -214,6 +229,8 @@
     /// Records a valid response, which ends the backoff.
     pub(in crate::direct) fn record_success(&self) {
         let mut state = self.lock();
+        state.has_answered = true;
+        state.is_unreachable = false;
         state.losses = 0;
         state.backoff = Duration::ZERO;
         state.avoid_until = None;
