Removals are not put off after an outage beyond the time allowed

Cause: for 2.3 s after the first answered call removals are put off, since the store may have lost entries; that call comes up to 1.84 s after the store is back. Change: the time ends 0.2 s before the entry must know all that is new, counted from the last call that failed, which is as early as the store can have been back. The same for evacuations. Why it works: the bound counts from the earliest possible return.

--- a/src/direct/entry_parts.rs
+++ b/src/direct/entry_parts.rs
@@ -94,6 +94,7 @@
             roster: Arc::clone(&self.roster),
             cold_updates: cold_updates.clone(),
             freshness: Arc::clone(&self.freshness),
+            detection: from_millis(file.detection_ms),
             evacuation_time: file.evacuate_ms.map(from_millis),
             meter: Arc::clone(&self.meter),
             log: self.log.clone(),
--- a/src/direct/feeds/platform_health.rs
+++ b/src/direct/feeds/platform_health.rs
@@ -8,6 +8,11 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
 /// Upper bound of the backoff.
 const MAX_BACKOFF: Duration = Duration::from_millis(700);
+/// Time after an outage of the platform within which the upstreams and evacuations that its store has
+/// lost are written again.
+const RELIST_GRACE: Duration = Duration::from_millis(2_300);
+/// Part of the time in which an entry must know all that is new that remains when that grace ends.
+const GRACE_RESERVE: Duration = Duration::from_millis(200);
 
 /// Tracks whether the platform responds to the calls on one topic.
 #[derive(Debug)]
@@ -16,12 +21,24 @@
     log: EventLog,
     down_since: Option<Instant>,
     recovered_at: Option<Instant>,
+    /// When the last call was sent.
+    called_at: Option<Instant>,
+    /// When the last call that failed was sent. The outage may have ended at once after it.
+    failed_call: Option<Instant>,
     backoff: Duration,
 }
 
 impl PlatformHealth {
     pub(in crate::direct) const fn new(topic: &'static str, log: EventLog) -> Self {
-        Self { topic, log, down_since: None, recovered_at: None, backoff: INITIAL_BACKOFF }
+        Self {
+            topic,
+            log,
+            down_since: None,
+            recovered_at: None,
+            called_at: None,
+            failed_call: None,
+            backoff: INITIAL_BACKOFF,
+        }
     }
 
     /// Records that a call got a response.
@@ -39,14 +56,16 @@
             self.down_since = Some(Instant::now());
             self.log_change(Level::Warn, false, detail, Duration::ZERO);
         }
+        self.failed_call = self.called_at;
         let backoff = self.backoff;
         self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
         backoff.mul_f64(rand::random_range(0.8..1.2))
     }
 
-    /// Returns how long the next call may wait for changes. The first one after an outage does not
+    /// Begins a call. Returns how long it may wait for changes. The first one after an outage does not
     /// wait, since its response tells whether the store came back from an older copy.
-    pub(in crate::direct) fn next_wait(&self, max: Duration) -> Duration {
+    pub(in crate::direct) fn begin_call(&mut self, max: Duration) -> Duration {
+        self.called_at = Some(Instant::now());
         if self.down_since.is_some() { Duration::ZERO } else { max }
     }
 
@@ -54,12 +73,19 @@
     /// outage.
     pub(in crate::direct) fn record_rewind(&mut self, era: u64) {
         self.recovered_at = Some(Instant::now());
+        self.failed_call = None;
         self.log.write(Level::Warn, &Event::StoreRewound { topic: self.topic, era });
     }
 
-    /// Returns the time since the end of the last outage of the platform, if there was one.
-    pub(in crate::direct) fn since_recovery(&self) -> Option<Duration> {
-        self.recovered_at.map(|at| at.elapsed())
+    /// Returns for how long what the store has lost is kept, soon after an outage. It must be given up
+    /// in time by an entry that has to know all that is new within `detection` after the outage.
+    pub(in crate::direct) fn relist_grace(&self, detection: Duration) -> Option<Duration> {
+        let left = RELIST_GRACE.checked_sub(self.recovered_at?.elapsed())?;
+        let bound = detection.checked_sub(GRACE_RESERVE);
+        let Some((bound, failed_call)) = bound.zip(self.failed_call) else {
+            return Some(left);
+        };
+        Some(left.min(bound.checked_sub(failed_call.elapsed())?))
     }
 
     fn log_change(&self, level: Level, up: bool, detail: &str, down: Duration) {
--- a/src/direct/feeds/routing_follower.rs
+++ b/src/direct/feeds/routing_follower.rs
@@ -6,7 +6,6 @@
 use crate::direct::event::Event;
 use crate::direct::feeds::channel_watch::SHORTEST_WAIT;
 use crate::direct::feeds::evacuation_updates::Reading;
-use crate::direct::feeds::upstream_follower::RELIST_GRACE;
 use crate::direct::feeds::{
     ChannelWatch, ColdUpdates, EvacuationUpdates, PlatformHealth, RoutingPublisher,
 };
@@ -34,6 +33,8 @@
     pub(in crate::direct) freshness: Arc<Freshness>,
     /// Time in which an evacuation must take effect, if it is limited.
     pub(in crate::direct) evacuation_time: Option<Duration>,
+    /// Time in which an entry must know all that is new after an outage.
+    pub(in crate::direct) detection: Duration,
     pub(in crate::direct) meter: Arc<DirectMeter>,
     pub(in crate::direct) log: EventLog,
 }
@@ -48,7 +49,7 @@
         loop {
             let (sent_at, sent) = (BootTime::now(), Instant::now());
             let wait = self.evacuation_updates.next_wait(max_wait, sent);
-            let wait = health.next_wait(wait);
+            let wait = health.begin_call(wait);
             match self.channels.call(wait, self.directory.routing(cursor, wait)).await {
                 Ok(changes) => {
                     health.record_success();
@@ -57,7 +58,8 @@
                         // A store that states no era has come back from an older copy.
                         health.record_rewind(era);
                     }
-                    let grace = grace_left(&health, sent);
+                    let grace = health.relist_grace(self.detection);
+                    let grace = grace.map(|grace| grace + sent.elapsed());
                     let reading = Reading { sent, is_whole: cursor.is_none(), grace };
                     // Requests that arrive with the new settings must know of evacuations.
                     self.evacuation_updates.apply(&changes, &reading);
@@ -122,9 +124,3 @@
         is_newest
     }
 }
-
-/// Returns for how long from the sending of a call the evacuations are kept that its answer lacks.
-fn grace_left(health: &PlatformHealth, sent: Instant) -> Option<Duration> {
-    let since = health.since_recovery()?.saturating_sub(sent.elapsed());
-    RELIST_GRACE.checked_sub(since)
-}
--- a/src/direct/feeds/row_follower.rs
+++ b/src/direct/feeds/row_follower.rs
@@ -34,7 +34,7 @@
         let mut health = PlatformHealth::new("shared rows", self.log.clone());
         let mut cursor = None;
         loop {
-            let wait = health.next_wait(MAX_WAIT);
+            let wait = health.begin_call(MAX_WAIT);
             match self.channels.call(wait, self.directory.rows(cursor, wait)).await {
                 Ok(changes) => {
                     health.record_success();
--- a/src/direct/feeds/upstream_follower.rs
+++ b/src/direct/feeds/upstream_follower.rs
@@ -20,9 +20,6 @@
 const GATHER_SHARE: f64 = 0.25;
 /// Maximum time for which changes are gathered, since new upstreams are wanted soon as well.
 const MAX_GATHER_TIME: Duration = Duration::from_millis(1_000);
-/// Time after an outage of the platform within which the upstreams and evacuations that its store has
-/// lost are written again.
-pub(super) const RELIST_GRACE: Duration = Duration::from_millis(2_300);
 
 /// How late an entry may know of changes of the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +44,8 @@
     /// them.
     missing: HashMap<String, Instant>,
     cursor: Option<Cursor>,
+    /// Time in which the entry must know all that is new after an outage.
+    detection: Duration,
     /// Minimum time between two calls that return changes.
     interval: Duration,
     /// Maximum time for which a call waits for changes.
@@ -66,7 +65,7 @@
         let health = PlatformHealth::new("upstreams", log.clone());
         let interval = bounds.drain.mul_f64(GATHER_SHARE).min(MAX_GATHER_TIME);
         let max_wait = (bounds.drain + bounds.detection).mul_f64(WAIT_SHARE).min(MAX_WAIT);
-        let missing = HashMap::new();
+        let (missing, detection) = (HashMap::new(), bounds.detection);
         let cursor = None;
         Self {
             directory,
@@ -77,6 +76,7 @@
             health,
             missing,
             cursor,
+            detection,
             interval,
             max_wait,
         }
@@ -85,7 +85,8 @@
     /// Follows the list until the process ends.
     pub(in crate::direct) async fn run(mut self) {
         loop {
-            let wait = self.health.next_wait(self.next_wait());
+            let wait = self.next_wait();
+            let wait = self.health.begin_call(wait);
             let call = self.directory.upstreams(self.cursor, wait);
             match self.channels.call(wait, call).await {
                 Ok(changes) => {
@@ -152,8 +153,7 @@
     /// Removes an upstream that is no longer listed. Soon after an outage of the platform the
     /// removal is deferred, since the upstream may not have been listed again yet.
     fn remove_or_defer(&mut self, id: String, version: u64) {
-        let left = self.health.since_recovery().and_then(|since| RELIST_GRACE.checked_sub(since));
-        if let Some(left) = left {
+        if let Some(left) = self.health.relist_grace(self.detection) {
             self.write(Level::Info, &id, "", "missing", version);
             self.missing.entry(id).or_insert(Instant::now() + left);
         } else if self.roster.remove(&id) {
