Without a stated detection time, calls of the platform keep their former limit

Cause: read-through of the change: detection-ms of 0, the default, shortened the limit of calls that wait from 1.0 to 0.5 s. Change: 1.0 s there; imports in order, a plainer comparison of upstreams.

--- a/src/direct/feeds/channel_watch.rs
+++ b/src/direct/feeds/channel_watch.rs
@@ -28,10 +28,14 @@
 
 impl ChannelWatch {
     /// Creates a watch for entries that must know all that is new within this time after their
-    /// connections have gone silent.
+    /// connections have gone silent; zero if no such time is stated.
     pub(in crate::direct) fn new(detection: Duration) -> Self {
-        let call_time = detection.saturating_sub(SHORTEST_WAIT + RETRY_TIME);
-        let call_time = call_time.clamp(MIN_CALL_TIME, CALL_TIME);
+        let call_time = if detection.is_zero() {
+            CALL_TIME
+        } else {
+            let left = detection.saturating_sub(SHORTEST_WAIT + RETRY_TIME);
+            left.clamp(MIN_CALL_TIME, CALL_TIME)
+        };
         Self { call_time, unanswered: watch::Sender::new(()) }
     }
 
--- a/src/direct/upstreams/roster.rs
+++ b/src/direct/upstreams/roster.rs
@@ -1,7 +1,6 @@
 use std::collections::{HashMap, HashSet};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use super::hidden_listings::HiddenListings;
 use crate::direct::{ListedUpstream, Upstream};
@@ -92,7 +91,7 @@
     pub(in crate::direct) fn reject(&self, upstream: &Upstream) {
         let mut state = self.lock();
         upstream.end();
-        let is_current = |known: &Arc<Upstream>| std::ptr::eq(&raw const **known, upstream);
+        let is_current = |known: &Arc<Upstream>| std::ptr::eq(known.as_ref(), upstream);
         if state.by_id.get(&upstream.listed.id).is_some_and(is_current) {
             state.remove(&upstream.listed.id);
             state.hidden.reject(upstream.listed.clone());
