Sidecars log what tells the maps of two leaders apart

Change: `planned` has the term and the digest of the map; `order-failed` names term, version and fencing token of an order that a rank refused or left unanswered, beside the rank.

--- a/src/remap/agent.rs
+++ b/src/remap/agent.rs
@@ -107,6 +107,22 @@
         }
     }
 
+    /// Gives the rank an order that was admitted, and logs it if the rank does not accept it.
+    async fn give(&self, leader: &LeaderTerm, command: &RankCommand) -> Result<(), RankError> {
+        let ended = self.rank.command(command).await;
+        if let Err(err) = ended {
+            let event = Event::OrderFailed {
+                term: leader.term,
+                order: command.order.as_str(),
+                version: command.order.version(),
+                fence: command.fence,
+                reason: err.to_string(),
+            };
+            self.log.write(Level::Warn, &event);
+        }
+        ended
+    }
+
     /// Refuses a read by the leader of a group other than the one in which the rank was last seen.
     fn admit_read(&self, leader: &LeaderTerm) -> Result<(), RankError> {
         self.watch.record_call(leader);
@@ -164,7 +180,7 @@
         };
         let PrepareOrder { version, epoch, fence, .. } = order;
         let order = RankOrder::Prepare { version, map };
-        Ok(self.rank.command(&RankCommand { order, epoch, fence }).await)
+        Ok(self.give(&leader, &RankCommand { order, epoch, fence }).await)
     }
 
     async fn counts(
@@ -207,6 +223,6 @@
         if let Err(err) = self.admit(&leader).await {
             return Ok(Err(err));
         }
-        Ok(self.rank.command(&command).await)
+        Ok(self.give(&leader, &command).await)
     }
 }
--- a/src/remap/event.rs
+++ b/src/remap/event.rs
@@ -30,13 +30,22 @@
     MembersPublished { group: &'a str, epoch: u64, members: usize, written: bool, removed: usize },
     /// The rank is in another group than before.
     RankMoved { from: &'a str, to: &'a str },
-    /// A map was planned for the measured demand.
-    Planned { version: u64, copies: usize, skew_before: f64, skew_after: f64 },
+    /// A map was planned for the measured demand. `digest` is that of its content.
+    Planned {
+        term: u64,
+        version: u64,
+        digest: String,
+        copies: usize,
+        skew_before: f64,
+        skew_after: f64,
+    },
     /// A map was made known beside the ranks. `bytes` is the size of the update, `missing` the number
     /// of ranks beside which the map is not known.
     MapShared { version: u64, bytes: usize, missing: usize, took_ms: u64 },
     /// An update from the leader gave no map.
     MapNotLearned { base: String, reason: String },
+    /// The rank beside this sidecar did not carry out an order, or gave no answer.
+    OrderFailed { term: u64, order: &'a str, version: Option<u64>, fence: u64, reason: String },
     /// Another sidecar has begun a term that this one did not know of.
     OtherLeads { term: u64 },
     /// All ranks switch to a map at the start of a pass.
--- a/src/remap/leadership.rs
+++ b/src/remap/leadership.rs
@@ -200,8 +200,17 @@
         let started = Instant::now();
         let version = group.version + 1;
         group.version = version;
-        self.log_plan(version, &plan);
-        let map = SharedMap::from(plan.map);
+        let MapPlan { map, copies, before, after } = plan;
+        let map = SharedMap::from(map);
+        let event = Event::Planned {
+            term: self.leader.term,
+            version,
+            digest: map.digest_text(),
+            copies,
+            skew_before: before,
+            skew_after: after,
+        };
+        self.log.write(Level::Info, &event);
         self.share_map(group, version, &map).await;
         match switch(&mut group.ranks, group.local, version, &map).await {
             Ok(pass) => {
@@ -242,14 +251,4 @@
             }
         }
     }
-
-    fn log_plan(&self, version: u64, plan: &MapPlan) {
-        let event = Event::Planned {
-            version,
-            copies: plan.copies,
-            skew_before: plan.before,
-            skew_after: plan.after,
-        };
-        self.log.write(Level::Info, &event);
-    }
 }
--- a/src/remap/rank_order.rs
+++ b/src/remap/rank_order.rs
@@ -49,4 +49,14 @@
             Self::Release { .. } => "release",
         }
     }
+
+    /// Version of the map that the order is about.
+    pub const fn version(&self) -> Option<u64> {
+        match self {
+            Self::Prepare { version, .. } | Self::Arm { version, .. } | Self::Disarm { version } => {
+                Some(*version)
+            }
+            Self::Fence | Self::Hold { .. } | Self::Release { .. } => None,
+        }
+    }
 }
--- a/src/remap/shared_map.rs
+++ b/src/remap/shared_map.rs
@@ -18,6 +18,11 @@
     pub const fn digest(&self) -> u64 {
         self.digest
     }
+
+    /// The digest as it is logged.
+    pub(super) fn digest_text(&self) -> String {
+        format!("{:016x}", self.digest)
+    }
 }
 
 impl From<GroupMap> for SharedMap {
