A map that the ranks voted down leaves its ID to no other

Cause: the ID of a map is version and fencing token, and the version counted from the map in force. After a vote against it, the same leader planned another map under the same ID: ranks that had fetched the first one's weights answered for the second, and the store's copy was overwritten. Change: the leader counts the versions that it has planned. Evidence: group_run::a_map_that_was_voted_down_leaves_its_version_to_no_other (12 proposals voted down) failed before with "version 1", passes now.

--- a/src/switch/leader.rs
+++ b/src/switch/leader.rs
@@ -149,6 +149,7 @@
             planner: Planner::new(shape, self.options.planner),
             map: ExpertMap::initial(&shape),
             id: MapId::default(),
+            planned: 0,
         };
         let reports = term.ranks.reports().await?;
         let epoch = reports[0].epoch;
@@ -237,7 +238,7 @@
         let Some(plan) = term.planner.plan(&term.map, self.options.budget) else {
             return Ok(());
         };
-        let map = MapId { version: term.id.version + 1, fence: term.fence };
+        let map = term.new_id();
         self.maps.write(map, &plan.map).await?;
         self.prefetch(term, map).await?;
         if self.switch(term, map).await? {
--- a/src/switch/map_id.rs
+++ b/src/switch/map_id.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct MapId {
-    /// Version, which increases by one with each switch.
+    /// Version, which increases with each map that a leader plans.
     pub version: u64,
     /// Fencing token of the leader that planned the map.
     pub fence: u64,
--- a/src/switch/term.rs
+++ b/src/switch/term.rs
@@ -13,9 +13,18 @@
     pub(super) map: ExpertMap,
     /// ID of `map`.
     pub(super) id: MapId,
+    /// Version of the last map that was planned, whether or not it came into force.
+    pub(super) planned: u64,
 }
 
 impl Term {
+    /// Takes the ID for a new map. No other map gets it, also if the ranks vote against this one:
+    /// some may hold its weights under that ID.
+    pub(super) fn new_id(&mut self) -> MapId {
+        self.planned = self.planned.max(self.id.version) + 1;
+        MapId { version: self.planned, fence: self.fence }
+    }
+
     /// Sums up the counts of all ranks by layer and passes them to the planner. Does nothing if a
     /// rank has counted no step, and stops at the first layer that a rank has no counts for.
     pub(super) fn observe(&mut self, shape: &Shape, stats: &[RankStats]) {
--- a/tests/it/group_run.rs
+++ b/tests/it/group_run.rs
@@ -7,10 +7,12 @@
 use ebonyusher::group::{ExpertMap, Shape};
 use ebonyusher::settings::{Group, GroupShape, Kind, RevisionRecord, SettingsStore};
 use ebonyusher::sidecar::SidecarNode;
+use ebonyusher::switch::{GroupRpcClient, ProposalId};
 use ebonyusher::units::{Size, Span};
 use ebonyusher_standin::{
-    CrashTrigger, Faults, Fleet, LockStepDriver, RankEngine, UpstreamNode, loopback,
+    CrashTrigger, Faults, Fleet, LINK_KEY, LockStepDriver, RankEngine, UpstreamNode, loopback,
 };
+use jsonrpsee::http_client::HttpClientBuilder;
 use rstest::rstest;
 use tokio::task::JoinHandle;
 
@@ -129,6 +131,29 @@
     assert_eq!(waits, 0, "a rank waited in a switch without faults");
 }
 
+/// Guards against two maps of one ID: a map that the ranks have voted down and the one planned after
+/// it (issue 51, review/1).
+#[tokio::test]
+async fn a_map_that_was_voted_down_leaves_its_version_to_no_other() {
+    const VOTED_DOWN: u32 = 12;
+    let group = TestGroup::start(true).await;
+    let sidecar = group.sidecars[0].as_ref().expect("a sidecar").peer_addr();
+    let client = HttpClientBuilder::default().build(format!("http://{sidecar}")).expect("a client");
+    let report = || async { client.report(LINK_KEY.to_owned()).await.expect("a report") };
+    let mut epoch = 0;
+    while epoch == 0 {
+        epoch = report().await.epoch;
+    }
+
+    let last = ProposalId { epoch, fence: epoch, serial: VOTED_DOWN };
+    client.ask(LINK_KEY.to_owned(), last).await.expect("a vote");
+    wait_until(|| group.version() > 0).await;
+    group.running.abort();
+
+    assert!(group.version() > u64::from(VOTED_DOWN), "version {}", group.version());
+    group.assert_consistent();
+}
+
 #[rstest]
 #[case::engines_check_fences(true)]
 #[case::engines_ignore_fences(false)]
