An order to arm counts once the rank's report names it

An answer to an order bears no name; one that belongs to an earlier order would release the group while a rank keeps its map. Orders that a leader gives past a sidecar that doesn't answer rely on the status as before: reports read from another machine are too old.

--- a/src/remap/agent.rs
+++ b/src/remap/agent.rs
@@ -12,7 +12,7 @@
 use super::sidecar_clients::SidecarClients;
 use super::{
     HeldExperts, LeaderTerm, MapUpdate, PrepareOrder, RankClient, RankCommand, RankConnector,
-    RankCounts, RankError, RankOrder, RankRpcClient, RankRpcServer, RankState,
+    RankCounts, RankError, RankOrder, RankRpcClient, RankRpcServer, RankState, command_confirmed,
 };
 use crate::event_log::{EventLog, Level};
 
@@ -109,7 +109,7 @@
 
     /// Gives the rank an order that was admitted, and logs it if the rank does not accept it.
     async fn give(&self, leader: &LeaderTerm, command: &RankCommand) -> Result<(), RankError> {
-        let ended = self.rank.command(command).await;
+        let ended = command_confirmed(self.rank.as_ref(), command).await;
         if let Err(err) = ended {
             let event = Event::OrderFailed {
                 term: leader.term,
--- a/src/remap/mod.rs
+++ b/src/remap/mod.rs
@@ -43,7 +43,7 @@
 pub use member_rows::MemberRows;
 pub use peer_rank::PeerRank;
 pub use placement::{PlacementLimits, SetPlacement, improve_set};
-pub use rank_client::{RankClient, RankConnector, RankCounts, RankError};
+pub use rank_client::{RankClient, RankConnector, RankCounts, RankError, command_confirmed};
 pub use rank_node::RankNode;
 pub use rank_order::{RankCommand, RankOrder};
 pub use rank_rpc::{PrepareOrder, RankRpcClient, RankRpcServer};
--- a/src/remap/peer_rank.rs
+++ b/src/remap/peer_rank.rs
@@ -8,7 +8,7 @@
 
 use super::{
     HeldExperts, LeaderTerm, MapUpdate, PrepareOrder, RankClient, RankCommand, RankCounts,
-    RankError, RankOrder, RankRpcClient, RankState, Sidecar,
+    RankError, RankOrder, RankRpcClient, RankState, Sidecar, command_confirmed,
 };
 use crate::units::millis;
 
@@ -170,6 +170,9 @@
     /// Gives an order without the sidecar beside the rank.
     async fn command_direct(&self, command: &RankCommand) -> Result<(), RankError> {
         self.check_group().await?;
+        if self.is_local() {
+            return command_confirmed(self.direct.as_ref(), command).await;
+        }
         self.direct.command(command).await
     }
 
--- a/src/remap/rank_client.rs
+++ b/src/remap/rank_client.rs
@@ -7,7 +7,7 @@
 use thiserror::Error;
 use tokio::time::{Instant, sleep};
 
-use super::{HeldExperts, MapUpdate, RankCommand, RankState};
+use super::{Armed, HeldExperts, MapUpdate, RankCommand, RankOrder, RankState};
 
 /// Interval between two readings of a rank's state while it copies experts.
 const COPY_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -112,6 +112,37 @@
     }
 }
 
+/// Gives an order from the rank's own machine, where its report is current. An order to arm counts as
+/// accepted once the report names its version and pass: an answer without a name may belong to an
+/// earlier order.
+///
+/// # Errors
+/// As [`RankClient::command`]; [`RankError::Unknown`] if the report names another switch or none.
+///
+/// ```
+/// # use std::sync::{Arc, atomic::AtomicBool};
+/// # use ebonyusher::remap::{RankCommand, RankError, RankOrder, command_confirmed};
+/// # use ebonyusher_standin::{FaultyRankClient, OrderFaults, RankGroupStandin};
+/// # tokio::runtime::Runtime::new().unwrap().block_on(async {
+/// let (group, reachable) = (RankGroupStandin::new(1), Arc::new(AtomicBool::new(true)));
+/// let rank = FaultyRankClient::new(&group, 0, OrderFaults::default(), reachable, 1);
+/// let order = RankOrder::Arm { version: 1, pass: 3 };
+/// let command = RankCommand { order, epoch: 1, fence: 1 };
+/// assert_eq!(command_confirmed(&rank, &command).await, Err(RankError::Refused));
+/// # });
+/// ```
+pub async fn command_confirmed<P: RankClient>(
+    rank: &P,
+    command: &RankCommand,
+) -> Result<(), RankError> {
+    rank.command(command).await?;
+    let RankOrder::Arm { version, pass } = command.order else { return Ok(()) };
+    let state = rank.state().await?;
+    let is_armed = state.armed == Some(Armed { version, pass });
+    // The pass may have begun since.
+    if is_armed || state.map == version { Ok(()) } else { Err(RankError::Unknown) }
+}
+
 /// Creates clients for ranks.
 pub trait RankConnector: Send + Sync + 'static {
     /// Client for a rank.
