Removals are not put off too long where the store comes back older, either

Change: one rule for both kinds of outage: it may have ended at once after the last call that failed or, if none did, after the last answer before.

--- a/src/direct/feeds/platform_health.rs
+++ b/src/direct/feeds/platform_health.rs
@@ -23,8 +23,12 @@
     recovered_at: Option<Instant>,
     /// When the last call was sent.
     called_at: Option<Instant>,
-    /// When the last call that failed was sent. The outage may have ended at once after it.
+    /// When the last call that failed was sent.
     failed_call: Option<Instant>,
+    /// When the last call was answered.
+    answered_at: Option<Instant>,
+    /// Earliest time at which the last outage may have ended.
+    ended_after: Option<Instant>,
     backoff: Duration,
 }
 
@@ -37,6 +41,8 @@
             recovered_at: None,
             called_at: None,
             failed_call: None,
+            answered_at: None,
+            ended_after: None,
             backoff: INITIAL_BACKOFF,
         }
     }
@@ -45,9 +51,17 @@
     pub(in crate::direct) fn record_success(&mut self) {
         self.backoff = INITIAL_BACKOFF;
         if let Some(since) = self.down_since.take() {
-            self.recovered_at = Some(Instant::now());
+            self.record_end();
             self.log_change(Level::Info, true, "", since.elapsed());
         }
+        self.answered_at = Some(Instant::now());
+    }
+
+    /// Records that an outage is over. It may have ended at once after the last call that failed or,
+    /// if none did, after the last answer from before.
+    fn record_end(&mut self) {
+        self.recovered_at = Some(Instant::now());
+        self.ended_after = self.failed_call.max(self.answered_at);
     }
 
     /// Records a failed call. Returns the backoff until the next one.
@@ -70,10 +84,9 @@
     }
 
     /// Records that the platform's store came back from an older copy, which counts as the end of an
-    /// outage.
+    /// outage. The answer that shows it is not recorded as a success before.
     pub(in crate::direct) fn record_rewind(&mut self, era: u64) {
-        self.recovered_at = Some(Instant::now());
-        self.failed_call = None;
+        self.record_end();
         self.log.write(Level::Warn, &Event::StoreRewound { topic: self.topic, era });
     }
 
@@ -82,10 +95,10 @@
     pub(in crate::direct) fn relist_grace(&self, detection: Duration) -> Option<Duration> {
         let left = RELIST_GRACE.checked_sub(self.recovered_at?.elapsed())?;
         let bound = detection.checked_sub(GRACE_RESERVE);
-        let Some((bound, failed_call)) = bound.zip(self.failed_call) else {
+        let Some((bound, ended_after)) = bound.zip(self.ended_after) else {
             return Some(left);
         };
-        Some(left.min(bound.checked_sub(failed_call.elapsed())?))
+        Some(left.min(bound.checked_sub(ended_after.elapsed())?))
     }
 
     fn log_change(&self, level: Level, up: bool, detail: &str, down: Duration) {
--- a/src/direct/feeds/routing_follower.rs
+++ b/src/direct/feeds/routing_follower.rs
@@ -52,12 +52,12 @@
             let wait = health.begin_call(wait);
             match self.channels.call(wait, self.directory.routing(cursor, wait)).await {
                 Ok(changes) => {
-                    health.record_success();
                     let Cursor { era, version: read } = changes.cursor;
                     if read < version {
                         // A store that states no era has come back from an older copy.
                         health.record_rewind(era);
                     }
+                    health.record_success();
                     let grace = health.relist_grace(self.detection);
                     let grace = grace.map(|grace| grace + sent.elapsed());
                     let reading = Reading { sent, is_whole: cursor.is_none(), grace };
