A process that stops begins nothing that may outlast its grace time

Cause: a process that stops takes no new connections after a time, but begins whatever becomes whole on the open ones; nothing compares the time that a request may take with the time that is left. Change: one type, net::Draining, knows when the process cuts off. A request that may run once is begun only if its own time limit, the least of the caller's and the route's, ends before that; one that may run again, also as long as new connections are expected. Anything else is refused at once as not run, with a time to come back: before its body is read (which is read on, so that the refusal is not lost in a reset), before each attempt, each resumption of a stream, after the claim of a trial. The same in entries with sidecars and, where a claim is awaited, in sidecars. What ends in time is served as before.

--- a/src/direct/checked_request.rs
+++ b/src/direct/checked_request.rs
@@ -16,7 +16,7 @@
 use crate::admission::Offer;
 use crate::capacity::RequestSize;
 use crate::entry::CrashKeys;
-use crate::net::LAST_EVENT_ID;
+use crate::net::{LAST_EVENT_ID, RequestEnd};
 use crate::outcome::Reason;
 
 /// Headers that are not forwarded: the hop-by-hop headers (RFC 9110, 7.6.1), the caller's API key,
@@ -79,6 +79,11 @@
         account_priority.unwrap_or(self.route.priority)
     }
 
+    /// Returns what tells whether it ends in time.
+    pub(super) fn end(&self) -> RequestEnd {
+        RequestEnd { deadline: self.deadline, may_rerun: self.route.delivery.may_rerun() }
+    }
+
     /// Returns what its admission depends on.
     pub(super) fn offer(&self) -> Offer {
         let targets =
--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -26,6 +26,7 @@
 use crate::direct::upstreams::InFlight;
 use crate::entry::Failure;
 use crate::event_log::EventLog;
+use crate::net::Draining;
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::units::{BootTime, millis};
 
@@ -49,6 +50,7 @@
     pub(super) crash_recorder: Arc<CrashRecorder>,
     pub(super) limits: Arc<UpstreamLimits>,
     pub(super) known_entries: Arc<KnownEntries>,
+    pub(super) draining: Draining,
     pub(super) body_memory: BodyMemory,
     /// Whether the speed and the capacity of upstreams are learned.
     pub(super) capacity_switch: Arc<CapacitySwitch>,
@@ -197,14 +199,29 @@
         request: &CheckedRequest,
         history: &mut AttemptHistory,
     ) -> Result<Chosen, Refusal> {
+        self.check_draining(request, history)?;
         let due = self.check_quarantine(request, history)?;
         let chosen = self.pick(request, history)?;
         if let Some(due) = due {
             self.claim_trial(request, history, due).await?;
+            // The claim has taken a call of the platform.
+            self.check_draining(request, history)?;
         }
         Ok(chosen)
     }
 
+    /// Refuses a request that can't end before this process does.
+    fn check_draining(
+        &self,
+        request: &CheckedRequest,
+        history: &AttemptHistory,
+    ) -> Result<(), Refusal> {
+        if self.draining.may_start(request.end()) {
+            return Ok(());
+        }
+        Err(history.refusal(Reason::Leaving))
+    }
+
     fn may_retry(
         &self,
         request: &CheckedRequest,
--- a/src/direct/entry_parts.rs
+++ b/src/direct/entry_parts.rs
@@ -21,6 +21,7 @@
 };
 use crate::direct::groups::GroupFeed;
 use crate::event_log::EventLog;
+use crate::net::Draining;
 use crate::platform::Table;
 use crate::settings::{DirectFile, RetrySettings};
 
@@ -156,6 +157,7 @@
         file: &DirectFile,
         header_names: HeaderNames,
         trials: Trials,
+        draining: Draining,
     ) -> Dispatcher {
         Dispatcher {
             header_watch: HeaderWatch::new(&header_names),
@@ -178,6 +180,7 @@
             meter: self.meter,
             limits: self.limits,
             known_entries: self.known_entries,
+            draining,
             log: self.log,
         }
     }
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -1,5 +1,4 @@
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,7 +20,7 @@
 use crate::entry::{CrashKeys, fingerprint};
 use crate::id::AttemptId;
 use crate::net::{
-    ChannelBody, CollectError, EventSplitter, Handler, collect, header_millis, header_str,
+    BodyLimits, ChannelBody, EventSplitter, Handler, RequestEnd, header_millis, header_str,
 };
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::units::BootTime;
@@ -46,9 +45,6 @@
     pub(super) dispatcher: Arc<Dispatcher>,
     pub(super) meter: Arc<DirectMeter>,
     pub(super) tasks: TaskTracker,
-    /// Set during shutdown: responses then close the connection, so that the caller's next request
-    /// goes to another entry.
-    pub(super) leaving: Arc<AtomicBool>,
 }
 
 impl Handler for DirectHandler {
@@ -56,7 +52,8 @@
 
     async fn handle(&self, request: Request<Incoming>) -> Response<DirectBody> {
         let mut response = self.respond(request).await;
-        if self.leaving.load(Ordering::Relaxed) {
+        if self.dispatcher.draining.has_begun() {
+            // The caller's next request goes to another entry.
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -118,13 +115,10 @@
         let arrival = tracker.arrival();
         let left = left.map(answer_time);
         let deadline = arrival + left.map_or(route.timeout, |left| left.min(route.timeout));
-        let body = collect(body, routing.limits.body_bytes, BODY_TIMEOUT).await;
-        let body = body.map_err(|err| {
-            Refusal::not_run(match err {
-                CollectError::TooLarge => Reason::BodyTooLarge,
-                CollectError::Broken | CollectError::Slow => Reason::BodyBroken,
-            })
-        })?;
+        let limits = BodyLimits { max_bytes: routing.limits.body_bytes, max_time: BODY_TIMEOUT };
+        let end = RequestEnd { deadline, may_rerun: route.delivery.may_rerun() };
+        let body = self.dispatcher.draining.collect(body, limits, end).await;
+        let body = body.map_err(|err| with_retry_after(Refusal::not_run(err.into())))?;
         let service = route.pick_service(rand::random()).and_then(|name| routing.service(name));
         let service = service.ok_or(with_retry_after(Refusal::not_run(Reason::NoUpstream)))?;
         let fingerprint = fingerprint(
--- a/src/direct/monitoring.rs
+++ b/src/direct/monitoring.rs
@@ -10,7 +10,7 @@
 use super::{DirectMeter, Freshness, Roster};
 use crate::direct::feeds::CurrentRouting;
 use crate::event_log::{EventLog, Level};
-use crate::net::{Handler, WholeBody, text_answer};
+use crate::net::{Draining, Handler, WholeBody, text_answer};
 use crate::units::BootTime;
 
 /// Media type of the text format of OpenMetrics.
@@ -22,7 +22,7 @@
     pub(super) routing: CurrentRouting,
     pub(super) roster: Arc<Roster>,
     pub(super) freshness: Arc<Freshness>,
-    pub(super) leaving: Arc<AtomicBool>,
+    pub(super) draining: Draining,
     /// Whether the last response was "ready"; changes are logged.
     pub(super) ready: AtomicBool,
     pub(super) log: EventLog,
@@ -31,7 +31,7 @@
 impl ReadinessHandler {
     /// Returns why the process is not ready for callers, or `None` if it is.
     fn obstacle(&self) -> Option<&'static str> {
-        if self.leaving.load(Ordering::Relaxed) {
+        if self.draining.has_begun() {
             Some("leaving")
         } else if self.routing.get().is_none() {
             Some("no settings")
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -1,12 +1,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -19,7 +19,7 @@
 use crate::cli::Node;
 use crate::direct::feeds::RoutingPublisher;
 use crate::event_log::{EventLog, Level};
-use crate::net::{H1Limits, Shutdown, serve_h1};
+use crate::net::{DrainTimes, Draining, H1Limits, Shutdown, serve_h1};
 use crate::platform::Table;
 use crate::settings::{DirectFile, ParseError};
 use crate::units::millis;
@@ -48,7 +48,7 @@
     addr: SocketAddr,
     readiness: SocketAddr,
     metrics: Option<SocketAddr>,
-    leaving: Arc<AtomicBool>,
+    draining: Draining,
     caller_shutdown: Shutdown,
     monitoring_shutdown: Shutdown,
     tasks: TaskTracker,
@@ -80,7 +80,7 @@
             addr: listener.local_addr()?,
             readiness: readiness.local_addr()?,
             metrics: metrics.as_ref().map(TcpListener::local_addr).transpose()?,
-            leaving: Arc::default(),
+            draining: Draining::default(),
             caller_shutdown: Shutdown::default(),
             monitoring_shutdown: Shutdown::default(),
             tasks: TaskTracker::new(),
@@ -117,17 +117,18 @@
             routing: routing.clone(),
             roster: Arc::clone(&parts.roster),
             freshness: Arc::clone(&parts.freshness),
-            leaving: Arc::clone(&self.leaving),
+            draining: self.draining.clone(),
             ready: AtomicBool::new(false),
             log: self.log.clone(),
         };
         let meter = Arc::clone(&parts.meter);
+        let draining = self.draining.clone();
+        let dispatcher = parts.into_dispatcher(file, header_names, Trials(trials), draining);
         let handler = DirectHandler {
             routing,
-            dispatcher: Arc::new(parts.into_dispatcher(file, header_names, Trials(trials))),
+            dispatcher: Arc::new(dispatcher),
             meter: Arc::clone(&meter),
             tasks: self.tasks.clone(),
-            leaving: Arc::clone(&self.leaving),
         };
         self.serve(listeners, handler, ready, meter);
     }
@@ -197,16 +198,17 @@
     }
 
     /// Shuts down gracefully: reports that it is not ready, serves until the balancer has noticed,
-    /// then waits for the requests in flight.
+    /// then waits for the requests in flight. Meanwhile it begins none that can't end in time.
     async fn close(self) {
         self.log.write(Level::Info, &Event::Stopping { grace_ms: millis(self.grace) });
-        self.leaving.store(true, Ordering::Relaxed);
-        let notice = READINESS_NOTICE_TIME.min(self.grace / 2);
-        sleep(notice).await;
+        let begun_at = Instant::now();
+        let accepts_until = begun_at + READINESS_NOTICE_TIME.min(self.grace / 2);
+        let ends_at = begun_at + self.grace.saturating_sub(SHUTDOWN_RESERVE);
+        self.draining.begin(DrainTimes { begun_at, accepts_until, ends_at });
+        sleep_until(accepts_until).await;
         self.caller_shutdown.graceful.cancel();
         self.tasks.close();
-        let left = self.grace.saturating_sub(notice + SHUTDOWN_RESERVE);
-        let ended = timeout(left, self.tasks.wait()).await;
+        let ended = timeout_at(ends_at, self.tasks.wait()).await;
         let unfinished = if ended.is_ok() { 0 } else { self.tasks.len() };
         self.caller_shutdown.abrupt.cancel();
         self.monitoring_shutdown.abrupt.cancel();
--- a/src/entry/checked_request.rs
+++ b/src/entry/checked_request.rs
@@ -4,6 +4,7 @@
 use tokio::time::Instant;
 
 use super::CrashKeys;
+use crate::net::RequestEnd;
 use crate::settings::{Priority, Repeat, Service};
 
 /// A caller's request that has passed the entry's checks and is ready to be sent to an upstream.
@@ -39,3 +40,10 @@
     /// Instance names of the upstreams that have been tried.
     pub tried: SmallVec<[String; 4]>,
 }
+
+impl CheckedRequest {
+    /// Returns what tells whether it ends in time.
+    pub(super) fn end(&self) -> RequestEnd {
+        RequestEnd { deadline: self.deadline, may_rerun: self.repeat.may_rerun() }
+    }
+}
--- a/src/entry/dispatch.rs
+++ b/src/entry/dispatch.rs
@@ -19,7 +19,9 @@
 };
 use crate::id::AttemptId;
 use crate::metrics::Meter;
-use crate::net::{ATTEMPT, HttpClient, LOAD, OUTCOME, REASON, h2_client, header_str, is_not_sent};
+use crate::net::{
+    ATTEMPT, Draining, HttpClient, LOAD, OUTCOME, REASON, h2_client, header_str, is_not_sent,
+};
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::settings::Repeat;
 
@@ -36,6 +38,7 @@
     services: Mutex<HashMap<String, Arc<ServiceState>>>,
     meter: Arc<Meter>,
     link_key: String,
+    draining: Draining,
 }
 
 /// State that an entry keeps for each service.
@@ -60,9 +63,15 @@
         suspects: Arc<Suspects>,
         meter: Arc<Meter>,
         link_key: String,
+        draining: Draining,
     ) -> Self {
         let services = Mutex::default();
-        Self { client: h2_client(), members, policy, suspects, services, meter, link_key }
+        Self { client: h2_client(), members, policy, suspects, services, meter, link_key, draining }
+    }
+
+    /// Whether this entry shuts down.
+    pub(super) const fn draining(&self) -> &Draining {
+        &self.draining
     }
 
     /// Records that a request has run to completion.
@@ -92,6 +101,9 @@
         state.retry_budget.earn(request.service.retry_share);
         let mut history = AttemptHistory::new();
         loop {
+            if !self.draining.may_start(request.end()) {
+                return Err(history.refusal(Reason::Leaving));
+            }
             let failure = match self.try_once(request, &state, &history).await {
                 Ok(started) => return Ok(started),
                 Err(failure) => failure,
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
+use super::attempt_history::AttemptHistory;
 use super::dispatch::StartedResponse;
 use super::entry_count::EntryCount;
 use super::forwarded_body::ForwardedBody;
@@ -22,8 +23,8 @@
 use crate::id::AttemptId;
 use crate::metrics::{Event, Meter};
 use crate::net::{
-    ChannelBody, CollectError, DEADLINE_MS, EitherBody, EventSplitter, Handler, IDEMPOTENCY_KEY,
-    collect, header_millis, header_str, json_answer, refusal_answer,
+    BodyLimits, ChannelBody, CollectError, DEADLINE_MS, Draining, EitherBody, EventSplitter,
+    Handler, IDEMPOTENCY_KEY, RequestEnd, header_millis, header_str, json_answer, refusal_answer,
 };
 use crate::outcome::{Reason, Refusal};
 use crate::platform::Table;
@@ -85,7 +86,8 @@
         }
         let account = format!("{}/{}", caller.team, caller.name);
         let guard = self.limiter.admit(&account, caller.account, self.entry_count.get())?;
-        let request = check_request(head, body, &caller, account, arrived).await?;
+        let draining = self.dispatcher.draining();
+        let request = check_request(head, body, &caller, account, arrived, draining).await?;
         self.forward(request, guard).await
     }
 
@@ -170,6 +172,7 @@
     caller: &Caller<'_>,
     account: String,
     arrived: Instant,
+    draining: &Draining,
 ) -> Result<CheckedRequest, Refusal> {
     let host = header_str(&head.headers, &HOST).or(head.uri.host()).unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
@@ -179,12 +182,14 @@
     let service = service.ok_or(Refusal::not_run(Reason::NoRoute))?.clone();
     let time_limit = read_deadline(&head.headers)?.unwrap_or(service.deadline.get());
     let key = read_key(&head.headers, route.repeat)?;
-    let body = collect(body, service.max_body.bytes(), BODY_TIMEOUT.min(time_limit)).await;
-    let body = body.map_err(|err| {
-        Refusal::not_run(match err {
-            CollectError::TooLarge => Reason::BodyTooLarge,
-            CollectError::Broken | CollectError::Slow => Reason::BodyBroken,
-        })
+    let deadline = arrived + time_limit;
+    let max_bytes = service.max_body.bytes();
+    let limits = BodyLimits { max_bytes, max_time: BODY_TIMEOUT.min(time_limit) };
+    let end = RequestEnd { deadline, may_rerun: route.repeat.may_rerun() };
+    let body = draining.collect(body, limits, end).await;
+    let body = body.map_err(|err| match err {
+        CollectError::Draining => AttemptHistory::new().refusal(Reason::Leaving),
+        err => Refusal::not_run(err.into()),
     })?;
     let estimate = if service.kind == Kind::Engine {
         RequestEstimate::from_chat(&body)
@@ -208,7 +213,7 @@
         priority: caller.account.priority,
         cost: estimate.cost,
         prefix: estimate.prefix,
-        deadline: arrived + time_limit,
+        deadline,
         key,
         tried: SmallVec::new(),
     })
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -8,7 +8,7 @@
 use spdlog::info;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -19,7 +19,7 @@
 use crate::admin::{AdminHandler, Readiness};
 use crate::id::Incarnation;
 use crate::metrics::Meter;
-use crate::net::{Handler, Shutdown, serve};
+use crate::net::{DrainTimes, Draining, Handler, Shutdown, serve};
 use crate::peer::{
     Hello, HintSender, RpcListener, SettingsFollower, SettingsRpcServer, SettingsServer,
 };
@@ -44,6 +44,7 @@
     suspects: Arc<Suspects>,
     meter: Arc<Meter>,
     ready: Readiness,
+    draining: Draining,
     data_shutdown: Shutdown,
     admin_shutdown: Shutdown,
     background_stop: CancellationToken,
@@ -93,6 +94,7 @@
             entry_count: Arc::new(EntryCount::new()),
             meter: Arc::clone(&meter),
             background_stop: CancellationToken::new(),
+            draining: Draining::default(),
             tasks: TaskTracker::new(),
         };
         let ready = Readiness::new(current.clone());
@@ -104,7 +106,7 @@
         shared.spawn(follower.run());
         shared.spawn_platform_tasks(&file);
         info!("entry: {} listens on {data} for callers and on {admin} for operators", file.name);
-        let SharedState { members, suspects, background_stop, tasks, .. } = shared;
+        let SharedState { members, suspects, background_stop, draining, tasks, .. } = shared;
         let grace = file.grace.get();
         Ok(Self {
             data,
@@ -115,6 +117,7 @@
             suspects,
             meter,
             ready,
+            draining,
             data_shutdown,
             admin_shutdown,
             background_stop,
@@ -163,10 +166,14 @@
     pub async fn close(self) {
         info!("entry: shutting down");
         self.ready.mark_leaving();
-        sleep(READINESS_NOTICE_TIME).await;
+        let begun_at = Instant::now();
+        let accepts_until = begun_at + READINESS_NOTICE_TIME;
+        let ends_at = accepts_until + self.grace;
+        self.draining.begin(DrainTimes { begun_at, accepts_until, ends_at });
+        sleep_until(accepts_until).await;
         self.data_shutdown.graceful.cancel();
         self.tasks.close();
-        if timeout(self.grace, self.tasks.wait()).await.is_err() {
+        if timeout_at(ends_at, self.tasks.wait()).await.is_err() {
             info!("entry: some requests did not end within the grace period");
         }
         self.admin_shutdown.graceful.cancel();
@@ -186,6 +193,7 @@
     entry_count: Arc<EntryCount>,
     meter: Arc<Meter>,
     background_stop: CancellationToken,
+    draining: Draining,
     tasks: TaskTracker,
 }
 
@@ -197,6 +205,7 @@
             Arc::clone(&self.suspects),
             Arc::clone(&self.meter),
             file.link_key.clone(),
+            self.draining.clone(),
         );
         EntryHandler {
             current: self.current.clone(),
--- a/src/net/collect.rs
+++ b/src/net/collect.rs
@@ -7,6 +7,8 @@
 use thiserror::Error;
 use tokio::time::timeout;
 
+use crate::outcome::Reason;
+
 /// Reasons why a body can't be read to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Display, Error)]
@@ -17,6 +19,27 @@
     Broken,
     /// the body was not received in time
     Slow,
+    /// the process shuts down before the request can end
+    Draining,
+}
+
+impl From<CollectError> for Reason {
+    fn from(err: CollectError) -> Self {
+        match err {
+            CollectError::TooLarge => Self::BodyTooLarge,
+            CollectError::Broken | CollectError::Slow => Self::BodyBroken,
+            CollectError::Draining => Self::Leaving,
+        }
+    }
+}
+
+/// Limits for a body that is read whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// Largest size in bytes.
+    pub max_bytes: u64,
+    /// Longest time for it to arrive.
+    pub max_time: Duration,
 }
 
 /// Reads a whole body into memory, within a limit of size and of time.
--- a/src/settings/repeat.rs
+++ b/src/settings/repeat.rs
@@ -16,6 +16,11 @@
 }
 
 impl Repeat {
+    /// Returns whether the request may run again after an attempt that may have run.
+    pub const fn may_rerun(self) -> bool {
+        matches!(self, Self::Free | Self::Keyed)
+    }
+
     /// Returns the value used in headers.
     pub const fn as_str(self) -> &'static str {
         match self {
--- a/src/sidecar/admitted_request.rs
+++ b/src/sidecar/admitted_request.rs
@@ -11,7 +11,7 @@
     ClaimKey, ClaimRow, Permit, RequestMetadata, SendError, SidecarBody, StoredAnswer, Upstream,
 };
 use crate::metrics::{Event, Meter};
-use crate::net::{ExchangeState, REPLAYED, collect};
+use crate::net::{Draining, ExchangeState, REPLAYED, RequestEnd, collect};
 use crate::outcome::{Reason, Refusal};
 use crate::platform::Table;
 
@@ -30,6 +30,8 @@
     pub(super) upstream: Upstream,
     /// Whether the service is a model engine, whose event streams end with `data: [DONE]`.
     pub(super) is_engine: bool,
+    /// Whether this process shuts down.
+    pub(super) draining: Draining,
 }
 
 impl AdmittedRequest {
@@ -81,6 +83,11 @@
             claims.release(held).await;
             return Err(Refusal::not_run(Reason::Deadline));
         }
+        // The claim may have taken its time, and the process may end before the request does.
+        if !self.draining.may_start(RequestEnd { deadline: self.deadline, may_rerun: false }) {
+            claims.release(held).await;
+            return Err(Refusal::not_run(Reason::Leaving));
+        }
         let guard = self.upstream.track(&self.metadata);
         let answer = self.exchange().await;
         drop(guard);
--- a/src/sidecar/handler.rs
+++ b/src/sidecar/handler.rs
@@ -13,7 +13,9 @@
 use super::signals::Signals;
 use super::{Queue, RequestMetadata, SidecarBody, SlotRequest, Upstream};
 use crate::metrics::{Event, Meter};
-use crate::net::{ATTEMPT, Handler, LINK_KEY, LOAD, OUTCOME, collect, header_str, refusal_answer};
+use crate::net::{
+    ATTEMPT, BodyLimits, Handler, LINK_KEY, LOAD, OUTCOME, RequestEnd, header_str, refusal_answer,
+};
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::platform::Table;
 use crate::settings::{CurrentSettings, Kind, Repeat, Service};
@@ -91,9 +93,12 @@
         let service = current.service(&metadata.service);
         let service = service.ok_or(Refusal::not_run(Reason::NoSettings))?;
         let deadline = arrived + metadata.time_left;
-        let body = collect(body, service.max_body.bytes(), metadata.time_left)
-            .await
-            .map_err(|_| Refusal::not_run(Reason::BodyBroken))?;
+        let max_bytes = service.max_body.bytes();
+        let limits = BodyLimits { max_bytes, max_time: metadata.time_left };
+        let end = RequestEnd { deadline, may_rerun: metadata.repeat.may_rerun() };
+        let draining = self.signals.draining.clone();
+        let body = draining.collect(body, limits, end).await;
+        let body = body.map_err(|err| Refusal::not_run(err.into()))?;
         let suspect_permit = self.acquire_suspect_permit(&metadata, deadline).await?;
         let permit = self
             .queue
@@ -102,8 +107,17 @@
             .with_suspect_permit(suspect_permit);
         let is_engine = service.kind == Kind::Engine;
         let upstream = self.upstream.clone();
-        self.start(AdmittedRequest { metadata, head, body, deadline, permit, upstream, is_engine })
-            .await
+        let request = AdmittedRequest {
+            metadata,
+            head,
+            body,
+            deadline,
+            permit,
+            upstream,
+            is_engine,
+            draining,
+        };
+        self.start(request).await
     }
 
     /// Runs a request. One that must not run twice runs in a task of its own: even if the entry
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -4,7 +4,7 @@
 
 use spdlog::info;
 use tokio::net::TcpListener;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -15,7 +15,7 @@
 use super::{Queue, Upstream};
 use crate::id::Incarnation;
 use crate::metrics::Meter;
-use crate::net::{Shutdown, serve};
+use crate::net::{DrainTimes, Shutdown, serve};
 use crate::peer::RpcListener;
 use crate::platform::{InstanceList, ObjectStore, Table};
 use crate::settings::{CurrentSettings, SettingsPublisher, SidecarFile};
@@ -165,10 +165,14 @@
     pub async fn close(self) {
         info!("sidecar: leaving");
         self.signals.set_leaving(LeavingCause::Shutdown, true);
+        let begun_at = Instant::now();
+        let ends_at = begun_at + LEAVE_NOTICE_TIME + self.grace;
+        let times = DrainTimes { begun_at, accepts_until: begun_at, ends_at };
+        self.signals.draining.begin(times);
         sleep(LEAVE_NOTICE_TIME).await;
         self.stop.graceful.cancel();
         self.tasks.close();
-        if timeout(self.grace, self.tasks.wait()).await.is_err() {
+        if timeout_at(ends_at, self.tasks.wait()).await.is_err() {
             info!("sidecar: {} requests did not end in time", self.queue.load().running);
         }
         self.background_stop.cancel();
--- a/src/sidecar/signals.rs
+++ b/src/sidecar/signals.rs
@@ -5,6 +5,7 @@
 
 use super::cache_event::CacheEvent;
 use crate::id::Incarnation;
+use crate::net::Draining;
 use crate::peer::CrashReport;
 
 /// Number of crashes that a slow link may lag behind; it misses older ones.
@@ -32,6 +33,8 @@
 pub struct Signals {
     /// The sidecar's incarnation.
     pub incarnation: Incarnation,
+    /// Whether the process shuts down, and until when.
+    pub draining: Draining,
     leaving: Arc<watch::Sender<bool>>,
     up: Arc<watch::Sender<bool>>,
     crashes: broadcast::Sender<CrashReport>,
@@ -46,6 +49,7 @@
     pub fn new() -> Self {
         Self {
             incarnation: Incarnation::random(),
+            draining: Draining::default(),
             leaving: Arc::new(watch::Sender::new(false)),
             up: Arc::new(watch::Sender::new(false)),
             crashes: broadcast::Sender::new(CRASH_BACKLOG),
--- a/tests/it/leaving.rs
+++ b/tests/it/leaving.rs
@@ -4,10 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ebonyusher::net::{DEADLINE_MS, IDEMPOTENCY_KEY};
 use ebonyusher::outcome::Outcome;
 use ebonyusher_bench::client::{Caller, Reply};
+use ebonyusher_standin::Faults;
 use http::Method;
 use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -39,6 +43,60 @@
     }
 }
 
+const ORDER_KEY: &str = "order-1";
+
+/// Begins an order, without its body, whose caller waits for longer than any process takes to stop.
+async fn begin_long_order(cluster: &TestCluster) -> TcpStream {
+    let mut stream = TcpStream::connect(cluster.entries[0].data_addr()).await.expect("connects");
+    let head = format!(
+        "POST /ledger/orders HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {CALLER_KEY}\r\n\
+         {DEADLINE_MS}: 600000\r\n{IDEMPOTENCY_KEY}: {ORDER_KEY}\r\nContent-Length: 5\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("writes");
+    stream
+}
+
+async fn complete(mut stream: TcpStream) -> String {
+    stream.write_all(b"order").await.ok();
+    let mut bytes = [0; 4_096];
+    let count = stream.read(&mut bytes).await.unwrap_or_default();
+    String::from_utf8_lossy(&bytes[..count]).to_lowercase()
+}
+
+/// Guards against an order that is whole late, is passed on and cut off at the end of the grace time
+/// (issue 51, second report).
+#[tokio::test]
+async fn an_entry_that_stops_begins_no_order_that_may_outlast_it() {
+    let mut cluster = TestCluster::start(0, 1, 1).await;
+    let order = begin_long_order(&cluster).await;
+    sleep(Duration::from_millis(50)).await;
+
+    let closing = tokio::spawn(cluster.entries.remove(0).close());
+    sleep(Duration::from_millis(400)).await;
+    let answer = complete(order).await;
+    closing.await.unwrap();
+
+    assert!(answer.starts_with("http/1.1 503 ") && answer.contains("not-run"), "{answer}");
+    assert!(answer.contains("retry-after"), "{answer}");
+    assert_eq!(cluster.runs(ORDER_KEY), 0);
+}
+
+/// The same for a sidecar that has taken an order and waits for the claim on its key.
+#[tokio::test]
+async fn a_sidecar_that_stops_begins_no_order_that_may_outlast_it() {
+    let mut cluster = TestCluster::start(0, 1, 1).await;
+    cluster.fleet.platform.platform.set_faults(Faults { slow_ms: 400, ..Faults::default() });
+    let answer = tokio::spawn(complete(begin_long_order(&cluster).await));
+    sleep(Duration::from_millis(150)).await;
+
+    let closing = tokio::spawn(cluster.sidecars.remove(0).close());
+    let answer = answer.await.unwrap();
+    closing.await.unwrap();
+
+    assert!(answer.starts_with("http/1.1 503 ") && answer.contains("not-run"), "{answer}");
+    assert_eq!(cluster.runs(ORDER_KEY), 0);
+}
+
 #[rstest]
 #[case::sidecar(true, false)]
 #[case::entry(false, true)]
