--- a/src/direct/attempts/attempt_history.rs
+++ b/src/direct/attempts/attempt_history.rs
@@ -55,6 +55,11 @@
         self.reached > 0
     }
 
+    /// Returns whether an attempt reached no upstream.
+    pub(in crate::direct) const fn has_missed(&self) -> bool {
+        self.attempts > self.reached
+    }
+
     /// Returns whether the trial of a quarantined request goes on: it has reached no upstream yet.
     pub(in crate::direct) const fn may_continue_trial(&self) -> bool {
         self.has_trial && !self.may_have_run
--- a/src/direct/upstreams/upstream.rs
+++ b/src/direct/upstreams/upstream.rs
@@ -236,6 +236,12 @@
         state.avoid_until = None;
     }
 
+    /// Returns whether it has answered since it last failed, or has not failed yet.
+    pub(in crate::direct) fn is_sound(&self) -> bool {
+        let state = self.lock();
+        state.losses == 0 && state.backoff.is_zero()
+    }
+
     /// Records that the upstream can't be reached or refused a request.
     pub(in crate::direct) fn record_refusal(&self) {
         self.lock().begin_backoff();
