--- a/src/direct/admission/pick.rs
+++ b/src/direct/admission/pick.rs
@@ -27,15 +27,6 @@
     pub(in crate::direct) sent: Option<SentRequest>,
 }
 
-/// Drops, for a request that has met an upstream which can't be reached, those that have not answered
-/// since they failed, unless that leaves none. Whether they are back is found out by one request
-/// each, so that none meets only dead ones while others live.
-fn prefer_sound(eligible: &mut SmallVec<[&Arc<Upstream>; 16]>, history: &AttemptHistory) {
-    if history.has_missed() && eligible.iter().any(|upstream| upstream.is_sound()) {
-        eligible.retain(|upstream| upstream.is_sound());
-    }
-}
-
 impl Dispatcher {
     /// Chooses among the upstreams that are not draining and were not tried yet. Admission is
     /// checked before the first attempt only.
@@ -131,3 +122,12 @@
         })
     }
 }
+
+/// Drops, for a request that has met an upstream which can't be reached, those that have not answered
+/// since they failed, unless that leaves none. Whether they are back is found out by one request
+/// each, so that none meets only dead ones while others live.
+fn prefer_sound(eligible: &mut SmallVec<[&Arc<Upstream>; 16]>, history: &AttemptHistory) {
+    if history.has_missed() && eligible.iter().any(|upstream| upstream.is_sound()) {
+        eligible.retain(|upstream| upstream.is_sound());
+    }
+}
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -20,7 +20,8 @@
 use crate::entry::{CrashKeys, fingerprint};
 use crate::id::AttemptId;
 use crate::net::{
-    BodyLimits, ChannelBody, EventSplitter, Handler, RequestEnd, header_millis, header_str,
+    BodyLimits, ChannelBody, CollectError, EventSplitter, Handler, RequestEnd, header_millis,
+    header_str,
 };
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::units::BootTime;
@@ -118,7 +119,10 @@
         let limits = BodyLimits { max_bytes: routing.limits.body_bytes, max_time: BODY_TIMEOUT };
         let end = RequestEnd { deadline, may_rerun: route.delivery.may_rerun() };
         let body = self.dispatcher.draining.collect(body, limits, end).await;
-        let body = body.map_err(|err| with_retry_after(Refusal::not_run(err.into())))?;
+        let body = body.map_err(|err| match err {
+            CollectError::Draining => with_retry_after(Refusal::not_run(Reason::Leaving)),
+            err => Refusal::not_run(err.into()),
+        })?;
         let service = route.pick_service(rand::random()).and_then(|name| routing.service(name));
         let service = service.ok_or(with_retry_after(Refusal::not_run(Reason::NoUpstream)))?;
         let fingerprint = fingerprint(
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -9,7 +9,6 @@
 use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
-use super::attempt_history::AttemptHistory;
 use super::dispatch::StartedResponse;
 use super::entry_count::EntryCount;
 use super::forwarded_body::ForwardedBody;
@@ -38,6 +37,8 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time within which a new entry should have its settings; callers are told to retry after it.
 const SETTINGS_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time after which a caller may return that an entry refuses since it stops; another entry answers.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum length of an idempotency key.
 const MAX_KEY_BYTES: usize = 256;
 const BEARER: &str = "Bearer ";
@@ -188,7 +189,9 @@
     let end = RequestEnd { deadline, may_rerun: route.repeat.may_rerun() };
     let body = draining.collect(body, limits, end).await;
     let body = body.map_err(|err| match err {
-        CollectError::Draining => AttemptHistory::new().refusal(Reason::Leaving),
+        CollectError::Draining => {
+            Refusal::not_run(Reason::Leaving).retry_after(LEAVING_RETRY_AFTER)
+        }
         err => Refusal::not_run(err.into()),
     })?;
     let estimate = if service.kind == Kind::Engine {
