--- a/src/remap/event.rs
+++ b/src/remap/event.rs
@@ -30,7 +30,7 @@
     MembersPublished { group: &'a str, epoch: u64, members: usize, written: bool, removed: usize },
     /// The rank is in another group than before.
     RankMoved { from: &'a str, to: &'a str },
-    /// A map was planned for the measured demand. `digest` is that of its content.
+    /// A map was planned. `digest` is that of its content.
     Planned {
         term: u64,
         version: u64,
