Tests: callers that don't behave, against the real programs

Change: two test binaries of their own, one test at a time, with fixed crowds; the bounds are the memory and descriptors of the smallest machine. They check that the process lives, answers one ordinary request and gives memory back.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! They are for tests, the demo and the bench, and are not shipped.
 
+mod crowd;
 mod engine;
 mod engine_options;
 mod faults;
@@ -24,6 +25,7 @@
 mod upstream_node;
 mod write_outcome;
 
+pub use crowd::{Behavior, Crowd, CrowdRequest, PeakUsage, ProcessUsage};
 pub use engine::Engine;
 pub use engine_options::EngineOptions;
 pub use faults::Faults;
