Bodies of callers are taken from one budget of memory

What callers saw: an entry that ends, out of memory, while many bodies of legal size don't end. Cause: each body is bounded, their sum is not; a body that stops short of its end keeps what it has for 10 s. Change: the new module memory lends a quarter of the machine's memory (160 MB unless the settings say more), before a body is read where its size is announced, otherwise as it grows. What is refused is answered 503, not run, with a time to come back. A quarter of the budget is kept for small bodies. Once it is used up, who makes no progress for a second loses to others. The bytes carry their lease, so what is kept for retries counts until it is gone.

--- a/src/direct/dispatcher.rs
+++ b/src/direct/dispatcher.rs
@@ -26,6 +26,7 @@
 use crate::direct::upstreams::InFlight;
 use crate::entry::Failure;
 use crate::event_log::EventLog;
+use crate::memory::MemoryBudget;
 use crate::net::Draining;
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::units::{BootTime, millis};
@@ -52,6 +53,8 @@
     pub(super) known_entries: Arc<KnownEntries>,
     pub(super) draining: Draining,
     pub(super) body_memory: BodyMemory,
+    /// What is held for callers.
+    pub(super) memory: MemoryBudget,
     /// Whether the speed and the capacity of upstreams are learned.
     pub(super) capacity_switch: Arc<CapacitySwitch>,
     pub(super) meter: Arc<DirectMeter>,
--- a/src/direct/entry_parts.rs
+++ b/src/direct/entry_parts.rs
@@ -21,6 +21,7 @@
 };
 use crate::direct::groups::GroupFeed;
 use crate::event_log::EventLog;
+use crate::memory::MemoryBudget;
 use crate::net::Draining;
 use crate::platform::Table;
 use crate::settings::{DirectFile, RetrySettings};
@@ -158,6 +159,7 @@
         header_names: HeaderNames,
         trials: Trials,
         draining: Draining,
+        memory: MemoryBudget,
     ) -> Dispatcher {
         Dispatcher {
             header_watch: HeaderWatch::new(&header_names),
@@ -176,6 +178,7 @@
             retry_limits: retry_limits(&file.retries),
             service_states: Mutex::default(),
             body_memory: BodyMemory::default(),
+            memory,
             capacity_switch: self.capacity_switch,
             meter: self.meter,
             limits: self.limits,
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -29,6 +29,9 @@
 /// Retry-after time when only this entry can't serve a caller: the next connection reaches another
 /// entry.
 const ENTRY_RETRY_AFTER: Duration = Duration::from_millis(30);
+/// Retry-after time when this entry holds as much for its callers as it may. Who makes no progress
+/// has given way by then.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Retry-after time when no upstream accepts a request. A group that has lost a rank takes about
 /// two seconds to restart and form again.
 const UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(1_700);
@@ -118,9 +121,12 @@
         let deadline = arrival + left.map_or(route.timeout, |left| left.min(route.timeout));
         let limits = BodyLimits { max_bytes: routing.limits.body_bytes, max_time: BODY_TIMEOUT };
         let end = RequestEnd { deadline, may_rerun: route.delivery.may_rerun() };
-        let body = self.dispatcher.draining.collect(body, limits, end).await;
+        let Dispatcher { draining, memory, .. } = self.dispatcher.as_ref();
+        let body = draining.collect(body, limits, end, memory).await;
         let body = body.map_err(|err| match err {
-            CollectError::Draining => with_retry_after(Refusal::not_run(Reason::Leaving)),
+            err @ (CollectError::Draining | CollectError::NoMemory) => {
+                with_retry_after(Refusal::not_run(err.into()))
+            }
             err => Refusal::not_run(err.into()),
         })?;
         let service = route.pick_service(rand::random()).and_then(|name| routing.service(name));
@@ -218,6 +224,7 @@
         Reason::Overload | Reason::UpstreamDown | Reason::NoUpstream | Reason::Evacuated => {
             UPSTREAM_RETRY_AFTER
         }
+        Reason::NoMemory => MEMORY_RETRY_AFTER,
         _ => ENTRY_RETRY_AFTER,
     };
     let jitter = rand::random_range(1.0..1.0 + RETRY_AFTER_JITTER);
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -19,6 +19,7 @@
 use crate::cli::Node;
 use crate::direct::feeds::RoutingPublisher;
 use crate::event_log::{EventLog, Level};
+use crate::memory::MemoryBudget;
 use crate::net::{DrainTimes, Draining, H1Limits, Shutdown, serve_h1};
 use crate::platform::Table;
 use crate::settings::{DirectFile, ParseError};
@@ -123,7 +124,9 @@
         };
         let meter = Arc::clone(&parts.meter);
         let draining = self.draining.clone();
-        let dispatcher = parts.into_dispatcher(file, header_names, Trials(trials), draining);
+        let memory = MemoryBudget::new(file.machine.budget());
+        let dispatcher =
+            parts.into_dispatcher(file, header_names, Trials(trials), draining, memory);
         let handler = DirectHandler {
             routing,
             dispatcher: Arc::new(dispatcher),
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -20,6 +20,7 @@
     look_up_key,
 };
 use crate::id::AttemptId;
+use crate::memory::MemoryBudget;
 use crate::metrics::{Event, Meter};
 use crate::net::{
     BodyLimits, ChannelBody, CollectError, DEADLINE_MS, Draining, EitherBody, EventSplitter,
@@ -187,7 +188,7 @@
     let max_bytes = service.max_body.bytes();
     let limits = BodyLimits { max_bytes, max_time: BODY_TIMEOUT.min(time_limit) };
     let end = RequestEnd { deadline, may_rerun: route.repeat.may_rerun() };
-    let body = draining.collect(body, limits, end).await;
+    let body = draining.collect(body, limits, end, &MemoryBudget::unbounded()).await;
     let body = body.map_err(|err| match err {
         CollectError::Draining => {
             Refusal::not_run(Reason::Leaving).retry_after(LEAVING_RETRY_AFTER)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod id;
 pub mod lease;
 pub mod membership;
+pub mod memory;
 pub mod metrics;
 pub mod net;
 pub mod outcome;
--- a/src/net/collect.rs
+++ b/src/net/collect.rs
@@ -21,6 +21,8 @@
     Slow,
     /// the process shuts down before the request can end
     Draining,
+    /// the process holds as much for its callers as it may
+    NoMemory,
 }
 
 impl From<CollectError> for Reason {
@@ -29,6 +31,7 @@
             CollectError::TooLarge => Self::BodyTooLarge,
             CollectError::Broken | CollectError::Slow => Self::BodyBroken,
             CollectError::Draining => Self::Leaving,
+            CollectError::NoMemory => Self::NoMemory,
         }
     }
 }
--- a/src/net/draining.rs
+++ b/src/net/draining.rs
@@ -6,10 +6,13 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
-use super::{BodyLimits, CollectError, collect};
+use super::{BodyLimits, CollectError, discard, receive};
+use crate::memory::MemoryBudget;
 
 /// Time for a last answer to leave before its connection is cut off.
 const ANSWER_TIME: Duration = Duration::from_millis(50);
+/// Time for which the rest of a body is read that there is no memory for.
+const DISCARD_TIME: Duration = Duration::from_secs(2);
 
 /// Times of a process that shuts down gracefully.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -88,28 +91,31 @@
         }
     }
 
-    /// Reads the body of a request like [`collect`], unless the request may no longer be begun.
+    /// Reads the body of a request like [`receive`], unless the request may no longer be begun.
     ///
     /// # Errors
-    /// As [`collect`], and [`CollectError::Draining`].
+    /// As [`receive`], and [`CollectError::Draining`].
     pub async fn collect<B>(
         &self,
         mut body: B,
         limits: BodyLimits,
         end: RequestEnd,
+        memory: &MemoryBudget,
     ) -> Result<Bytes, CollectError>
     where
         B: Body<Data = Bytes> + Send + Unpin + 'static,
     {
-        let BodyLimits { max_bytes, max_time } = limits;
-        tokio::select! {
+        let read = tokio::select! {
             biased;
-            () = self.until_refused(end) => {}
-            read = collect(&mut body, max_bytes, max_time) => return read,
+            () = self.until_refused(end) => Err(CollectError::Draining),
+            read = receive(&mut body, limits, memory) => read,
+        };
+        match read {
+            Err(CollectError::Draining) => drop(tokio::spawn(discard(body, limits.max_time))),
+            Err(CollectError::NoMemory) => drop(tokio::spawn(discard(body, DISCARD_TIME))),
+            _ => {}
         }
-        // A connection that closes before the body is read is reset, and the refusal would be lost.
-        tokio::spawn(async move { collect(body, max_bytes, max_time).await.ok() });
-        Err(CollectError::Draining)
+        read
     }
 }
 
--- a/src/outcome/reason.rs
+++ b/src/outcome/reason.rs
@@ -66,11 +66,13 @@
     UpstreamLimit,
     /// every upstream of the service that is left is in an evacuated failure domain
     Evacuated,
+    /// the process holds as much for its callers as it may
+    NoMemory,
 }
 
 impl Reason {
     /// All reasons, in the order of their counters.
-    pub const ALL: [Self; 30] = [
+    pub const ALL: [Self; 31] = [
         Self::BadKey,
         Self::NoRoute,
         Self::BadHeader,
@@ -101,6 +103,7 @@
         Self::UpstreamFailed,
         Self::UpstreamLimit,
         Self::Evacuated,
+        Self::NoMemory,
     ];
 
     /// Returns the stable name of the reason.
@@ -136,6 +139,7 @@
             Self::UpstreamFailed => "upstream-failed",
             Self::UpstreamLimit => "upstream-limit",
             Self::Evacuated => "evacuated",
+            Self::NoMemory => "no-memory",
         }
     }
 
@@ -170,6 +174,7 @@
             | Self::UpstreamDown
             | Self::UpstreamLimit
             | Self::Evacuated
+            | Self::NoMemory
             | Self::WrongService
             | Self::NoSettings
             | Self::StaleSettings
@@ -193,6 +198,7 @@
                 | Self::WrongAnswer
                 | Self::WrongService
                 | Self::NoSettings
+                | Self::NoMemory
         )
     }
 
--- a/src/settings/direct_file.rs
+++ b/src/settings/direct_file.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Machine;
+
 /// Settings file of an entry that sends requests directly to upstreams, without sidecars.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -37,6 +39,9 @@
     /// Maximum age in milliseconds of the settings by which keys are checked, no limit if absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub key_age_ms: Option<f64>,
+    /// What the machine allows. Bounds what is held for callers, and their connections.
+    #[serde(default = "default_machine")]
+    pub machine: Machine,
     /// Limits of retries.
     pub retries: RetrySettings,
     /// Seconds after the third crash under a request for which the request is refused, before one
@@ -76,6 +81,10 @@
     60.0
 }
 
+const fn default_machine() -> Machine {
+    Machine::ENTRY
+}
+
 /// Default number of entries: the maximum that may run at the same time.
 const fn default_entries() -> f64 {
     512.0
--- a/src/sidecar/handler.rs
+++ b/src/sidecar/handler.rs
@@ -12,6 +12,7 @@
 use super::claims::Claims;
 use super::signals::Signals;
 use super::{Queue, RequestMetadata, SidecarBody, SlotRequest, Upstream};
+use crate::memory::MemoryBudget;
 use crate::metrics::{Event, Meter};
 use crate::net::{
     ATTEMPT, BodyLimits, Handler, LINK_KEY, LOAD, OUTCOME, RequestEnd, header_str, refusal_answer,
@@ -97,7 +98,7 @@
         let limits = BodyLimits { max_bytes, max_time: metadata.time_left };
         let end = RequestEnd { deadline, may_rerun: metadata.repeat.may_rerun() };
         let draining = self.signals.draining.clone();
-        let body = draining.collect(body, limits, end).await;
+        let body = draining.collect(body, limits, end, &MemoryBudget::unbounded()).await;
         let body = body.map_err(|err| Refusal::not_run(err.into()))?;
         let suspect_permit = self.acquire_suspect_permit(&metadata, deadline).await?;
         let permit = self
--- a/tests/it/large_fleet.rs
+++ b/tests/it/large_fleet.rs
@@ -10,7 +10,7 @@
 };
 use ebonyusher::event_log::{EventLog, Level};
 use ebonyusher::platform::{Row, Table, TableError, Txn};
-use ebonyusher::settings::{DirectFile, RetrySettings};
+use ebonyusher::settings::{DirectFile, Machine, RetrySettings};
 use ebonyusher::units::BootTime;
 use ebonyusher_standin::MemPlatform;
 use http::HeaderName;
@@ -130,6 +130,7 @@
         retries: RetrySettings { share: 0.2, window_seconds: 10.0, slack: 264.0, entries: 512.0 },
         quarantine_seconds: 60.0,
         learned_capacity: None,
+        machine: Machine::ENTRY,
     }
 }
 
