Connections of callers are bounded, and who stalls loses to who moves

What callers saw: no connection to an entry, its readiness check or its metrics, once others had opened as many as it may open files; memory taken by heads without end and by answers that nobody reads. Cause: nothing bounded connections; max_header_bytes and header_timeout_ms were not applied (64 KiB and 90 s were); kernel buffers grew to megabytes a connection; a caller that did not read was waited for without end. Change: connections are bounded by the files (a third of what is left beside 200) and memory (160 KiB each) of the machine. At the limit one that waits for its caller gives way after a second: first those that have carried no request, then the longest idle. A head is bounded by the settings in size and time, and takes memory from the budget; listeners have small fixed buffers; a write that makes no progress gives way to others, at the latest after 90 s.

--- a/bench/src/load/baseline.rs
+++ b/bench/src/load/baseline.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use ebonyusher::net::{
-    AnswerBody, BodyError, Handler, HttpClient, Shutdown, collect, h1_client, h2_client, serve,
+    AnswerBody, BodyError, CallerBounds, Handler, HttpClient, Shutdown, collect, h1_client,
+    h2_client, serve,
 };
 use ebonyusher_standin::loopback;
 use hdrhistogram::Histogram;
@@ -107,7 +108,13 @@
     let listener = TcpListener::bind(loopback()).await?;
     let addr = listener.local_addr()?;
     let handler = Arc::new(PassThrough { client, to });
-    tokio::spawn(serve(listener, handler, Shutdown::default(), TaskTracker::new()));
+    tokio::spawn(serve(
+        listener,
+        handler,
+        CallerBounds::default(),
+        Shutdown::default(),
+        TaskTracker::new(),
+    ));
     Ok(addr)
 }
 
--- a/src/direct/handler.rs
+++ b/src/direct/handler.rs
@@ -20,8 +20,8 @@
 use crate::entry::{CrashKeys, fingerprint};
 use crate::id::AttemptId;
 use crate::net::{
-    BodyLimits, ChannelBody, CollectError, EventSplitter, Handler, RequestEnd, header_millis,
-    header_str,
+    BodyLimits, ChannelBody, CollectError, EventSplitter, Handler, RequestBody, RequestEnd,
+    header_millis, header_str,
 };
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::units::BootTime;
@@ -122,6 +122,7 @@
         let limits = BodyLimits { max_bytes: routing.limits.body_bytes, max_time: BODY_TIMEOUT };
         let end = RequestEnd { deadline, may_rerun: route.delivery.may_rerun() };
         let Dispatcher { draining, memory, .. } = self.dispatcher.as_ref();
+        let body = RequestBody::new(body, &head.extensions);
         let body = draining.collect(body, limits, end, memory).await;
         let body = body.map_err(|err| match err {
             err @ (CollectError::Draining | CollectError::NoMemory) => {
--- a/src/direct/mod.rs
+++ b/src/direct/mod.rs
@@ -16,6 +16,7 @@
 mod feeds;
 mod groups;
 mod handler;
+mod head_limits;
 mod header_names;
 mod limits;
 mod monitoring;
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -13,6 +13,7 @@
 use super::entry_parts::EntryParts;
 use super::event::Event;
 use super::handler::DirectHandler;
+use super::head_limits::{HeadLimits, MONITORING_LIMITS};
 use super::monitoring::{MetricsHandler, ReadinessHandler};
 use super::quarantine::Trials;
 use super::{DirectMeter, Directory, HeaderNames};
@@ -20,7 +21,9 @@
 use crate::direct::feeds::RoutingPublisher;
 use crate::event_log::{EventLog, Level};
 use crate::memory::MemoryBudget;
-use crate::net::{DrainTimes, Draining, H1Limits, Shutdown, serve_h1};
+use crate::net::{
+    CallerBounds, ConnectionLimit, DrainTimes, Draining, Handler, Shutdown, listen, serve_h1,
+};
 use crate::platform::Table;
 use crate::settings::{DirectFile, ParseError};
 use crate::units::millis;
@@ -31,16 +34,12 @@
 const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2_700);
 /// Part of the grace time that is reserved for the end of the shutdown.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(400);
-/// Maximum time that a connection may be idle or take to send the head of a request. The limits in
-/// the settings are not applied: a shorter one may come into force at any time, and a connection
-/// that closes while a request arrives loses the request.
-const IDLE_TIME: Duration = Duration::from_secs(90);
 /// Maximum number of waiting claims of trials.
 const TRIAL_QUEUE: usize = 16;
-/// Maximum size of a request head. The limit in the settings is not applied.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-/// Limits of connections to the entry.
-const HTTP_LIMITS: H1Limits = H1Limits { idle_time: IDLE_TIME, head_bytes: MAX_HEAD_BYTES };
+/// Maximum number of connections to the readiness check, and to the metrics.
+const MONITORING_CONNECTIONS: usize = 32;
+/// What may be held for those who ask for readiness or metrics.
+const MONITORING_BYTES: usize = 1 << 20;
 
 /// An entry that sends requests directly to upstreams.
 #[derive(Debug)]
@@ -70,10 +69,10 @@
         directory: Arc<D>,
         log: EventLog,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(file.listen).await?;
-        let readiness = TcpListener::bind(file.readiness).await?;
+        let listener = listen(file.listen)?;
+        let readiness = listen(file.readiness)?;
         let metrics = match file.metrics {
-            Some(addr) => Some(TcpListener::bind(addr).await?),
+            Some(addr) => Some(listen(addr)?),
             None => None,
         };
         let mut node = Self {
@@ -124,7 +123,11 @@
         };
         let meter = Arc::clone(&parts.meter);
         let draining = self.draining.clone();
-        let memory = MemoryBudget::new(file.machine.budget());
+        let bounds = CallerBounds {
+            memory: MemoryBudget::new(file.machine.budget()),
+            connections: ConnectionLimit::new(file.machine.connections()),
+        };
+        let memory = bounds.memory.clone();
         let dispatcher =
             parts.into_dispatcher(file, header_names, Trials(trials), draining, memory);
         let handler = DirectHandler {
@@ -133,7 +136,7 @@
             meter: Arc::clone(&meter),
             tasks: self.tasks.clone(),
         };
-        self.serve(listeners, handler, ready, meter);
+        self.serve(listeners, handler, bounds, ready, meter);
     }
 
     /// Serves callers, the readiness check and, if they are exported, the metrics.
@@ -141,27 +144,36 @@
         &self,
         listeners: Listeners,
         handler: DirectHandler,
+        bounds: CallerBounds,
         ready: ReadinessHandler,
         meter: Arc<DirectMeter>,
     ) {
         let Listeners { listener, readiness, metrics } = listeners;
+        let limits = HeadLimits(handler.routing.clone());
         tokio::spawn(serve_h1(
             listener,
             Arc::new(handler),
-            HTTP_LIMITS,
+            limits,
+            bounds,
             self.caller_shutdown.clone(),
             self.tasks.clone(),
         ));
-        let shutdown = &self.monitoring_shutdown;
-        let tasks = TaskTracker::new();
-        let ready = Arc::new(ready);
-        tokio::spawn(serve_h1(readiness, ready, HTTP_LIMITS, shutdown.clone(), tasks.clone()));
+        self.serve_monitoring(readiness, ready);
         if let Some(listener) = metrics {
-            let handler = Arc::new(MetricsHandler { meter });
-            tokio::spawn(serve_h1(listener, handler, HTTP_LIMITS, shutdown.clone(), tasks));
+            self.serve_monitoring(listener, MetricsHandler { meter });
         }
     }
 
+    fn serve_monitoring<H: Handler>(&self, listener: TcpListener, handler: H) {
+        let bounds = CallerBounds {
+            memory: MemoryBudget::new(MONITORING_BYTES),
+            connections: ConnectionLimit::new(MONITORING_CONNECTIONS),
+        };
+        let shutdown = self.monitoring_shutdown.clone();
+        let (handler, tasks) = (Arc::new(handler), TaskTracker::new());
+        tokio::spawn(serve_h1(listener, handler, MONITORING_LIMITS, bounds, shutdown, tasks));
+    }
+
     /// Address for callers.
     pub const fn addr(&self) -> SocketAddr {
         self.addr
--- a/src/direct/routes/routing.rs
+++ b/src/direct/routes/routing.rs
@@ -14,8 +14,8 @@
     pub priority: Option<u8>,
 }
 
-/// Limits on what callers may send. Only `body_bytes` is applied; the direct entry has fixed limits
-/// instead of the others.
+/// Limits on what callers may send. `idle_time` is not applied; the direct entry has a fixed limit
+/// instead.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Maximum size of a request head in bytes.
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -19,7 +19,7 @@
 use crate::admin::{AdminHandler, Readiness};
 use crate::id::Incarnation;
 use crate::metrics::Meter;
-use crate::net::{DrainTimes, Draining, Handler, Shutdown, serve};
+use crate::net::{CallerBounds, DrainTimes, Draining, Handler, Shutdown, serve};
 use crate::peer::{
     Hello, HintSender, RpcListener, SettingsFollower, SettingsRpcServer, SettingsServer,
 };
@@ -283,6 +283,6 @@
 ) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind(addr).await?;
     let addr = listener.local_addr()?;
-    tokio::spawn(serve(listener, handler, shutdown.clone(), tasks));
+    tokio::spawn(serve(listener, handler, CallerBounds::default(), shutdown.clone(), tasks));
     Ok(addr)
 }
--- a/src/net/channel_body.rs
+++ b/src/net/channel_body.rs
@@ -39,6 +39,18 @@
     }
 }
 
+impl From<Bytes> for ChannelBody {
+    /// Makes a complete body.
+    fn from(data: Bytes) -> Self {
+        let (sender, body) = Self::new();
+        for piece in [Piece::Data(data), Piece::End] {
+            // The channel is empty and holds both.
+            sender.0.try_send(piece).ok();
+        }
+        body
+    }
+}
+
 impl BodySender {
     /// Writes a piece, and returns whether the body still has a reader.
     pub async fn send(&self, data: Bytes) -> bool {
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -17,24 +17,39 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::BodyError;
-use super::watched_stream::{PeerWatch, WatchedStream};
+use super::caller_stream::{CallerStream, CallerTimes, PeerWatch};
+use super::connection_limit::ConnectionSlot;
+use super::connection_turn::{ConnectionTurn, RequestGuard};
+use super::guarded_body::GuardedBody;
+use super::{BodyError, ConnectionLimit, refusal_answer};
+use crate::memory::MemoryBudget;
+use crate::outcome::{Reason, Refusal};
 
 /// Maximum wait for the first byte and for complete headers, and the interval of HTTP/2 keep-alive
 /// pings.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_HEADER_BYTES: u32 = 16 << 10;
-const READ_BUFFER_BYTES: usize = 64 << 10;
+/// Maximum size of a head of HTTP/1.1, and of the part of a body that is read ahead.
+const READ_BUFFER_BYTES: usize = 32 << 10;
 const MAX_STREAMS: u32 = 4_096;
 const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 const CONNECTION_WINDOW_BYTES: u32 = 4 << 20;
 /// Delay after a failed accept, so that the loop does not spin when file descriptors run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
+/// Maximum time for which a caller may take nothing of what is written.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(90);
+/// What a request takes beside its head and its body.
+const REQUEST_BYTES: usize = 4 << 10;
+/// What a header takes beside its name and its value.
+const HEADER_BYTES: usize = 32;
+/// Time after which a caller may return for whose request there is no memory. Who makes no progress
+/// has given way by then.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Handles the requests of a listener.
 pub trait Handler: Send + Sync + 'static {
     /// Body of the responses.
-    type Body: Body<Data = Bytes, Error = BodyError> + Send + 'static;
+    type Body: Body<Data = Bytes, Error = BodyError> + From<Bytes> + Send + 'static;
 
     /// Handles one request.
     fn handle(
@@ -55,50 +70,85 @@
 /// Limits for the connections of a listener that serves HTTP/1.1 only.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct H1Limits {
-    /// Maximum time that a connection may be idle or take to send the head of a request.
+    /// Maximum time that a connection may be idle.
     pub idle_time: Duration,
+    /// Maximum time from the first byte of the head of a request to its end.
+    pub head_time: Duration,
     /// Maximum size of a request's head in bytes.
     pub head_bytes: usize,
 }
 
+/// Returns the limits of a new connection.
+pub trait CurrentLimits: Send + 'static {
+    /// The limits in force.
+    fn current(&self) -> H1Limits;
+}
+
+impl CurrentLimits for H1Limits {
+    fn current(&self) -> H1Limits {
+        *self
+    }
+}
+
+/// What bounds the callers of a process in sum. Clones share it. The default bounds nothing.
+#[derive(Clone, Debug)]
+pub struct CallerBounds {
+    /// What may be held for them.
+    pub memory: MemoryBudget,
+    /// Number of their connections.
+    pub connections: ConnectionLimit,
+}
+
+impl Default for CallerBounds {
+    fn default() -> Self {
+        Self { memory: MemoryBudget::unbounded(), connections: ConnectionLimit::new(usize::MAX) }
+    }
+}
+
 /// Accepts HTTP/1.1 and HTTP/2 connections until stopped, and serves each in a task of its own.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     handler: Arc<H>,
+    bounds: CallerBounds,
     stop: Shutdown,
     tasks: TaskTracker,
 ) {
     let builder = Arc::new(builder());
-    let graceful = stop.graceful.clone();
-    let on_connection = move |stream| {
-        serve_connection(stream, Arc::clone(&builder), Arc::clone(&handler), graceful.clone())
+    let (memory, graceful) = (bounds.memory, stop.graceful.clone());
+    let on_connection = move |stream, slot: ConnectionSlot| {
+        let service = CallerService::new(&handler, &memory, &slot);
+        let times = CallerTimes { head: None, write: WRITE_TIMEOUT };
+        let (stream, peer) = CallerStream::new(stream, slot, memory.clone(), times);
+        serve_connection(stream, peer, Arc::clone(&builder), service, graceful.clone())
     };
-    accept(listener, on_connection, stop, tasks).await;
+    accept(listener, on_connection, bounds.connections, stop, tasks).await;
 }
 
 /// Accepts HTTP/1.1 connections until stopped, and serves each in a task of its own.
 pub async fn serve_h1<H: Handler>(
     listener: TcpListener,
     handler: Arc<H>,
-    limits: H1Limits,
+    limits: impl CurrentLimits,
+    bounds: CallerBounds,
     stop: Shutdown,
     tasks: TaskTracker,
 ) {
-    let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_time)
-        .max_buf_size(limits.head_bytes);
-    let graceful = stop.graceful.clone();
-    let on_connection = move |stream| {
-        serve_h1_connection(stream, builder.clone(), Arc::clone(&handler), graceful.clone())
+    let (memory, graceful) = (bounds.memory, stop.graceful.clone());
+    let on_connection = move |stream, slot: ConnectionSlot| {
+        let limits = limits.current();
+        let service = CallerService::new(&handler, &memory, &slot);
+        let times = CallerTimes { head: Some(limits.head_time), write: limits.idle_time };
+        let (stream, peer) = CallerStream::new(stream, slot, memory.clone(), times);
+        let conn = h1_builder(&limits).serve_connection(TokioIo::new(stream), service.hyper());
+        serve_until_ended(conn, peer, service.turn, graceful.clone())
     };
-    accept(listener, on_connection, stop, tasks).await;
+    accept(listener, on_connection, bounds.connections, stop, tasks).await;
 }
 
 async fn accept<F>(
     listener: TcpListener,
-    on_connection: impl Fn(TcpStream) -> F,
+    on_connection: impl Fn(TcpStream, ConnectionSlot) -> F,
+    connections: ConnectionLimit,
     stop: Shutdown,
     tasks: TaskTracker,
 ) where
@@ -114,10 +164,23 @@
             sleep(ACCEPT_BACKOFF).await;
             continue;
         };
-        tasks.spawn(stop.abrupt.clone().run_until_cancelled_owned(on_connection(stream)));
+        stream.set_nodelay(true).ok();
+        if let Some(slot) = connections.admit() {
+            let serving = on_connection(stream, slot);
+            tasks.spawn(stop.abrupt.clone().run_until_cancelled_owned(serving));
+        }
     }
 }
 
+fn h1_builder(limits: &H1Limits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time)
+        .max_buf_size(limits.head_bytes);
+    builder
+}
+
 fn builder() -> Builder<TokioExecutor> {
     let mut builder = Builder::new(TokioExecutor::new());
     builder
@@ -137,68 +200,106 @@
 }
 
 async fn serve_connection<H: Handler>(
-    stream: TcpStream,
+    stream: CallerStream,
+    peer: PeerWatch,
     builder: Arc<Builder<TokioExecutor>>,
-    handler: Arc<H>,
+    service: CallerService<H>,
     stop: CancellationToken,
 ) {
-    stream.set_nodelay(true).ok();
-    let mut byte = [0];
     let received = tokio::select! {
-        peeked = timeout(HEADER_TIMEOUT, stream.peek(&mut byte)) => matches!(peeked, Ok(Ok(1))),
+        received = timeout(HEADER_TIMEOUT, stream.has_bytes()) => received.unwrap_or(false),
+        () = service.turn.displaced() => false,
         () = stop.cancelled() => false,
     };
     if !received {
         return;
     }
-    let (stream, peer) = WatchedStream::new(stream);
-    let conn = builder.serve_connection(TokioIo::new(stream), service(handler));
-    serve_until_ended(conn, peer, stop).await;
+    let conn = builder.serve_connection(TokioIo::new(stream), service.hyper());
+    serve_until_ended(conn, peer, service.turn, stop).await;
 }
 
-async fn serve_h1_connection<H: Handler>(
-    stream: TcpStream,
-    builder: http1::Builder,
+/// A handler's response, whose request counts as in flight until it is complete.
+type GuardedResponse<H> = Response<GuardedBody<<H as Handler>::Body>>;
+
+/// Passes the requests of one connection to a handler, as far as there is memory for their heads.
+struct CallerService<H> {
     handler: Arc<H>,
-    stop: CancellationToken,
-) {
-    stream.set_nodelay(true).ok();
-    let (stream, peer) = WatchedStream::new(stream);
-    let conn = builder.serve_connection(TokioIo::new(stream), service(handler));
-    serve_until_ended(conn, peer, stop).await;
+    memory: MemoryBudget,
+    turn: Arc<ConnectionTurn>,
 }
 
-/// Makes the service that passes a connection's requests to a handler.
-fn service<H: Handler>(
-    handler: Arc<H>,
-) -> impl Service<
-    Request<Incoming>,
-    Response = Response<H::Body>,
-    Error = Infallible,
-    Future: Future<Output = Result<Response<H::Body>, Infallible>> + Send,
-> {
-    service_fn(move |request| {
-        let handler = Arc::clone(&handler);
-        async move { Ok(handler.handle(request).await) }
-    })
-}
-
-/// Serves a connection until it ends or its peer closes it. Once stopped, the connection ends after
-/// its requests in flight.
+impl<H: Handler> CallerService<H> {
+    fn new(handler: &Arc<H>, memory: &MemoryBudget, slot: &ConnectionSlot) -> Self {
+        let turn = Arc::clone(slot.turn());
+        Self { handler: Arc::clone(handler), memory: memory.clone(), turn }
+    }
+
+    /// Returns the service for the HTTP library.
+    fn hyper(
+        &self,
+    ) -> impl Service<
+        Request<Incoming>,
+        Response = GuardedResponse<H>,
+        Error = Infallible,
+        Future: Future<Output = Result<GuardedResponse<H>, Infallible>> + Send,
+    > + use<H> {
+        let Self { handler, memory, turn } = self;
+        let (handler, memory, turn) = (Arc::clone(handler), memory.clone(), Arc::clone(turn));
+        service_fn(move |request| {
+            let (handler, memory) = (Arc::clone(&handler), memory.clone());
+            let guard = turn.begin(memory.lease());
+            async move { Ok(respond(handler.as_ref(), guard, request).await) }
+        })
+    }
+}
+
+async fn respond<H: Handler>(
+    handler: &H,
+    mut guard: RequestGuard,
+    mut request: Request<Incoming>,
+) -> GuardedResponse<H> {
+    let has_memory = guard.lease().grow(head_bytes(&request)).await.is_ok();
+    let guard = Arc::new(guard);
+    let response = if has_memory {
+        request.extensions_mut().insert(Arc::clone(&guard));
+        handler.handle(request).await
+    } else {
+        refusal_answer(&Refusal::not_run(Reason::NoMemory).retry_after(MEMORY_RETRY_AFTER))
+    };
+    response.map(|body| GuardedBody::new(body, guard))
+}
+
+/// Returns what a request takes without its body.
+fn head_bytes(request: &Request<Incoming>) -> usize {
+    let headers = request.headers().iter();
+    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_BYTES);
+    let uri = request.uri();
+    let target = uri.path().len() + uri.query().map_or(0, str::len);
+    REQUEST_BYTES + target + headers.sum::<usize>()
+}
+
+/// Serves a connection until it ends, its peer closes it or it gives way to another one. Once
+/// stopped, the connection ends after its requests in flight.
 async fn serve_until_ended(
     conn: impl GracefulConnection,
     peer: PeerWatch,
+    turn: Arc<ConnectionTurn>,
     stop: CancellationToken,
 ) {
     let mut conn = std::pin::pin!(conn);
-    let mut peer_closed = std::pin::pin!(peer.closed());
+    let mut closed = std::pin::pin!(async {
+        tokio::select! {
+            () = peer.closed() => {}
+            () = turn.displaced() => {}
+        }
+    });
     tokio::select! {
         _ = conn.as_mut() => return,
-        () = peer_closed.as_mut() => return,
+        () = closed.as_mut() => return,
         () = stop.cancelled() => conn.as_mut().graceful_shutdown(),
     }
     tokio::select! {
         _ = conn => {}
-        () = peer_closed => {}
+        () = closed => {}
     }
 }
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -15,7 +15,7 @@
 use super::{Queue, Upstream};
 use crate::id::Incarnation;
 use crate::metrics::Meter;
-use crate::net::{DrainTimes, Shutdown, serve};
+use crate::net::{CallerBounds, DrainTimes, Shutdown, serve};
 use crate::peer::RpcListener;
 use crate::platform::{InstanceList, ObjectStore, Table};
 use crate::settings::{CurrentSettings, SettingsPublisher, SidecarFile};
@@ -74,7 +74,13 @@
         let upstream =
             Upstream::new(context.file.upstream, &context.signals, Arc::clone(&context.meter));
         let handler = Arc::new(context.handler(upstream.clone()));
-        tokio::spawn(serve(listener, handler, stop.clone(), context.tasks.clone()));
+        tokio::spawn(serve(
+            listener,
+            handler,
+            CallerBounds::default(),
+            stop.clone(),
+            context.tasks.clone(),
+        ));
         context.spawn(follower.run());
         context.spawn(upstream.watch());
         context.spawn(context.cache_watch().run());
--- a/standin/src/platform_node.rs
+++ b/standin/src/platform_node.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use ebonyusher::net::{Shutdown, serve};
+use ebonyusher::net::{CallerBounds, Shutdown, serve};
 use tokio::net::TcpListener;
 use tokio_util::task::TaskTracker;
 
@@ -29,11 +29,23 @@
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
         let server = Arc::new(PlatformServer(Arc::clone(&platform)));
-        tokio::spawn(serve(listener, server, stop.clone(), TaskTracker::new()));
+        tokio::spawn(serve(
+            listener,
+            server,
+            CallerBounds::default(),
+            stop.clone(),
+            TaskTracker::new(),
+        ));
         let listener = TcpListener::bind(control).await?;
         let control = listener.local_addr()?;
         let server = Arc::new(ControlServer(Arc::clone(&platform)));
-        tokio::spawn(serve(listener, server, stop.clone(), TaskTracker::new()));
+        tokio::spawn(serve(
+            listener,
+            server,
+            CallerBounds::default(),
+            stop.clone(),
+            TaskTracker::new(),
+        ));
         Ok(Self { platform, addr, control, stop })
     }
 
--- a/standin/src/upstream_node.rs
+++ b/standin/src/upstream_node.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ebonyusher::net::{Handler, Shutdown, serve};
+use ebonyusher::net::{CallerBounds, Handler, Shutdown, serve};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::sleep;
@@ -86,7 +86,13 @@
         let stop = Shutdown::default();
         // Closes the connections also when this task is cancelled.
         let _kill = stop.abrupt.clone().drop_guard();
-        let serving = serve(listener, Arc::clone(&handler), stop.clone(), TaskTracker::new());
+        let serving = serve(
+            listener,
+            Arc::clone(&handler),
+            CallerBounds::default(),
+            stop.clone(),
+            TaskTracker::new(),
+        );
         tokio::select! {
             () = serving => {}
             Some(()) = crashes.recv() => {}
