The same bounds for entries with sidecars, sidecars and operators

What callers saw: as with the platform entry; 300 bodies of 1 MiB take more than a node has. Cause: the same, on the paths beside it: HTTP/1.1 and HTTP/2 of ebonyusher-entry and ebonyusher-sidecar, and the administration API, whose bodies of 8 MiB were bounded one by one. Change: both have the budget and the connections of a node (128 MB, 2,048 files, unless machine in their settings says more); operators have 12 MiB and 64 connections of their own, so that callers don't keep them out.

--- a/src/admin/error.rs
+++ b/src/admin/error.rs
@@ -20,6 +20,8 @@
     ForeignTeam(String),
     /// the request body is too large or broke off
     BadBody,
+    /// this entry holds as much for operators as it may, try again after a second
+    NoMemory,
     /// {place}: {reason}
     Fault { place: String, reason: String },
     /// the settings are at version {version}, the change was made from another one
@@ -72,6 +74,7 @@
             Self::BadKey => "bad-key",
             Self::ForeignTeam(_) => "foreign-team",
             Self::BadBody => "bad-body",
+            Self::NoMemory => "no-memory",
             Self::Fault { .. } => "fault",
             Self::Stale { .. } => "stale",
             Self::StoreDown => "store-down",
@@ -90,7 +93,7 @@
             Self::BadBody => StatusCode::BAD_REQUEST,
             Self::Fault { .. } => StatusCode::UNPROCESSABLE_ENTITY,
             Self::Stale { .. } => StatusCode::CONFLICT,
-            Self::StoreDown => StatusCode::SERVICE_UNAVAILABLE,
+            Self::StoreDown | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown(_) => StatusCode::GATEWAY_TIMEOUT,
             Self::Unreachable(_) => StatusCode::BAD_GATEWAY,
         }
--- a/src/admin/handler.rs
+++ b/src/admin/handler.rs
@@ -16,8 +16,11 @@
 };
 use crate::entry::{Members, Suspects, look_up_key};
 use crate::id::Incarnation;
+use crate::memory::MemoryBudget;
 use crate::metrics::Meter;
-use crate::net::{Handler, WholeBody, collect, header_str, json_answer, text_answer};
+use crate::net::{
+    BodyLimits, CollectError, Handler, WholeBody, header_str, json_answer, receive, text_answer,
+};
 use crate::outcome::PROBLEM_JSON;
 use crate::peer::{Hello, Hint, HintSender, LinkRpcClient};
 use crate::platform::{InstanceList, Table};
@@ -44,6 +47,7 @@
     pub(crate) members: Arc<Members>,
     pub(crate) suspects: Arc<Suspects>,
     pub(crate) meter: Arc<Meter>,
+    pub(crate) memory: MemoryBudget,
     pub(crate) operators: Vec<Operator>,
     pub(crate) ready: Readiness,
     pub(crate) hints: HintSender,
@@ -75,11 +79,13 @@
             Action::Status => Ok(json_answer(StatusCode::OK, &self.status())),
             Action::Read { team } => Ok(json_answer(StatusCode::OK, &self.store.team(team).await?)),
             Action::Replace { .. } => {
-                let change: Replacement = read_body(body).await?;
+                let change: Replacement = read_body(body, &self.memory).await?;
                 self.replace(operator, &change.settings, change.version).await
             }
-            Action::Patch { team } => self.patch(operator, team, &read_body(body).await?).await,
-            Action::Check { .. } => check(&read_body(body).await?),
+            Action::Patch { team } => {
+                self.patch(operator, team, &read_body(body, &self.memory).await?).await
+            }
+            Action::Check { .. } => check(&read_body(body, &self.memory).await?),
             Action::Revisions { team } => {
                 Ok(json_answer(StatusCode::OK, &self.store.revisions(team).await?))
             }
@@ -187,9 +193,16 @@
     Ok(json_answer(StatusCode::OK, &CheckReport { ok: true }))
 }
 
-async fn read_body<T: DeserializeOwned>(body: Incoming) -> Result<T, AdminError> {
-    let bytes = collect(body, MAX_BODY_BYTES, BODY_TIMEOUT).await;
-    let bytes = bytes.map_err(|_| AdminError::BadBody)?;
+async fn read_body<T: DeserializeOwned>(
+    mut body: Incoming,
+    memory: &MemoryBudget,
+) -> Result<T, AdminError> {
+    let limits = BodyLimits { max_bytes: MAX_BODY_BYTES, max_time: BODY_TIMEOUT };
+    let bytes = receive(&mut body, limits, memory).await;
+    let bytes = bytes.map_err(|err| match err {
+        CollectError::NoMemory => AdminError::NoMemory,
+        _ => AdminError::BadBody,
+    })?;
     let text = std::str::from_utf8(&bytes).map_err(|_| AdminError::BadBody)?;
     Ok(parse(text)?)
 }
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -123,10 +123,7 @@
         };
         let meter = Arc::clone(&parts.meter);
         let draining = self.draining.clone();
-        let bounds = CallerBounds {
-            memory: MemoryBudget::new(file.machine.budget()),
-            connections: ConnectionLimit::new(file.machine.connections()),
-        };
+        let bounds = CallerBounds::of(&file.machine);
         let memory = bounds.memory.clone();
         let dispatcher =
             parts.into_dispatcher(file, header_names, Trials(trials), draining, memory);
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -24,7 +24,8 @@
 use crate::metrics::{Event, Meter};
 use crate::net::{
     BodyLimits, ChannelBody, CollectError, DEADLINE_MS, Draining, EitherBody, EventSplitter,
-    Handler, IDEMPOTENCY_KEY, RequestEnd, header_millis, header_str, json_answer, refusal_answer,
+    Handler, IDEMPOTENCY_KEY, RequestBody, RequestEnd, header_millis, header_str, json_answer,
+    refusal_answer,
 };
 use crate::outcome::{Reason, Refusal};
 use crate::platform::Table;
@@ -38,8 +39,9 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time within which a new entry should have its settings; callers are told to retry after it.
 const SETTINGS_RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Time after which a caller may return that an entry refuses since it stops; another entry answers.
-const LEAVING_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time after which a caller may return that an entry refuses since it stops or has no memory left;
+/// another entry answers, or those have given way who make no progress.
+const ENTRY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum length of an idempotency key.
 const MAX_KEY_BYTES: usize = 256;
 const BEARER: &str = "Bearer ";
@@ -54,6 +56,7 @@
     pub(super) dispatcher: Arc<Dispatcher<C>>,
     pub(super) limiter: Limiter,
     pub(super) entry_count: Arc<EntryCount>,
+    pub(super) memory: MemoryBudget,
     pub(super) meter: Arc<Meter>,
     pub(super) tasks: TaskTracker,
 }
@@ -89,7 +92,8 @@
         let account = format!("{}/{}", caller.team, caller.name);
         let guard = self.limiter.admit(&account, caller.account, self.entry_count.get())?;
         let draining = self.dispatcher.draining();
-        let request = check_request(head, body, &caller, account, arrived, draining).await?;
+        let reading = BodyReading { draining, memory: &self.memory, arrived };
+        let request = check_request(head, body, &caller, account, reading).await?;
         self.forward(request, guard).await
     }
 
@@ -160,6 +164,14 @@
     }
 }
 
+/// What a body is read by.
+struct BodyReading<'a> {
+    draining: &'a Draining,
+    memory: &'a MemoryBudget,
+    /// When the request arrived.
+    arrived: Instant,
+}
+
 /// Finds the client account of the API key in the headers.
 fn find_caller<'a>(current: &'a Snapshot, headers: &HeaderMap) -> Result<Caller<'a>, Refusal> {
     let bearer = header_str(headers, &AUTHORIZATION).and_then(|text| text.strip_prefix(BEARER));
@@ -173,8 +185,7 @@
     body: Incoming,
     caller: &Caller<'_>,
     account: String,
-    arrived: Instant,
-    draining: &Draining,
+    reading: BodyReading<'_>,
 ) -> Result<CheckedRequest, Refusal> {
     let host = header_str(&head.headers, &HOST).or(head.uri.host()).unwrap_or_default();
     let host = host.split(':').next().unwrap_or_default();
@@ -184,14 +195,16 @@
     let service = service.ok_or(Refusal::not_run(Reason::NoRoute))?.clone();
     let time_limit = read_deadline(&head.headers)?.unwrap_or(service.deadline.get());
     let key = read_key(&head.headers, route.repeat)?;
+    let BodyReading { draining, memory, arrived } = reading;
     let deadline = arrived + time_limit;
     let max_bytes = service.max_body.bytes();
     let limits = BodyLimits { max_bytes, max_time: BODY_TIMEOUT.min(time_limit) };
     let end = RequestEnd { deadline, may_rerun: route.repeat.may_rerun() };
-    let body = draining.collect(body, limits, end, &MemoryBudget::unbounded()).await;
+    let body = RequestBody::new(body, &head.extensions);
+    let body = draining.collect(body, limits, end, memory).await;
     let body = body.map_err(|err| match err {
-        CollectError::Draining => {
-            Refusal::not_run(Reason::Leaving).retry_after(LEAVING_RETRY_AFTER)
+        err @ (CollectError::Draining | CollectError::NoMemory) => {
+            Refusal::not_run(err.into()).retry_after(ENTRY_RETRY_AFTER)
         }
         err => Refusal::not_run(err.into()),
     })?;
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -6,7 +6,6 @@
 
 use jsonrpsee::RpcModule;
 use spdlog::info;
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -18,8 +17,11 @@
 use super::{Dispatcher, EntryHandler, Limiter, Members, Policy, Suspects};
 use crate::admin::{AdminHandler, Readiness};
 use crate::id::Incarnation;
+use crate::memory::MemoryBudget;
 use crate::metrics::Meter;
-use crate::net::{CallerBounds, DrainTimes, Draining, Handler, Shutdown, serve};
+use crate::net::{
+    CallerBounds, ConnectionLimit, DrainTimes, Draining, Handler, Shutdown, listen, serve,
+};
 use crate::peer::{
     Hello, HintSender, RpcListener, SettingsFollower, SettingsRpcServer, SettingsServer,
 };
@@ -29,6 +31,9 @@
 
 /// Maximum number of crash reports that wait to be written to the platform's table.
 const CRASH_BACKLOG: usize = 64;
+/// What may be held for operators, and the number of their connections.
+const ADMIN_BYTES: usize = 12 << 20;
+const ADMIN_CONNECTIONS: usize = 64;
 /// Time allowed for the platform's load balancer to notice that the entry is no longer ready. Only
 /// then does the entry stop accepting connections.
 const READINESS_NOTICE_TIME: Duration = Duration::from_millis(300);
@@ -99,10 +104,15 @@
         };
         let ready = Readiness::new(current.clone());
         let (data_shutdown, admin_shutdown) = (Shutdown::default(), Shutdown::default());
-        let handler = Arc::new(shared.handler(&file, policy));
-        let data = listen(file.listen, handler, &data_shutdown, shared.tasks.clone()).await?;
-        let handler = Arc::new(shared.admin_handler(&file, ready.clone(), hints));
-        let admin = listen(file.admin, handler, &admin_shutdown, TaskTracker::new()).await?;
+        let bounds = CallerBounds::of(&file.machine);
+        let handler = Arc::new(shared.handler(&file, policy, bounds.memory.clone()));
+        let tasks = shared.tasks.clone();
+        let data = spawn_server(file.listen, handler, bounds, &data_shutdown, tasks)?;
+        let bounds = admin_bounds();
+        let handler =
+            Arc::new(shared.admin_handler(&file, ready.clone(), hints, bounds.memory.clone()));
+        let tasks = TaskTracker::new();
+        let admin = spawn_server(file.admin, handler, bounds, &admin_shutdown, tasks)?;
         shared.spawn(follower.run());
         shared.spawn_platform_tasks(&file);
         info!("entry: {} listens on {data} for callers and on {admin} for operators", file.name);
@@ -198,7 +208,12 @@
 }
 
 impl<P: Table + InstanceList> SharedState<P> {
-    fn handler<C: Policy>(&self, file: &EntryFile, policy: C) -> EntryHandler<P, C> {
+    fn handler<C: Policy>(
+        &self,
+        file: &EntryFile,
+        policy: C,
+        memory: MemoryBudget,
+    ) -> EntryHandler<P, C> {
         let dispatcher = Dispatcher::new(
             Arc::clone(&self.members),
             policy,
@@ -213,6 +228,7 @@
             dispatcher: Arc::new(dispatcher),
             limiter: Limiter::default(),
             entry_count: Arc::clone(&self.entry_count),
+            memory,
             meter: Arc::clone(&self.meter),
             tasks: self.tasks.clone(),
         }
@@ -223,8 +239,10 @@
         file: &EntryFile,
         ready: Readiness,
         hints: HintSender,
+        memory: MemoryBudget,
     ) -> AdminHandler<P> {
         AdminHandler {
+            memory,
             store: SettingsStore::new(Arc::clone(&self.platform)),
             platform: Arc::clone(&self.platform),
             current: self.current.clone(),
@@ -274,15 +292,24 @@
     }
 }
 
+/// Returns the bounds for operators.
+fn admin_bounds() -> CallerBounds {
+    CallerBounds {
+        memory: MemoryBudget::new(ADMIN_BYTES),
+        connections: ConnectionLimit::new(ADMIN_CONNECTIONS),
+    }
+}
+
 /// Binds an address, serves it in a task and returns the bound address.
-async fn listen<H: Handler>(
+fn spawn_server<H: Handler>(
     addr: SocketAddr,
     handler: Arc<H>,
+    bounds: CallerBounds,
     shutdown: &Shutdown,
     tasks: TaskTracker,
 ) -> io::Result<SocketAddr> {
-    let listener = TcpListener::bind(addr).await?;
+    let listener = listen(addr)?;
     let addr = listener.local_addr()?;
-    tokio::spawn(serve(listener, handler, CallerBounds::default(), shutdown.clone(), tasks));
+    tokio::spawn(serve(listener, handler, bounds, shutdown.clone(), tasks));
     Ok(addr)
 }
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -24,6 +24,7 @@
 use super::{BodyError, ConnectionLimit, refusal_answer};
 use crate::memory::MemoryBudget;
 use crate::outcome::{Reason, Refusal};
+use crate::settings::Machine;
 
 /// Maximum wait for the first byte and for complete headers, and the interval of HTTP/2 keep-alive
 /// pings.
@@ -99,6 +100,14 @@
     pub connections: ConnectionLimit,
 }
 
+impl CallerBounds {
+    /// Returns the bounds of a process on a machine.
+    pub fn of(machine: &Machine) -> Self {
+        let memory = MemoryBudget::new(machine.budget());
+        Self { memory, connections: ConnectionLimit::new(machine.connections()) }
+    }
+}
+
 impl Default for CallerBounds {
     fn default() -> Self {
         Self { memory: MemoryBudget::unbounded(), connections: ConnectionLimit::new(usize::MAX) }
--- a/src/settings/sidecar_file.rs
+++ b/src/settings/sidecar_file.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Machine;
 use crate::units::Span;
 
 /// A sidecar's settings file.
@@ -38,6 +39,9 @@
     /// Maximum wait for requests in flight at shutdown.
     #[serde(default = "default_grace")]
     pub grace: Span,
+    /// What the machine allows. Bounds what is held for callers, and their connections.
+    #[serde(default = "default_machine")]
+    pub machine: Machine,
     /// Address to which metrics are sent in the statsd format, not sent if absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub statsd: Option<SocketAddr>,
@@ -54,3 +58,7 @@
 const fn default_grace() -> Span {
     Span::from_millis(60_000)
 }
+
+const fn default_machine() -> Machine {
+    Machine::NODE
+}
--- a/src/sidecar/handler.rs
+++ b/src/sidecar/handler.rs
@@ -15,7 +15,8 @@
 use crate::memory::MemoryBudget;
 use crate::metrics::{Event, Meter};
 use crate::net::{
-    ATTEMPT, BodyLimits, Handler, LINK_KEY, LOAD, OUTCOME, RequestEnd, header_str, refusal_answer,
+    ATTEMPT, BodyLimits, Handler, LINK_KEY, LOAD, OUTCOME, RequestBody, RequestEnd, header_str,
+    refusal_answer,
 };
 use crate::outcome::{Outcome, Reason, Refusal};
 use crate::platform::Table;
@@ -31,6 +32,7 @@
     pub(super) claims: Arc<Claims<P>>,
     pub(super) upstream: Upstream,
     pub(super) signals: Signals,
+    pub(super) memory: MemoryBudget,
     pub(super) meter: Arc<Meter>,
     pub(super) tasks: TaskTracker,
     /// Limits requests that were in flight at a crash to one at a time.
@@ -98,7 +100,8 @@
         let limits = BodyLimits { max_bytes, max_time: metadata.time_left };
         let end = RequestEnd { deadline, may_rerun: metadata.repeat.may_rerun() };
         let draining = self.signals.draining.clone();
-        let body = draining.collect(body, limits, end, &MemoryBudget::unbounded()).await;
+        let body = RequestBody::new(body, &head.extensions);
+        let body = draining.collect(body, limits, end, &self.memory).await;
         let body = body.map_err(|err| Refusal::not_run(err.into()))?;
         let suspect_permit = self.acquire_suspect_permit(&metadata, deadline).await?;
         let permit = self
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use spdlog::info;
-use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -15,7 +14,7 @@
 use super::{Queue, Upstream};
 use crate::id::Incarnation;
 use crate::metrics::Meter;
-use crate::net::{CallerBounds, DrainTimes, Shutdown, serve};
+use crate::net::{CallerBounds, DrainTimes, Shutdown, listen, serve};
 use crate::peer::RpcListener;
 use crate::platform::{InstanceList, ObjectStore, Table};
 use crate::settings::{CurrentSettings, SettingsPublisher, SidecarFile};
@@ -68,19 +67,14 @@
         let (hints, follower) = context.follower(publisher);
         let member = context.group_member();
         let rpc = RpcListener::open(context.file.peer, context.methods(hints, &member)).await?;
-        let listener = TcpListener::bind(context.file.listen).await?;
+        let listener = listen(context.file.listen)?;
+        let bounds = CallerBounds::of(&context.file.machine);
         let data_addr = listener.local_addr()?;
         let stop = Shutdown::default();
         let upstream =
             Upstream::new(context.file.upstream, &context.signals, Arc::clone(&context.meter));
-        let handler = Arc::new(context.handler(upstream.clone()));
-        tokio::spawn(serve(
-            listener,
-            handler,
-            CallerBounds::default(),
-            stop.clone(),
-            context.tasks.clone(),
-        ));
+        let handler = Arc::new(context.handler(upstream.clone(), bounds.memory.clone()));
+        tokio::spawn(serve(listener, handler, bounds, stop.clone(), context.tasks.clone()));
         context.spawn(follower.run());
         context.spawn(upstream.watch());
         context.spawn(context.cache_watch().run());
--- a/src/sidecar/sidecar_context.rs
+++ b/src/sidecar/sidecar_context.rs
@@ -12,6 +12,7 @@
 use super::loader::Loader;
 use super::signals::Signals;
 use super::{Queue, SidecarHandler, Upstream};
+use crate::memory::MemoryBudget;
 use crate::metrics::Meter;
 use crate::net::h1_client;
 use crate::peer::{HintSender, LinkRpcServer, SettingsFollower, SettingsRpcServer, SettingsServer};
@@ -105,7 +106,7 @@
         methods
     }
 
-    pub(super) fn handler(&self, upstream: Upstream) -> SidecarHandler<P> {
+    pub(super) fn handler(&self, upstream: Upstream, memory: MemoryBudget) -> SidecarHandler<P> {
         let claims = Claims::new(
             Arc::clone(&self.platform),
             self.signals.incarnation,
@@ -120,6 +121,7 @@
             claims: Arc::new(claims),
             upstream,
             signals: self.signals.clone(),
+            memory,
             meter: Arc::clone(&self.meter),
             tasks: self.tasks.clone(),
             suspect_slot: Arc::new(Semaphore::new(1)),
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -6,7 +6,7 @@
 use displaydoc::Display;
 use ebonyusher::entry::{EntryNode, Policy};
 use ebonyusher::platform::{HttpPlatform, Instance, Phase};
-use ebonyusher::settings::{EntryFile, KeyDigest, Operator, SidecarFile};
+use ebonyusher::settings::{EntryFile, KeyDigest, Machine, Operator, SidecarFile};
 use ebonyusher::sidecar::{NodeError, SidecarNode};
 use ebonyusher::units::Span;
 use thiserror::Error;
@@ -111,6 +111,7 @@
             poll: Span::from_millis(2_000),
             report: self.report,
             grace: GRACE,
+            machine: Machine::NODE,
             statsd: None,
         }
     }
@@ -151,6 +152,7 @@
             poll: self.poll,
             subset: 6,
             grace: GRACE,
+            machine: Machine::NODE,
             statsd: None,
         }
     }
