Ports for other processes: calls and sessions are bounded in sum

What operators saw: a sidecar beside a rank that ends, out of memory, while calls of legal size don't end. Cause: the same, in the listener of the RPC library: 4,096 connections with 16 MiB each. Change: calls are read by our own server, with the connections and the budget of the machine (half of them beside another port), then passed on. Sessions never give way to other connections.

--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -87,7 +87,7 @@
         methods
             .merge(SettingsRpcServer::into_rpc(settings_server))
             .expect("methods have distinct names");
-        let rpc = RpcListener::open(file.peer, methods).await?;
+        let rpc = RpcListener::open(file.peer, methods, &file.machine.half()).await?;
         let hello =
             Hello { key: file.link_key.clone(), from: Incarnation::random(), peer: rpc.addr() };
         let shared = SharedState {
--- a/src/net/connection_turn.rs
+++ b/src/net/connection_turn.rs
@@ -22,19 +22,29 @@
     idle_since: Instant,
     /// Since when the caller has not taken what is written.
     blocked_since: Option<Instant>,
+    /// Whether it has become a session of another protocol, which is never waited for.
+    is_session: bool,
 }
 
 impl ConnectionTurn {
     pub(super) fn new() -> Self {
-        let state =
-            State { in_flight: 0, begun: 0, idle_since: Instant::now(), blocked_since: None };
+        let state = State {
+            in_flight: 0,
+            begun: 0,
+            idle_since: Instant::now(),
+            blocked_since: None,
+            is_session: false,
+        };
         Self { state: Mutex::new(state), displaced: CancellationToken::new() }
     }
 
     /// Returns since when the caller is waited for, or `None` if it is not its turn.
     pub(super) fn waits_since(&self) -> Option<Instant> {
         let state = self.lock();
-        if state.in_flight == 0 { Some(state.idle_since) } else { state.blocked_since }
+        match state.in_flight {
+            0 if !state.is_session => Some(state.idle_since),
+            _ => state.blocked_since,
+        }
     }
 
     /// Returns whether the connection has carried a whole request.
@@ -88,6 +98,11 @@
 }
 
 impl RequestGuard {
+    /// Records that the connection becomes a session of another protocol.
+    pub(super) fn record_upgrade(&self) {
+        self.turn.lock().is_session = true;
+    }
+
     /// Returns what is held for the request beside its body.
     pub(super) const fn lease(&mut self) -> &mut MemoryLease {
         &mut self.lease
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -223,7 +223,7 @@
     if !received {
         return;
     }
-    let conn = builder.serve_connection(TokioIo::new(stream), service.hyper());
+    let conn = builder.serve_connection_with_upgrades(TokioIo::new(stream), service.hyper());
     serve_until_ended(conn, peer, service.turn, stop).await;
 }
 
@@ -275,6 +275,9 @@
     } else {
         refusal_answer(&Refusal::not_run(Reason::NoMemory).retry_after(MEMORY_RETRY_AFTER))
     };
+    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+        guard.record_upgrade();
+    }
     response.map(|body| GuardedBody::new(body, guard))
 }
 
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,6 +5,7 @@
 mod link_report;
 mod link_rpc;
 mod load;
+mod rpc_handler;
 mod rpc_listener;
 mod settings_follower;
 mod settings_rpc;
--- a/src/remap/rank_node.rs
+++ b/src/remap/rank_node.rs
@@ -61,7 +61,7 @@
             sidecars: sidecars.clone(),
             log: log.clone(),
         };
-        let rpc = RpcListener::open(file.peer, agent.into_rpc()).await?;
+        let rpc = RpcListener::open(file.peer, agent.into_rpc(), &file.machine).await?;
         let monitor = LeaderMonitor {
             own: Incarnation::random(),
             terms: None,
--- a/src/settings/machine.rs
+++ b/src/settings/machine.rs
@@ -31,6 +31,11 @@
     /// The smallest machine that any other process runs on.
     pub const NODE: Self = Self { memory_mib: 128, files: 2_048 };
 
+    /// Returns a machine with half of all, for a process that listens for other processes as well.
+    pub const fn half(&self) -> Self {
+        Self { memory_mib: self.memory_mib / 2, files: self.files / 2 }
+    }
+
     /// Returns how many bytes the process may hold for its callers.
     ///
     /// ```
--- a/src/settings/rank_file.rs
+++ b/src/settings/rank_file.rs
@@ -3,6 +3,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Machine;
+
 /// Settings file of a sidecar beside a rank of an expert-parallel group.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -18,6 +20,9 @@
     pub rank: SocketAddr,
     /// Service that the group belongs to.
     pub service: String,
+    /// What the machine allows. Bounds what is held for callers, and their connections.
+    #[serde(default = "default_machine")]
+    pub machine: Machine,
     /// Thresholds for changes of the expert map.
     #[serde(default)]
     pub rebalance: RebalanceSettings,
@@ -50,3 +55,7 @@
         Duration::from_millis(self.interval_ms)
     }
 }
+
+const fn default_machine() -> Machine {
+    Machine::NODE
+}
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -66,7 +66,12 @@
         };
         let (hints, follower) = context.follower(publisher);
         let member = context.group_member();
-        let rpc = RpcListener::open(context.file.peer, context.methods(hints, &member)).await?;
+        let rpc = RpcListener::open(
+            context.file.peer,
+            context.methods(hints, &member),
+            &context.file.machine.half(),
+        )
+        .await?;
         let listener = listen(context.file.listen)?;
         let bounds = CallerBounds::of(&context.file.machine);
         let data_addr = listener.local_addr()?;
--- a/tests/it/large_group.rs
+++ b/tests/it/large_group.rs
@@ -17,7 +17,7 @@
     GroupMap, HeldExperts, RankClient, RankCommand, RankConnector, RankCounts, RankError, RankNode,
     RankOrder, RankState, SharedMap,
 };
-use ebonyusher::settings::{RankFile, RebalanceSettings};
+use ebonyusher::settings::{Machine, RankFile, RebalanceSettings};
 use ebonyusher_standin::{MemPlatform, RankGroupStandin};
 use serde_json::Value;
 use tokio::time::{Instant, sleep, timeout};
@@ -230,6 +230,7 @@
         platform: addr,
         rank: addr,
         service: "desk".to_owned(),
+        machine: Machine::NODE,
         rebalance: RebalanceSettings::default(),
     };
     let log = EventLog::start(&file.name, Level::Error, std::io::sink());
--- a/tests/it/settings_order.rs
+++ b/tests/it/settings_order.rs
@@ -8,7 +8,7 @@
     Delta, RpcListener, SettingsFollower, SettingsRpcServer, SettingsServer, Versions,
 };
 use ebonyusher::settings::{
-    RevisionRecord, SettingsPublisher, SettingsStore, Snapshot, StoreError, Team,
+    Machine, RevisionRecord, SettingsPublisher, SettingsStore, Snapshot, StoreError, Team,
 };
 use ebonyusher_standin::{Faults, MemPlatform, WriteOutcome, loopback};
 use proptest::prelude::*;
@@ -155,7 +155,7 @@
         let publisher = SettingsPublisher::new();
         publisher.offer(Snapshot::new(revision, Default::default()));
         let server = SettingsServer::new(publisher.current(), "key".to_owned());
-        let peer = RpcListener::open(loopback(), server.into_rpc()).await.unwrap();
+        let peer = RpcListener::open(loopback(), server.into_rpc(), &Machine::NODE).await.unwrap();
         seeds.push(peer.addr());
         peers.push((peer, publisher));
     }
--- a/tests/it/several_groups/sidecars.rs
+++ b/tests/it/several_groups/sidecars.rs
@@ -9,7 +9,7 @@
 use ebonyusher::membership::GroupRow;
 use ebonyusher::platform::Table;
 use ebonyusher::remap::{RankCommand, RankNode, RankOrder, first_fence};
-use ebonyusher::settings::{RankFile, RebalanceSettings};
+use ebonyusher::settings::{Machine, RankFile, RebalanceSettings};
 use rstest::rstest;
 use serde_json::Value;
 use tokio::time::sleep;
@@ -40,6 +40,7 @@
             platform: addr,
             rank: addr,
             service: "desk".to_owned(),
+            machine: Machine::NODE,
             rebalance: RebalanceSettings::default(),
         };
         let log = EventLog::start(&file.name, Level::Error, std::io::sink());
