--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -11,6 +11,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::admission::MAX_PRIORITY;
+use crate::net::Pressure;
 use crate::outcome::{Outcome, Reason};
 
 /// Upper bound of the first bucket of the histograms, in seconds.
@@ -43,6 +44,13 @@
     decision: &'static str,
 }
 
+/// Label of what callers take.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct PressureLabels {
+    what: &'static str,
+}
+
 /// Label of the gauges of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -59,6 +67,7 @@
     first_byte: Histogram,
     last_byte: Histogram,
     in_flight: Gauge,
+    pressure: Family<PressureLabels, Gauge>,
     revision: Gauge,
     limited_upstreams: Gauge,
     evacuated_domains: Gauge,
@@ -105,6 +114,9 @@
         registry.register("answer_seconds", help, last_byte.clone());
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests in flight", in_flight.clone());
+        let pressure = Family::default();
+        let help = "What callers take of the process, and how often it was too much";
+        registry.register("callers", help, pressure.clone());
         let revision = Gauge::default();
         registry.register("settings_revision", "Revision in force", revision.clone());
         let limited_upstreams = Gauge::default();
@@ -132,6 +144,7 @@
             first_byte,
             last_byte,
             in_flight,
+            pressure,
             revision,
             limited_upstreams,
             evacuated_domains,
@@ -182,6 +195,31 @@
         self.in_flight.inc_by(change);
     }
 
+    /// Records what callers take.
+    ///
+    /// ```
+    /// # use ebonyusher::direct::DirectMeter;
+    /// # use ebonyusher::net::Pressure;
+    /// let meter = DirectMeter::new();
+    /// meter.pressure(&Pressure { no_memory: 3, ..Pressure::default() });
+    /// assert!(meter.text().contains("ebonyusher_callers{what=\"no-memory\"} 3"));
+    /// ```
+    pub fn pressure(&self, pressure: &Pressure) {
+        let to_u64 = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
+        let values = [
+            ("held-bytes", to_u64(pressure.held_bytes)),
+            ("no-memory", pressure.no_memory),
+            ("gave-way", pressure.gave_way),
+            ("connections", to_u64(pressure.connections)),
+            ("connections-refused", pressure.connections_refused),
+            ("connections-closed", pressure.connections_closed),
+        ];
+        for (what, value) in values {
+            let value = i64::try_from(value).unwrap_or(i64::MAX);
+            self.pressure.get_or_create(&PressureLabels { what }).set(value);
+        }
+    }
+
     /// Records the settings revision in force.
     pub fn revision(&self, revision: u64) {
         self.revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
--- a/src/direct/event.rs
+++ b/src/direct/event.rs
@@ -1,6 +1,7 @@
 use serde::Serialize;
 
 use super::LimitChange;
+use crate::net::Pressure;
 
 /// A record of the structured log of a direct entry.
 #[derive(Clone, Debug)]
@@ -17,6 +18,9 @@
     Stopped { unfinished: usize },
     /// The process read its own settings file again.
     Reloaded { ok: bool, detail: &'a str },
+    /// Callers take more than the process may hold for them, or more connections; at most once a
+    /// second.
+    CallersBounded(&'a Pressure),
     /// Settings were put in force.
     SettingsInForce {
         revision: u64,
--- a/src/direct/monitoring.rs
+++ b/src/direct/monitoring.rs
@@ -10,7 +10,7 @@
 use super::{DirectMeter, Freshness, Roster};
 use crate::direct::feeds::CurrentRouting;
 use crate::event_log::{EventLog, Level};
-use crate::net::{Draining, Handler, WholeBody, text_answer};
+use crate::net::{CallerBounds, Draining, Handler, WholeBody, text_answer};
 use crate::units::BootTime;
 
 /// Media type of the text format of OpenMetrics.
@@ -67,12 +67,15 @@
 #[derive(Debug)]
 pub(super) struct MetricsHandler {
     pub(super) meter: Arc<DirectMeter>,
+    /// What bounds callers.
+    pub(super) bounds: CallerBounds,
 }
 
 impl Handler for MetricsHandler {
     type Body = WholeBody;
 
     async fn handle(&self, _: Request<Incoming>) -> Response<WholeBody> {
+        self.meter.pressure(&self.bounds.pressure());
         let mut answer = Response::new(WholeBody::from(Bytes::from(self.meter.text())));
         answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(OPENMETRICS));
         answer
--- a/src/direct/node.rs
+++ b/src/direct/node.rs
@@ -124,6 +124,11 @@
         let meter = Arc::clone(&parts.meter);
         let draining = self.draining.clone();
         let bounds = CallerBounds::of(&file.machine);
+        let log = self.log.clone();
+        let report = bounds.clone().report(move |pressure| {
+            log.write(Level::Warn, &Event::CallersBounded(pressure));
+        });
+        tokio::spawn(stop.clone().run_until_cancelled_owned(report));
         let memory = bounds.memory.clone();
         let dispatcher =
             parts.into_dispatcher(file, header_names, Trials(trials), draining, memory);
@@ -151,13 +156,13 @@
             listener,
             Arc::new(handler),
             limits,
-            bounds,
+            bounds.clone(),
             self.caller_shutdown.clone(),
             self.tasks.clone(),
         ));
         self.serve_monitoring(readiness, ready);
         if let Some(listener) = metrics {
-            self.serve_monitoring(listener, MetricsHandler { meter });
+            self.serve_monitoring(listener, MetricsHandler { meter, bounds });
         }
     }
 
--- a/src/entry/node.rs
+++ b/src/entry/node.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use jsonrpsee::RpcModule;
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -20,7 +20,7 @@
 use crate::memory::MemoryBudget;
 use crate::metrics::Meter;
 use crate::net::{
-    CallerBounds, ConnectionLimit, DrainTimes, Draining, Handler, Shutdown, listen, serve,
+    CallerBounds, ConnectionLimit, DrainTimes, Draining, Handler, Pressure, Shutdown, listen, serve,
 };
 use crate::peer::{
     Hello, HintSender, RpcListener, SettingsFollower, SettingsRpcServer, SettingsServer,
@@ -105,6 +105,7 @@
         let ready = Readiness::new(current.clone());
         let (data_shutdown, admin_shutdown) = (Shutdown::default(), Shutdown::default());
         let bounds = CallerBounds::of(&file.machine);
+        shared.spawn(bounds.clone().report(log_pressure));
         let handler = Arc::new(shared.handler(&file, policy, bounds.memory.clone()));
         let tasks = shared.tasks.clone();
         let data = spawn_server(file.listen, handler, bounds, &data_shutdown, tasks)?;
@@ -292,6 +293,10 @@
     }
 }
 
+fn log_pressure(pressure: &Pressure) {
+    warn!("entry: callers take more than they may: {pressure:?}");
+}
+
 /// Returns the bounds for operators.
 fn admin_bounds() -> CallerBounds {
     CallerBounds {
--- a/src/memory/memory_budget.rs
+++ b/src/memory/memory_budget.rs
@@ -52,6 +52,7 @@
     max_bytes: usize,
     state: Mutex<State>,
     released: Notify,
+    used_up: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -75,7 +76,12 @@
 impl MemoryBudget {
     /// Creates a budget of so many bytes.
     pub fn new(max_bytes: usize) -> Self {
-        Self(Arc::new(Shared { max_bytes, state: Mutex::default(), released: Notify::new() }))
+        Self(Arc::new(Shared {
+            max_bytes,
+            state: Mutex::default(),
+            released: Notify::new(),
+            used_up: Notify::new(),
+        }))
     }
 
     /// Creates a budget without a bound, for processes whose callers are known.
@@ -93,6 +99,11 @@
         self.lock().usage
     }
 
+    /// Completes once more was asked for than there was, since the last call.
+    pub async fn used_up(&self) {
+        self.0.used_up.notified().await;
+    }
+
     /// Registers a caller that the process waits for from now on. If it makes no progress, it may
     /// lose what is held for it.
     pub fn wait_for_caller(&self) -> CallerWait {
@@ -145,11 +156,13 @@
             wait.displaced.cancel();
         }
         state.usage.displaced += 1;
+        self.0.used_up.notify_one();
         true
     }
 
     pub(super) fn record_refusal(&self) {
         self.lock().usage.refused += 1;
+        self.0.used_up.notify_one();
     }
 
     pub(super) fn record_progress(&self, wait: u64) {
--- a/src/net/connection_limit.rs
+++ b/src/net/connection_limit.rs
@@ -2,6 +2,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use super::connection_turn::ConnectionTurn;
@@ -39,6 +40,7 @@
 struct Shared {
     max: usize,
     state: Mutex<State>,
+    used_up: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -52,7 +54,7 @@
 impl ConnectionLimit {
     /// Creates a limit.
     pub fn new(max: usize) -> Self {
-        Self(Arc::new(Shared { max, state: Mutex::default() }))
+        Self(Arc::new(Shared { max, state: Mutex::default(), used_up: Notify::new() }))
     }
 
     /// Returns how many connections there are.
@@ -67,12 +69,20 @@
         ConnectionUse { open: state.open.len(), refused, displaced }
     }
 
+    /// Completes once there were more than allowed, since the last call.
+    pub async fn used_up(&self) {
+        self.0.used_up.notified().await;
+    }
+
     /// Counts a new connection. Returns `None` if there are too many and none can be closed for it.
     pub(super) fn admit(&self) -> Option<ConnectionSlot> {
         let mut state = self.lock();
-        if state.open.len() >= self.0.max && !state.displace_stalled() {
-            state.refused += 1;
-            return None;
+        if state.open.len() >= self.0.max {
+            self.0.used_up.notify_one();
+            if !state.displace_stalled() {
+                state.refused += 1;
+                return None;
+            }
         }
         let (id, turn) = (state.next, Arc::new(ConnectionTurn::new()));
         state.next += 1;
--- a/src/peer/rpc_listener.rs
+++ b/src/peer/rpc_listener.rs
@@ -29,6 +29,7 @@
     shutdown: Shutdown,
     tasks: TaskTracker,
     addr: SocketAddr,
+    bounds: CallerBounds,
 }
 
 impl RpcListener {
@@ -59,8 +60,8 @@
         let bounds = CallerBounds::of(machine);
         let handler = Arc::new(RpcHandler { calls, sessions, memory: bounds.memory.clone() });
         let (shutdown, tasks) = (Shutdown::default(), TaskTracker::new());
-        tokio::spawn(serve(listener, handler, bounds, shutdown.clone(), tasks.clone()));
-        Ok(Self { handle, shutdown, tasks, addr })
+        tokio::spawn(serve(listener, handler, bounds.clone(), shutdown.clone(), tasks.clone()));
+        Ok(Self { handle, shutdown, tasks, addr, bounds })
     }
 
     /// The address that it listens on.
@@ -68,6 +69,11 @@
         self.addr
     }
 
+    /// What bounds its callers.
+    pub const fn bounds(&self) -> &CallerBounds {
+        &self.bounds
+    }
+
     /// Stops listening and closes the connections at once.
     pub fn kill(self) {
         self.handle.stop().ok();
--- a/src/remap/event.rs
+++ b/src/remap/event.rs
@@ -1,10 +1,15 @@
 use serde::Serialize;
 
+use crate::net::Pressure;
+
 /// An event in a sidecar's structured log about its group.
 #[derive(Clone, Debug)]
 #[derive(Serialize)]
 #[serde(tag = "event", rename_all = "kebab-case")]
 pub(super) enum Event<'a> {
+    /// Callers take more than the process may hold for them, or more connections; at most once a
+    /// second.
+    CallersBounded(&'a Pressure),
     /// The process has started.
     Started { version: &'a str, peer: String, rank: String },
     /// The process was asked to stop.
--- a/src/remap/rank_node.rs
+++ b/src/remap/rank_node.rs
@@ -62,6 +62,10 @@
             log: log.clone(),
         };
         let rpc = RpcListener::open(file.peer, agent.into_rpc(), &file.machine).await?;
+        let pressure_log = log.clone();
+        let report = rpc.bounds().clone().report(move |pressure| {
+            pressure_log.write(Level::Warn, &Event::CallersBounded(pressure));
+        });
         let monitor = LeaderMonitor {
             own: Incarnation::random(),
             terms: None,
@@ -77,6 +81,7 @@
         let stop = CancellationToken::new();
         let tasks = TaskTracker::new();
         tasks.spawn(stop.clone().run_until_cancelled_owned(monitor.run()));
+        tasks.spawn(stop.clone().run_until_cancelled_owned(report));
         let version = env!("CARGO_PKG_VERSION");
         let (peer, rank) = (rpc.addr().to_string(), file.rank.to_string());
         log.write(Level::Info, &Event::Started { version, peer, rank });
--- a/src/sidecar/node.rs
+++ b/src/sidecar/node.rs
@@ -2,7 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use spdlog::info;
+use spdlog::{info, warn};
 use tokio::time::{Instant, sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -14,7 +14,7 @@
 use super::{Queue, Upstream};
 use crate::id::Incarnation;
 use crate::metrics::Meter;
-use crate::net::{CallerBounds, DrainTimes, Shutdown, listen, serve};
+use crate::net::{CallerBounds, DrainTimes, Pressure, Shutdown, listen, serve};
 use crate::peer::RpcListener;
 use crate::platform::{InstanceList, ObjectStore, Table};
 use crate::settings::{CurrentSettings, SettingsPublisher, SidecarFile};
@@ -74,6 +74,7 @@
         .await?;
         let listener = listen(context.file.listen)?;
         let bounds = CallerBounds::of(&context.file.machine);
+        context.spawn(bounds.clone().report(log_pressure));
         let data_addr = listener.local_addr()?;
         let stop = Shutdown::default();
         let upstream =
@@ -186,6 +187,10 @@
     }
 }
 
+fn log_pressure(pressure: &Pressure) {
+    warn!("sidecar: callers take more than they may: {pressure:?}");
+}
+
 /// Applies the service's number of slots to the queue on every change of the settings.
 async fn follow_slot_count(mut current: CurrentSettings, service: String, queue: Arc<Queue>) {
     loop {
