Split upstream.rs, crashes.rs and upstream_limits.rs

Change: idle connections, the backoff, what the choice of an upstream is based on, the rows of shared crashes and the known limits stand in files of their own; moved, not changed.

--- a/src/direct/limits/upstream_limits.rs
+++ b/src/direct/limits/upstream_limits.rs
@@ -6,29 +6,16 @@
 use tokio::time::Instant;
 
 use super::cold_upstreams::ColdUpstreams;
+use super::known_limits::KnownLimits;
 use super::limited_upstream::LimitedUpstream;
 use super::other_entries::OtherEntries;
 use super::share::{Share, Sharers};
-use super::{ColdChange, LimitRow, NamedLimit, RowLimit};
+use super::{ColdChange, LimitChange, LimitRow, NamedLimit, RowLimit};
 use crate::direct::{ColdStart, ListedUpstream};
 use crate::units::unix_millis;
 
 /// Time between two reads of the table for each entry that shares limits.
 const READ_SPACING: Duration = Duration::from_millis(3);
-/// Time in milliseconds for which the end of a limit is told to the other entries.
-const ENDED_RETENTION_MS: u64 = 60_000;
-
-/// What has changed about the limit of an upstream.
-#[derive(Clone, Debug, PartialEq)]
-pub struct LimitChange {
-    /// Id of the upstream.
-    pub upstream: String,
-    /// The limit before, in requests per second.
-    pub before: Option<f64>,
-    /// The limit from now on.
-    pub rate: Option<f64>,
-}
-
 /// The limits that upstreams name or have while they are cold, and when this entry may send its part
 /// of the requests.
 #[derive(Debug)]
@@ -44,7 +31,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    upstreams: HashMap<String, LimitedUpstream>,
+    upstreams: KnownLimits,
     cold: ColdUpstreams,
     others: OtherEntries,
 }
@@ -90,7 +77,7 @@
     ) -> Option<LimitChange> {
         let mut state = self.lock();
         let rate = match named {
-            NamedLimit::None if !state.upstreams.contains_key(&listed.id) => return None,
+            NamedLimit::None if !state.upstreams.contains(&listed.id) => return None,
             NamedLimit::None => None,
             NamedLimit::Rate(rate) => Some(rate),
             NamedLimit::Unreadable => return None,
@@ -100,7 +87,7 @@
         let heard = unix_millis(Duration::ZERO).max(known.saturating_add(1));
         let incarnation = listed.started_at_ms;
         let said = LimitedUpstream { incarnation, rate, heard, last: now };
-        let change = state.learn(&listed.id, said);
+        let change = state.upstreams.learn(&listed.id, said);
         if change.is_some() {
             self.changed.notify_one();
         }
@@ -208,7 +195,7 @@
     pub(in crate::direct) fn is_idle(&self, now: Instant) -> bool {
         let mut state = self.lock();
         state.cold.expire(now);
-        !state.has_limits() && state.cold.len(now) == 0
+        !state.upstreams.has_limits() && state.cold.len(now) == 0
     }
 
     /// Records that a request is sent to an upstream.
@@ -222,12 +209,12 @@
 
     /// Returns the number of upstreams that name a limit.
     pub fn len(&self) -> usize {
-        self.lock().upstreams.values().filter(|known| known.rate.is_some()).count()
+        self.lock().upstreams.len()
     }
 
     /// Returns whether no upstream names a limit.
     pub fn is_empty(&self) -> bool {
-        !self.lock().has_limits()
+        !self.lock().upstreams.has_limits()
     }
 
     /// Returns the time between two renewals of this entry's row.
@@ -244,13 +231,7 @@
 
     /// Drops what is known of upstreams that are not listed any more, and old ends of limits.
     pub(super) fn retain(&self, is_listed: impl Fn(&str) -> bool) {
-        let now = unix_millis(Duration::ZERO);
-        let is_recent =
-            |known: &LimitedUpstream| known.heard.saturating_add(ENDED_RETENTION_MS) > now;
-        let mut state = self.lock();
-        state
-            .upstreams
-            .retain(|id, known| is_listed(id) && (known.rate.is_some() || is_recent(known)));
+        self.lock().upstreams.retain(is_listed);
     }
 
     /// Applies the row of an entry: what it heard later than is known here.
@@ -281,12 +262,13 @@
             last: now,
         };
         let limits = row.limits.iter();
-        let had_limits = state.has_limits();
-        let changes =
-            limits.filter_map(|limit| state.learn(&limit.upstream, said(limit))).collect();
+        let had_limits = state.upstreams.has_limits();
+        let changes = limits
+            .filter_map(|limit| state.upstreams.learn(&limit.upstream, said(limit)))
+            .collect();
         state.others.record(entry, row.renewal, now);
         // Only entries that renew their rows count among those that share a limit.
-        if !had_limits && state.has_limits() {
+        if !had_limits && state.upstreams.has_limits() {
             self.changed.notify_one();
         }
         changes
@@ -310,29 +292,3 @@
         self.changed.notified().await;
     }
 }
-
-impl State {
-    fn has_limits(&self) -> bool {
-        self.upstreams.values().any(|known| known.rate.is_some())
-    }
-
-    /// Learns what an upstream said, if that is later than what is known. Returns what has changed.
-    fn learn(&mut self, id: &str, said: LimitedUpstream) -> Option<LimitChange> {
-        let known = self.upstreams.get_mut(id);
-        if known.as_ref().is_some_and(|known| known.order() >= said.order()) {
-            return None;
-        }
-        let same = known.filter(|known| known.incarnation == said.incarnation);
-        let (before, rate) = (same.as_ref().and_then(|known| known.rate), said.rate);
-        match same {
-            // Its time of the last request stays, unless the limit is new.
-            Some(known) if before.is_some() => {
-                *known = LimitedUpstream { last: known.last, ..said };
-            }
-            _ => {
-                self.upstreams.insert(id.to_owned(), said);
-            }
-        }
-        (before != rate).then(|| LimitChange { upstream: id.to_owned(), before, rate })
-    }
-}
--- a/src/direct/quarantine/crash_sharing.rs
+++ b/src/direct/quarantine/crash_sharing.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::{Instant, sleep};
 
-use super::crashes::RowContent;
+use super::crash_rows::RowContent;
 use super::hex::hex;
 use super::{Crashes, SharedCrashes};
 use crate::direct::RowChange;
--- a/src/direct/quarantine/crashes.rs
+++ b/src/direct/quarantine/crashes.rs
@@ -2,7 +2,6 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use smallvec::SmallVec;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -35,20 +34,17 @@
     /// Those of the shared parts of prompts.
     part_completions: Completions,
     /// Notified when a request is to be shared.
-    unshared: Notify,
+    pub(super) unshared: Notify,
 }
 
 #[derive(Debug, Default)]
-struct State {
-    records: HashMap<u64, CrashRecord>,
+pub(super) struct State {
+    pub(super) records: HashMap<u64, CrashRecord>,
     /// Requests whose row in the table may say less than the record. Without a record, the row is
     /// to be removed.
-    unshared: HashSet<u64>,
+    pub(super) unshared: HashSet<u64>,
 }
 
-/// What a row of the table is to say of a request, `None` if it is to be removed.
-pub(in crate::direct) type RowContent = Option<SharedCrashes>;
-
 impl Crashes {
     /// Creates a record of no crashes. `first_quarantine` is how long a request is refused after
     /// the crash that makes it quarantined.
@@ -62,7 +58,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -149,28 +145,6 @@
         says_more
     }
 
-    /// Applies that another entry has removed the row of a request because the request completed.
-    /// Crashes that this entry has yet to share were noticed later.
-    pub(in crate::direct) fn merge_removal(&self, fingerprint: u64) {
-        let mut state = self.lock();
-        if !state.unshared.contains(&fingerprint) {
-            state.records.remove(&fingerprint);
-        }
-    }
-
-    /// Removes a row that no longer counts, unless this entry knows of later crashes.
-    pub(in crate::direct) fn remove_row(&self, fingerprint: u64) {
-        self.share(&mut self.lock(), fingerprint);
-    }
-
-    /// Marks all requests as to be shared that the table, read as a whole, does not hold.
-    pub(in crate::direct) fn share_all_but(&self, listed: &HashSet<u64>) {
-        let mut state = self.lock();
-        let missing: Vec<u64> =
-            state.records.keys().copied().filter(|key| !listed.contains(key)).collect();
-        missing.into_iter().for_each(|fingerprint| self.share(&mut state, fingerprint));
-    }
-
     /// Returns the number of crashes on record for a request.
     pub fn count(&self, fingerprint: u64) -> u32 {
         self.lock().records.get(&fingerprint).map_or(0, CrashRecord::count)
@@ -317,41 +291,11 @@
         state.records.get(&fingerprint).filter(|_| is_due).map(CrashRecord::with_trial)
     }
 
-    fn share(&self, state: &mut State, fingerprint: u64) {
+    /// Marks a request as to be shared.
+    pub(super) fn share(&self, state: &mut State, fingerprint: u64) {
         state.unshared.insert(fingerprint);
         self.unshared.notify_one();
     }
-
-    /// Waits until requests are to be shared, and returns some of them with what their rows are to
-    /// say.
-    pub(in crate::direct) async fn unshared(&self, max: usize) -> SmallVec<[(u64, RowContent); 8]> {
-        loop {
-            let rows = self.unshared_now(max);
-            if !rows.is_empty() {
-                return rows;
-            }
-            self.unshared.notified().await;
-        }
-    }
-
-    fn unshared_now(&self, max: usize) -> SmallVec<[(u64, RowContent); 8]> {
-        let state = self.lock();
-        let content = |key: &u64| state.records.get(key).map(CrashRecord::shared);
-        state.unshared.iter().take(max).map(|key| (*key, content(key))).collect()
-    }
-
-    /// Records that the row of a request says this, unless more has become known meanwhile.
-    pub(in crate::direct) fn confirm_shared(&self, fingerprint: u64, written: &RowContent) {
-        let mut state = self.lock();
-        let known = state.records.get(&fingerprint);
-        let is_current = match (known, written) {
-            (Some(known), Some(written)) => known.is_said_by(written),
-            (known, written) => known.is_none() && written.is_none(),
-        };
-        if is_current {
-            state.unshared.remove(&fingerprint);
-        }
-    }
 }
 
 impl State {
--- a/src/direct/quarantine/mod.rs
+++ b/src/direct/quarantine/mod.rs
@@ -4,6 +4,7 @@
 mod crash;
 mod crash_record;
 mod crash_recorder;
+mod crash_rows;
 mod crash_set;
 mod crash_sharing;
 mod crashes;
--- a/src/direct/upstreams/mod.rs
+++ b/src/direct/upstreams/mod.rs
@@ -1,8 +1,10 @@
 //! What an entry knows of the upstreams of a service, and judges of them.
 
+mod backoff;
 mod evacuations;
 mod group_outage;
 mod hidden_listings;
+mod idle_connections;
 mod in_flight;
 mod inactivity;
 mod liveness;
@@ -11,6 +13,7 @@
 mod roster;
 mod silence_limit;
 mod upstream;
+mod upstream_state;
 
 pub use evacuations::{Evacuation, Evacuations};
 pub use group_outage::GroupOutage;
--- a/src/direct/upstreams/upstream.rs
+++ b/src/direct/upstreams/upstream.rs
@@ -5,24 +5,15 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::capacity::{DecayingSum, FirstEvent, SentRequest, SlowStart, SpeedEstimator};
+use super::backoff::Backoff;
+use super::idle_connections::IdleConnections;
+use crate::capacity::{DecayingSum, FirstEvent, SentRequest, SpeedEstimator};
 use crate::direct::attempts::Connection;
 use crate::direct::groups::GroupState;
 use crate::direct::quarantine::UpstreamSuspects;
-use crate::direct::upstreams::{InFlight, LoadReport, Measured};
-use crate::direct::{Candidate, Inactivity, ListedUpstream, Liveness, Load};
-
-/// First backoff after the upstream could not be reached, refused a request, or gave no valid
-/// response several times in a row; doubled with each further backoff.
-const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
-/// Upper bound of the backoff.
-const MAX_BACKOFF: Duration = Duration::from_secs(2);
-/// Number of consecutive requests without a valid response that start a backoff.
-const LOSSES_TO_BACK_OFF: u32 = 3;
-/// Maximum number of idle connections to an upstream.
-const MAX_IDLE_CONNECTIONS: usize = 4;
-/// Idle time after which a connection is not reused, shorter than the usual timeout of upstreams.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
+use crate::direct::upstreams::{InFlight, LoadReport};
+use crate::direct::{Inactivity, ListedUpstream, Liveness, Load};
+
 /// Longest pause that is kept, longer than any incarnation lives.
 const MAX_PAUSE: Duration = Duration::from_secs(365 * 24 * 3_600);
 
@@ -32,7 +23,7 @@
     /// Listing of the upstream by the platform.
     pub listed: ListedUpstream,
     /// When this entry learned of this incarnation.
-    known_since: Instant,
+    pub(super) known_since: Instant,
     /// Attempts that may have crashed it.
     pub(in crate::direct) suspects: UpstreamSuspects,
     /// Cancelled once this incarnation has ended without draining.
@@ -41,34 +32,32 @@
 }
 
 #[derive(Debug, Default)]
-struct State {
-    draining: bool,
-    has_answered: bool,
+pub(super) struct State {
+    pub(super) draining: bool,
+    pub(super) has_answered: bool,
     /// Whether no connection could be opened, and it has never answered.
-    is_unreachable: bool,
-    in_flight: u32,
-    load: Option<LoadReport>,
-    losses: u32,
-    backoff: Duration,
-    avoid_until: Option<Instant>,
+    pub(super) is_unreachable: bool,
+    pub(super) in_flight: u32,
+    pub(super) load: Option<LoadReport>,
+    pub(super) backoff: Backoff,
     /// Until when the upstream wants no requests from this entry.
-    paused_until: Option<Instant>,
-    inactivity: Inactivity,
+    pub(super) paused_until: Option<Instant>,
+    pub(super) inactivity: Inactivity,
     /// Liveness of the group in whose active time the inactivity is measured.
-    liveness: Option<Arc<Liveness>>,
+    pub(super) liveness: Option<Arc<Liveness>>,
     /// When the upstream last sent anything.
-    last_activity: Option<Instant>,
-    idle: Vec<Connection>,
+    pub(super) last_activity: Option<Instant>,
+    pub(super) idle: IdleConnections,
     /// Work in flight, in usual requests.
-    work: f64,
+    pub(super) work: f64,
     /// Work of requests that failed. It counts as in flight for some time: an upstream that fails
     /// requests fast has few in flight, and would attract the next ones.
-    failed_work: DecayingSum,
-    speed: SpeedEstimator,
+    pub(super) failed_work: DecayingSum,
+    pub(super) speed: SpeedEstimator,
     /// When the upstream was last avoided or paused.
-    avoided: Option<Instant>,
+    pub(super) avoided: Option<Instant>,
     /// Whether the log last reported the upstream as slow.
-    is_slow: bool,
+    pub(super) is_slow: bool,
 }
 
 impl Upstream {
@@ -85,7 +74,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -122,7 +111,7 @@
     pub(in crate::direct) fn record_unreachable(&self) {
         let mut state = self.lock();
         state.is_unreachable = !state.has_answered;
-        state.begin_backoff();
+        state.backoff.begin();
     }
 
     /// Returns whether no connection to it could be opened, and it has never answered.
@@ -231,20 +220,17 @@
         let mut state = self.lock();
         state.has_answered = true;
         state.is_unreachable = false;
-        state.losses = 0;
-        state.backoff = Duration::ZERO;
-        state.avoid_until = None;
+        state.backoff.record_success();
     }
 
     /// Returns whether it has answered since it last failed, or has not failed yet.
     pub(in crate::direct) fn is_sound(&self) -> bool {
-        let state = self.lock();
-        state.losses == 0 && state.backoff.is_zero()
+        self.lock().backoff.is_clear()
     }
 
     /// Records that the upstream can't be reached or refused a request.
     pub(in crate::direct) fn record_refusal(&self) {
-        self.lock().begin_backoff();
+        self.lock().backoff.begin();
     }
 
     /// Records that the upstream wants no requests from this entry for a time.
@@ -262,11 +248,7 @@
 
     /// Records that a request got no valid response.
     pub(in crate::direct) fn record_loss(&self) {
-        let mut state = self.lock();
-        state.losses += 1;
-        if state.losses >= LOSSES_TO_BACK_OFF {
-            state.begin_backoff();
-        }
+        self.lock().backoff.record_loss();
     }
 
     /// Returns whether this entry knew of this incarnation before a time.
@@ -277,7 +259,7 @@
     /// Returns whether the upstream lives: a connection to it is open, or it accepts one. That one
     /// is kept for later requests.
     pub(in crate::direct) async fn accepts_connections(&self) -> bool {
-        if self.lock().idle.iter().any(|conn| conn.is_usable(MAX_IDLE_TIME)) {
+        if self.lock().idle.has_usable() {
             return true;
         }
         let conn = Connection::open(self.addr()).await;
@@ -287,70 +269,16 @@
         })
     }
 
-    /// Returns the state on which the choice of an upstream is based.
-    pub fn candidate(&self, liveness: &Liveness, now: Instant) -> Candidate {
-        let mut state = self.lock();
-        let inactive_until = state.is_measured_in(liveness).then(|| {
-            state.inactivity.avoid_until(liveness.active_time(), liveness.silence_limit(), now)
-        });
-        let avoid_until =
-            state.avoid_until.filter(|until| *until > now).max(inactive_until.flatten());
-        if avoid_until.is_some() {
-            state.avoided = Some(now);
-        }
-        Candidate {
-            own: state.in_flight,
-            others: state.load.map(|report| report.others(now)),
-            avoid_until,
-        }
-    }
-
-    /// Returns what was measured of the upstream.
-    pub(in crate::direct) fn measured(&self, now: Instant) -> Measured {
-        let state = self.lock();
-        let mut slow_start = SlowStart::new(self.known_since);
-        let returned = [state.avoided, state.avoid_until, state.paused_until];
-        for at in returned.into_iter().flatten() {
-            slow_start.restart(at.min(now));
-        }
-        Measured {
-            work: state.work.max(0.0) + state.failed_work.get(now),
-            is_busy: state.in_flight > 0,
-            speed: state.speed,
-            slow_start,
-            slots: state.load.map(|report| report.load.slots),
-        }
-    }
-
-    /// Records that a request failed, whose work still counts for some time.
-    pub(in crate::direct) fn record_error(&self, sent: &SentRequest, now: Instant) {
-        self.lock().failed_work.add(sent.work, now);
-    }
-
-    /// Records whether the upstream is slow. Returns whether that is a change.
-    pub(in crate::direct) fn set_slow(&self, is_slow: bool) -> bool {
-        let mut state = self.lock();
-        std::mem::replace(&mut state.is_slow, is_slow) != is_slow
-    }
-
-    /// Returns whether the log last reported the upstream as slow.
-    pub(in crate::direct) fn is_slow(&self) -> bool {
-        self.lock().is_slow
-    }
-
     /// Takes an idle connection that can be reused.
     pub(in crate::direct) fn take_idle(&self) -> Option<Connection> {
-        let mut state = self.lock();
-        state.idle.retain(|conn| conn.is_usable(MAX_IDLE_TIME));
-        state.idle.pop()
+        self.lock().idle.take()
     }
 
     /// Keeps an idle connection for later requests.
     pub(in crate::direct) fn put_idle(&self, conn: Connection) {
         let mut state = self.lock();
-        state.idle.retain(|conn| conn.is_usable(MAX_IDLE_TIME));
-        if !state.draining && state.idle.len() < MAX_IDLE_CONNECTIONS {
-            state.idle.push(conn);
+        if !state.draining {
+            state.idle.put(conn);
         }
     }
 }
@@ -362,13 +290,7 @@
 
 impl State {
     /// Returns whether the inactivity is measured in the active time of this liveness.
-    fn is_measured_in(&self, liveness: &Liveness) -> bool {
+    pub(super) fn is_measured_in(&self, liveness: &Liveness) -> bool {
         self.liveness.as_deref().is_some_and(|own| std::ptr::eq(own, liveness))
     }
-
-    fn begin_backoff(&mut self) {
-        self.backoff = (self.backoff * 2).clamp(INITIAL_BACKOFF, MAX_BACKOFF);
-        self.avoid_until = Some(Instant::now() + self.backoff);
-        self.losses = 0;
-    }
 }
