Connections fit beside the budget; streams of ebonyusher-entry take from it

Cause: with both kernel buffers full on all 1,024 connections a machine of 160 MB would have had too little (by calculation, not seen); events that callers of ebonyusher-entry don't read were bounded one by one. Change: as many connections as fit beside the budget and 16 MiB of the process, 152 KiB each: 700, 538 on nodes. Large events and parts of events take from the budget there as well.

--- a/src/direct/responses/relay.rs
+++ b/src/direct/responses/relay.rs
@@ -1,7 +1,6 @@
 use std::pin::pin;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -14,13 +13,10 @@
 use crate::direct::quarantine::CrashSign;
 use crate::direct::responses::{RequestTracker, StreamProgress};
 use crate::direct::upstreams::InFlight;
-use crate::memory::{MemoryBudget, MemoryLease};
+use crate::memory::MemoryLease;
 use crate::net::{BodyError, BodySender, EventSplitter};
 use crate::outcome::Reason;
 
-/// Size up to which events are held without memory of their own.
-const SMALL_EVENT_BYTES: usize = 1 << 10;
-
 /// Forwards a stream of events to the caller, complete events only, and resumes it at another
 /// upstream when it breaks.
 #[derive(Debug)]
@@ -209,7 +205,7 @@
             event_timing.record_event(group);
             dispatcher.record_progress(request, group);
             // A caller that does not read must not hold up the upstream.
-            let sending = async { sender.send(hold(events, &dispatcher.memory).await).await };
+            let sending = async { sender.send(dispatcher.memory.hold_events(events).await).await };
             match timeout_at(request.deadline, sending).await {
                 Ok(true) => {}
                 Ok(false) => return RelayEnd::CallerGone,
@@ -242,17 +238,6 @@
     }
 }
 
-/// Returns events with the memory that is taken for them, as soon as it is free. Small ones are held
-/// without: the channel to the caller takes few of them.
-async fn hold(events: Bytes, memory: &MemoryBudget) -> Bytes {
-    if events.len() <= SMALL_EVENT_BYTES {
-        return events;
-    }
-    let mut lease = memory.lease();
-    lease.grow_when_free(events.len()).await;
-    lease.hold(events)
-}
-
 /// Records the time to the first event of an attempt.
 fn record_first_event(request: &CheckedRequest, in_flight: &InFlight) {
     let now = Instant::now();
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -137,6 +137,8 @@
             request,
             meter: Arc::clone(&self.meter),
             _guard: guard,
+            memory: self.memory.clone(),
+            partial: self.memory.lease(),
             splitter: EventSplitter::default(),
             broken_attempts: 0,
         };
--- a/src/entry/stream_relay.rs
+++ b/src/entry/stream_relay.rs
@@ -9,6 +9,7 @@
 
 use super::dispatch::StartedResponse;
 use super::{CheckedRequest, Dispatcher, LimiterGuard, Policy};
+use crate::memory::{MemoryBudget, MemoryLease};
 use crate::metrics::{Event, Meter};
 use crate::net::{BodyError, BodySender, EventSplitter, LAST_EVENT_ID};
 
@@ -25,6 +26,9 @@
     pub(super) request: CheckedRequest,
     pub(super) meter: Arc<Meter>,
     pub(super) _guard: LimiterGuard,
+    pub(super) memory: MemoryBudget,
+    /// What is held of an event that is not complete yet.
+    pub(super) partial: MemoryLease,
     /// Splits the stream at the ends of events.
     pub(super) splitter: EventSplitter,
     /// Number of attempts whose stream broke off.
@@ -71,10 +75,14 @@
             };
             let events = match self.splitter.push(data) {
                 Ok(Some(events)) => events,
-                Ok(None) => continue,
+                Ok(None) => {
+                    self.partial.resize(self.splitter.partial_bytes()).await;
+                    continue;
+                }
                 Err(err) => return RelayEnd::Broken(err),
             };
-            if !sender.send(events).await {
+            self.partial.resize(self.splitter.partial_bytes()).await;
+            if !sender.send(self.memory.hold_events(events).await).await {
                 return RelayEnd::ClientGone;
             }
         }
--- a/src/memory/memory_budget.rs
+++ b/src/memory/memory_budget.rs
@@ -2,6 +2,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 use tokio::time::Instant;
@@ -11,6 +12,8 @@
 
 /// Size up to which a lease may also take from the reserve.
 const SMALL_BYTES: usize = 64 << 10;
+/// Size up to which events are held without a lease.
+const SMALL_EVENT_BYTES: usize = 1 << 10;
 /// The budget divided by the reserve for small leases.
 const RESERVE_DIVISOR: usize = 4;
 /// Time without progress of a caller after which what is held for it may go to another one.
@@ -94,6 +97,17 @@
         MemoryLease::new(self.clone())
     }
 
+    /// Returns events with the memory that is taken for them, as soon as it is free. Small ones are
+    /// held without: the channel to a caller takes few of them.
+    pub async fn hold_events(&self, events: Bytes) -> Bytes {
+        if events.len() <= SMALL_EVENT_BYTES {
+            return events;
+        }
+        let mut lease = self.lease();
+        lease.grow_when_free(events.len()).await;
+        lease.hold(events)
+    }
+
     /// Returns how much is used.
     pub fn usage(&self) -> MemoryUse {
         self.lock().usage
--- a/src/settings/machine.rs
+++ b/src/settings/machine.rs
@@ -5,8 +5,11 @@
 /// The memory of a machine divided by what a process may hold for its callers. The rest is for the
 /// process itself, its connections and their buffers.
 const BUDGET_DIVISOR: usize = 4;
-/// Memory that one connection may take beside that: buffers of the process and of the kernel.
-const CONNECTION_BYTES: usize = 160 << 10;
+/// Memory of a process without callers.
+const PROCESS_BYTES: usize = 16 * MIB;
+/// Memory that one connection may take beside that: 24 KiB of the process, and twice 32 KiB of the
+/// kernel in each direction.
+const CONNECTION_BYTES: usize = 152 << 10;
 /// Files that are neither connections to callers nor to upstreams.
 const OTHER_FILES: usize = 200;
 /// Files that a caller's connection may take: itself, one to an upstream, and an idle one.
@@ -56,7 +59,8 @@
         let allowed = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
         let files = self.files.min(usize::try_from(allowed).unwrap_or(usize::MAX));
         let by_files = files.saturating_sub(OTHER_FILES) / CONNECTION_FILES;
-        let by_memory = self.memory_mib * MIB / CONNECTION_BYTES;
+        let left = self.memory_mib * MIB - self.budget();
+        let by_memory = left.saturating_sub(PROCESS_BYTES) / CONNECTION_BYTES;
         by_files.min(by_memory).max(MIN_CONNECTIONS)
     }
 }
