--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,8 @@
 
 mod answer;
 mod body_error;
+mod caller_bounds;
+mod caller_service;
 mod caller_stream;
 mod channel_body;
 mod client;
@@ -26,6 +28,7 @@
 
 pub use answer::{json_answer, refusal_answer, text_answer};
 pub use body_error::BodyError;
+pub use caller_bounds::CallerBounds;
 pub use channel_body::{BodySender, ChannelBody};
 pub use client::{ExchangeClient, HttpClient, exchange_client, h1_client, h2_client, is_not_sent};
 pub use collect::{BodyLimits, CollectError, collect};
@@ -43,5 +46,5 @@
 pub use receive::{discard, receive};
 pub use renewable_client::{ClientLease, RenewableClient};
 pub use request_body::RequestBody;
-pub use serve::{CallerBounds, CurrentLimits, H1Limits, Handler, Shutdown, serve, serve_h1};
+pub use serve::{CurrentLimits, H1Limits, Handler, Shutdown, serve, serve_h1};
 pub use whole_body::WholeBody;
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -1,14 +1,12 @@
-use std::convert::Infallible;
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
-use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use hyper_util::server::graceful::GracefulConnection;
@@ -17,14 +15,11 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::caller_service::CallerService;
 use super::caller_stream::{CallerStream, CallerTimes, PeerWatch};
 use super::connection_limit::ConnectionSlot;
-use super::connection_turn::{ConnectionTurn, RequestGuard};
-use super::guarded_body::GuardedBody;
-use super::{BodyError, ConnectionLimit, refusal_answer};
-use crate::memory::MemoryBudget;
-use crate::outcome::{Reason, Refusal};
-use crate::settings::Machine;
+use super::connection_turn::ConnectionTurn;
+use super::{BodyError, CallerBounds, ConnectionLimit};
 
 /// Maximum wait for the first byte and for complete headers, and the interval of HTTP/2 keep-alive
 /// pings.
@@ -39,14 +34,6 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// Maximum time for which a caller may take nothing of what is written.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(90);
-/// What a request takes beside its head and its body.
-const REQUEST_BYTES: usize = 4 << 10;
-/// What a header takes beside its name and its value.
-const HEADER_BYTES: usize = 32;
-/// Time after which a caller may return for whose request there is no memory. Who makes no progress
-/// has given way by then.
-const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Handles the requests of a listener.
 pub trait Handler: Send + Sync + 'static {
     /// Body of the responses.
@@ -91,29 +78,6 @@
     }
 }
 
-/// What bounds the callers of a process in sum. Clones share it. The default bounds nothing.
-#[derive(Clone, Debug)]
-pub struct CallerBounds {
-    /// What may be held for them.
-    pub memory: MemoryBudget,
-    /// Number of their connections.
-    pub connections: ConnectionLimit,
-}
-
-impl CallerBounds {
-    /// Returns the bounds of a process on a machine.
-    pub fn of(machine: &Machine) -> Self {
-        let memory = MemoryBudget::new(machine.budget());
-        Self { memory, connections: ConnectionLimit::new(machine.connections()) }
-    }
-}
-
-impl Default for CallerBounds {
-    fn default() -> Self {
-        Self { memory: MemoryBudget::unbounded(), connections: ConnectionLimit::new(usize::MAX) }
-    }
-}
-
 /// Accepts HTTP/1.1 and HTTP/2 connections until stopped, and serves each in a task of its own.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
@@ -227,69 +191,6 @@
     serve_until_ended(conn, peer, service.turn, stop).await;
 }
 
-/// A handler's response, whose request counts as in flight until it is complete.
-type GuardedResponse<H> = Response<GuardedBody<<H as Handler>::Body>>;
-
-/// Passes the requests of one connection to a handler, as far as there is memory for their heads.
-struct CallerService<H> {
-    handler: Arc<H>,
-    memory: MemoryBudget,
-    turn: Arc<ConnectionTurn>,
-}
-
-impl<H: Handler> CallerService<H> {
-    fn new(handler: &Arc<H>, memory: &MemoryBudget, slot: &ConnectionSlot) -> Self {
-        let turn = Arc::clone(slot.turn());
-        Self { handler: Arc::clone(handler), memory: memory.clone(), turn }
-    }
-
-    /// Returns the service for the HTTP library.
-    fn hyper(
-        &self,
-    ) -> impl Service<
-        Request<Incoming>,
-        Response = GuardedResponse<H>,
-        Error = Infallible,
-        Future: Future<Output = Result<GuardedResponse<H>, Infallible>> + Send,
-    > + use<H> {
-        let Self { handler, memory, turn } = self;
-        let (handler, memory, turn) = (Arc::clone(handler), memory.clone(), Arc::clone(turn));
-        service_fn(move |request| {
-            let (handler, memory) = (Arc::clone(&handler), memory.clone());
-            let guard = turn.begin(memory.lease());
-            async move { Ok(respond(handler.as_ref(), guard, request).await) }
-        })
-    }
-}
-
-async fn respond<H: Handler>(
-    handler: &H,
-    mut guard: RequestGuard,
-    mut request: Request<Incoming>,
-) -> GuardedResponse<H> {
-    let has_memory = guard.lease().grow(head_bytes(&request)).await.is_ok();
-    let guard = Arc::new(guard);
-    let response = if has_memory {
-        request.extensions_mut().insert(Arc::clone(&guard));
-        handler.handle(request).await
-    } else {
-        refusal_answer(&Refusal::not_run(Reason::NoMemory).retry_after(MEMORY_RETRY_AFTER))
-    };
-    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
-        guard.record_upgrade();
-    }
-    response.map(|body| GuardedBody::new(body, guard))
-}
-
-/// Returns what a request takes without its body.
-fn head_bytes(request: &Request<Incoming>) -> usize {
-    let headers = request.headers().iter();
-    let headers = headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_BYTES);
-    let uri = request.uri();
-    let target = uri.path().len() + uri.query().map_or(0, str::len);
-    REQUEST_BYTES + target + headers.sum::<usize>()
-}
-
 /// Serves a connection until it ends, its peer closes it or it gives way to another one. Once
 /// stopped, the connection ends after its requests in flight.
 async fn serve_until_ended(
