--- a/src/direct/attempts/mod.rs
+++ b/src/direct/attempts/mod.rs
@@ -8,6 +8,7 @@
 mod header_watch;
 mod open_attempt;
 mod pause;
+mod read_body;
 mod send;
 
 pub(super) use attempt_history::AttemptHistory;
--- a/src/direct/attempts/send.rs
+++ b/src/direct/attempts/send.rs
@@ -5,11 +5,11 @@
 use http::header::{CONNECTION, CONTENT_ENCODING};
 use http::response::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body::Body;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 
+use super::read_body::ReadError;
 use crate::capacity::SentRequest;
 use crate::direct::attempts::{Connection, FailedAttempt, SendError, is_close_delimited};
 use crate::direct::checked_request::CheckedRequest;
@@ -17,23 +17,12 @@
 use crate::direct::groups::GroupState;
 use crate::direct::{Load, Upstream};
 use crate::entry::Failure;
-use crate::memory::BodyBuffer;
 use crate::net::header_str;
 use crate::outcome::Reason;
 
 /// Time in which a connection must be ready again after a complete response to be reused.
 const CONNECTION_READY_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Maximum size of a response body that is read whole.
-const MAX_BODY_BYTES: usize = 16 << 20;
-
-/// Why a body can't be read to its end.
-#[derive(Debug)]
-enum ReadError {
-    Broken(hyper::Error),
-    TooLarge,
-}
-
 impl Dispatcher {
     /// Makes one attempt at one upstream.
     pub(in crate::direct) async fn send(
@@ -114,32 +103,6 @@
         checked
     }
 
-    /// Reads a whole body as memory becomes free for it, which is held until the caller has it.
-    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, ReadError> {
-        let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-        if announced > MAX_BODY_BYTES {
-            return Err(ReadError::TooLarge);
-        }
-        let mut lease = self.memory.lease();
-        lease.grow_when_free(announced).await;
-        let may_come = if announced > 0 { announced } else { MAX_BODY_BYTES };
-        let mut read = BodyBuffer::new(announced, may_come);
-        while let Some(frame) = body.frame().await {
-            let Ok(data) = frame.map_err(ReadError::Broken)?.into_data() else {
-                continue;
-            };
-            let total = read.len() + data.len();
-            if total > MAX_BODY_BYTES {
-                return Err(ReadError::TooLarge);
-            }
-            if total > announced {
-                lease.grow_when_free(data.len()).await;
-            }
-            read.extend(&data);
-        }
-        Ok(lease.hold(read.freeze()))
-    }
-
     /// Classifies a complete response.
     fn check_response(
         &self,
--- a/src/direct/upstreams/upstream_state.rs
+++ b/src/direct/upstreams/upstream_state.rs
@@ -24,7 +24,7 @@
         }
     }
 
-    /// Returns what was measured of the upstream.
+    /// Returns the work, the speed and the slow start of the upstream.
     pub(in crate::direct) fn measured(&self, now: Instant) -> Measured {
         let state = self.lock();
         let mut slow_start = SlowStart::new(self.known_since);
