Answers that callers don't read hold up no slot and no other caller

What callers saw: no answer from ebonyusher-entry, nor through a sidecar, once 300 callers don't read theirs (512 KiB each). Cause: a body was read from its upstream only as fast as its caller took it: the slot at the sidecar stayed taken until the deadline, and 16 such streams filled the window of HTTP/2 that all answers of a sidecar share. Change: BufferedBody reads a body as fast as there is memory, never from the reserve for small requests; a reader that takes nothing for a second loses what is left once others need the memory. Heads of legal size are played as well.

--- a/src/entry/entry_body.rs
+++ b/src/entry/entry_body.rs
@@ -1,6 +1,5 @@
-use super::forwarded_body::ForwardedBody;
-use crate::net::{AnswerBody, ChannelBody, EitherBody};
+use crate::net::{AnswerBody, BufferedBody};
 
-/// Body of an entry's response. A streamed body is either forwarded as the sidecar sends it, or
-/// relayed by a task that joins the streams of one or more attempts.
-pub type EntryBody = AnswerBody<EitherBody<Box<ForwardedBody>, ChannelBody>>;
+/// Body of an entry's response. A streamed body is read from the sidecar, or from the task that joins
+/// the streams of one or more attempts, whatever its caller takes of it.
+pub type EntryBody = AnswerBody<BufferedBody>;
--- a/src/entry/handler.rs
+++ b/src/entry/handler.rs
@@ -23,7 +23,7 @@
 use crate::memory::MemoryBudget;
 use crate::metrics::{Event, Meter};
 use crate::net::{
-    BodyLimits, ChannelBody, CollectError, DEADLINE_MS, Draining, EitherBody, EventSplitter,
+    BodyLimits, BufferedBody, ChannelBody, CollectError, DEADLINE_MS, Draining, EventSplitter,
     Handler, IDEMPOTENCY_KEY, RequestBody, RequestEnd, header_millis, header_str, json_answer,
     refusal_answer,
 };
@@ -113,7 +113,10 @@
             let suspects = Arc::clone(self.dispatcher.suspects());
             let forwarded =
                 ForwardedBody::new(body, request.crash_keys, suspects, started.in_flight, guard);
-            Response::from_parts(parts, EntryBody::stream(EitherBody::Left(Box::new(forwarded))))
+            Response::from_parts(
+                parts,
+                EntryBody::stream(BufferedBody::start(forwarded, &self.memory)),
+            )
         };
         if let Some(key) = key.and_then(|key| HeaderValue::from_str(&key).ok()) {
             answer.headers_mut().insert(IDEMPOTENCY_KEY, key);
@@ -129,7 +132,7 @@
         guard: LimiterGuard,
     ) -> Response<EntryBody> {
         let (sender, body) = ChannelBody::new();
-        let mut answer = Response::new(EntryBody::stream(EitherBody::Right(body)));
+        let mut answer = Response::new(EntryBody::stream(BufferedBody::start(body, &self.memory)));
         *answer.status_mut() = started.answer.status();
         *answer.headers_mut() = started.answer.headers().clone();
         let relay = StreamRelay {
--- a/src/memory/memory_budget.rs
+++ b/src/memory/memory_budget.rs
@@ -94,7 +94,12 @@
 
     /// Returns a lease of no bytes.
     pub fn lease(&self) -> MemoryLease {
-        MemoryLease::new(self.clone())
+        MemoryLease::new(self.clone(), SMALL_BYTES)
+    }
+
+    /// Returns a lease of no bytes that never takes from the reserve.
+    pub fn bulk_lease(&self) -> MemoryLease {
+        MemoryLease::new(self.clone(), 0)
     }
 
     /// Returns events with the memory that is taken for them, as soon as it is free. Small ones are
@@ -121,7 +126,11 @@
     /// Registers a caller that the process waits for from now on. If it makes no progress, it may
     /// lose what is held for it.
     pub fn wait_for_caller(&self) -> CallerWait {
-        let displaced = CancellationToken::new();
+        self.wait_with(CancellationToken::new())
+    }
+
+    /// The same; the token is cancelled when the caller has to give way.
+    pub fn wait_with(&self, displaced: CancellationToken) -> CallerWait {
         let mut state = self.lock();
         let id = state.next_wait;
         state.next_wait += 1;
@@ -130,10 +139,12 @@
         CallerWait::new(self.clone(), id, displaced)
     }
 
-    /// Lends `more` bytes in addition to the `held` ones of a lease, if there are as many.
-    pub(super) fn lend(&self, held: usize, more: usize) -> bool {
+    /// Lends `more` bytes in addition to the `held` ones of a lease that is small up to `small` bytes,
+    /// if there are as many.
+    pub(super) fn lend(&self, held: usize, more: usize, small: usize) -> bool {
         let mut state = self.lock();
-        let (before, after) = (large_part(held), large_part(held.saturating_add(more)));
+        let (before, after) =
+            (large_part(held, small), large_part(held.saturating_add(more), small));
         let max = self.0.max_bytes;
         let limit = if after == 0 { max } else { max - max / RESERVE_DIVISOR };
         let is_only_large = after > 0 && state.large == before;
@@ -145,11 +156,11 @@
         true
     }
 
-    /// Takes back `less` of the `held` bytes of a lease.
-    pub(super) fn take_back(&self, held: usize, less: usize) {
+    /// Takes back `less` of the `held` bytes of a lease that is small up to `small` bytes.
+    pub(super) fn take_back(&self, held: usize, less: usize, small: usize) {
         let mut state = self.lock();
         state.usage.held -= less;
-        state.large = state.large - large_part(held) + large_part(held - less);
+        state.large = state.large - large_part(held, small) + large_part(held - less, small);
         drop(state);
         self.0.released.notify_waiters();
     }
@@ -195,6 +206,6 @@
 }
 
 /// Returns the bytes of a lease that count as large: all or none.
-const fn large_part(bytes: usize) -> usize {
-    if bytes > SMALL_BYTES { bytes } else { 0 }
+const fn large_part(bytes: usize, small: usize) -> usize {
+    if bytes > small { bytes } else { 0 }
 }
--- a/src/memory/memory_lease.rs
+++ b/src/memory/memory_lease.rs
@@ -21,16 +21,18 @@
 pub struct MemoryLease {
     budget: MemoryBudget,
     bytes: usize,
+    /// Size up to which it may also take from the reserve.
+    small: usize,
 }
 
 impl MemoryLease {
-    pub(super) const fn new(budget: MemoryBudget) -> Self {
-        Self { budget, bytes: 0 }
+    pub(super) const fn new(budget: MemoryBudget, small: usize) -> Self {
+        Self { budget, bytes: 0, small }
     }
 
     /// Takes more bytes, and returns whether there are as many.
     pub fn try_grow(&mut self, bytes: usize) -> bool {
-        let is_granted = bytes == 0 || self.budget.lend(self.bytes, bytes);
+        let is_granted = bytes == 0 || self.budget.lend(self.bytes, bytes, self.small);
         if is_granted {
             self.bytes = self.bytes.saturating_add(bytes);
         }
@@ -104,7 +106,7 @@
     pub fn shrink_to(&mut self, bytes: usize) {
         let less = self.bytes.saturating_sub(bytes);
         if less > 0 {
-            self.budget.take_back(self.bytes, less);
+            self.budget.take_back(self.bytes, less, self.small);
             self.bytes -= less;
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod body_error;
+mod buffered_body;
 mod caller_bounds;
 mod caller_service;
 mod caller_stream;
@@ -28,6 +29,7 @@
 
 pub use answer::{json_answer, refusal_answer, text_answer};
 pub use body_error::BodyError;
+pub use buffered_body::BufferedBody;
 pub use caller_bounds::CallerBounds;
 pub use channel_body::{BodySender, ChannelBody};
 pub use client::{ExchangeClient, HttpClient, exchange_client, h1_client, h2_client, is_not_sent};
--- a/src/sidecar/admitted_request.rs
+++ b/src/sidecar/admitted_request.rs
@@ -10,8 +10,9 @@
 use super::{
     ClaimKey, ClaimRow, Permit, RequestMetadata, SendError, SidecarBody, StoredAnswer, Upstream,
 };
+use crate::memory::MemoryBudget;
 use crate::metrics::{Event, Meter};
-use crate::net::{Draining, ExchangeState, REPLAYED, RequestEnd, collect};
+use crate::net::{BufferedBody, Draining, ExchangeState, REPLAYED, RequestEnd, collect};
 use crate::outcome::{Reason, Refusal};
 use crate::platform::Table;
 
@@ -36,7 +37,10 @@
 
 impl AdmittedRequest {
     /// Runs a request that may be repeated, and relays the response while it arrives.
-    pub(super) async fn relay(self) -> Result<Response<SidecarBody>, Refusal> {
+    pub(super) async fn relay(
+        self,
+        memory: &MemoryBudget,
+    ) -> Result<Response<SidecarBody>, Refusal> {
         let guard = self.upstream.track(&self.metadata);
         let answer = self.upstream.send(&self.head, self.body, self.deadline).await?;
         let is_chat_stream = self.is_engine && is_event_stream(&answer);
@@ -47,7 +51,7 @@
         }
         let source = RelaySource { upstream: self.upstream, exchange, _guard: guard };
         let relay = Relay::new(body, self.permit, source, self.deadline, is_chat_stream);
-        Ok(Response::from_parts(parts, SidecarBody::stream(Box::new(relay))))
+        Ok(Response::from_parts(parts, SidecarBody::stream(BufferedBody::start(relay, memory))))
     }
 
     /// Runs a request that must not run twice, under a claim on its idempotency key.
--- a/src/sidecar/handler.rs
+++ b/src/sidecar/handler.rs
@@ -128,7 +128,7 @@
     /// gives up on it, it completes and its response is stored for a repeat.
     async fn start(&self, request: AdmittedRequest) -> Result<Response<SidecarBody>, Refusal> {
         if request.metadata.repeat != Repeat::Never {
-            return request.relay().await;
+            return request.relay(&self.memory).await;
         }
         let claims = Arc::clone(&self.claims);
         let meter = Arc::clone(&self.meter);
--- a/standin/src/crowd/caller.rs
+++ b/standin/src/crowd/caller.rs
@@ -34,10 +34,19 @@
     HalfHead(usize),
     /// Sends whole requests, this many, and reads no answer.
     Unread(usize),
+    /// Sends a whole request with a body of this size, and reads no answer.
+    UnreadEcho(usize),
     /// Sends nothing.
     Silent,
 }
 
+impl Behavior {
+    /// Returns whether answers are read.
+    const fn reads(&self) -> bool {
+        !matches!(self, Self::Unread(_) | Self::UnreadEcho(_))
+    }
+}
+
 /// A request of a crowd.
 #[derive(Clone, Debug)]
 pub struct CrowdRequest {
@@ -90,7 +99,7 @@
         let Some(stream) = self.connect().await else { return };
         self.activity.record(0);
         let (mut receiver, mut sender) = stream.into_split();
-        let reads = !matches!(self.request.behavior, Behavior::Unread(_));
+        let reads = self.request.behavior.reads();
         let sending = async {
             self.send(&mut sender).await.ok();
             std::future::pending::<()>().await;
@@ -109,7 +118,7 @@
     async fn connect(&self) -> Option<TcpStream> {
         for _ in 0..MAX_CONNECTS {
             let socket = TcpSocket::new_v4().ok()?;
-            if matches!(self.request.behavior, Behavior::Unread(_)) {
+            if !self.request.behavior.reads() {
                 socket.set_recv_buffer_size(UNREAD_BUFFER_BYTES).ok()?;
             }
             if let Ok(stream) = socket.connect(self.addr).await {
@@ -141,6 +150,11 @@
             }
             Behavior::ShortChunks(bytes, chunk) => self.write_chunks(sender, bytes, chunk).await,
             Behavior::EndlessChunks(chunk) => self.write_chunks(sender, usize::MAX, chunk).await,
+            Behavior::UnreadEcho(bytes) => {
+                self.write(sender, format!("{head}content-length: {bytes}\r\n\r\n").as_bytes())
+                    .await?;
+                self.write_filler(sender, bytes, PIECE_BYTES).await
+            }
             Behavior::Unread(requests) => {
                 let request = format!("{head}content-length: 0\r\n\r\n");
                 for _ in 0..requests {
--- a/tests/crowd/memory.rs
+++ b/tests/crowd/memory.rs
@@ -36,6 +36,10 @@
 #[case::sidecar(Target::Sidecar, 300, Behavior::ShortBody(MAX_BODY_BYTES))]
 #[case::sidecar_in_chunks(Target::Sidecar, 300, Behavior::ShortChunks(MAX_BODY_BYTES - 65_536, 65_536))]
 #[case::sidecar_heads(Target::Sidecar, 1_500, Behavior::HalfHead(60 << 10))]
+#[case::entry_heads_of_legal_size(Target::Entry, 2_000, Behavior::HalfHead(15 << 10))]
+#[case::entry_answers_not_read(Target::Entry, 300, Behavior::UnreadEcho(512 << 10))]
+#[case::sidecar_heads_of_legal_size(Target::Sidecar, 1_500, Behavior::HalfHead(15 << 10))]
+#[case::sidecar_answers_not_read(Target::Sidecar, 300, Behavior::UnreadEcho(512 << 10))]
 #[case::admin(Target::Admin, 40, Behavior::ShortBody(ADMIN_BODY_BYTES))]
 #[tokio::test]
 async fn requests_that_dont_end(
