--- a/src/direct/direct_meter.rs
+++ b/src/direct/direct_meter.rs
@@ -213,6 +213,8 @@
             ("connections", to_u64(pressure.connections)),
             ("connections-refused", pressure.connections_refused),
             ("connections-closed", pressure.connections_closed),
+            ("connections-late", pressure.connections_late),
+            ("too-large", pressure.too_large),
         ];
         for (what, value) in values {
             let value = i64::try_from(value).unwrap_or(i64::MAX);
--- a/src/net/caller_bounds.rs
+++ b/src/net/caller_bounds.rs
@@ -40,6 +40,8 @@
             connections: connections.open,
             connections_refused: connections.refused,
             connections_closed: connections.displaced,
+            connections_late: connections.late,
+            too_large: connections.too_large,
         }
     }
 
--- a/src/net/caller_service.rs
+++ b/src/net/caller_service.rs
@@ -1,4 +1,5 @@
 use std::convert::Infallible;
+use std::error::Error;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use super::connection_limit::ConnectionSlot;
 use super::connection_turn::{ConnectionTurn, RequestGuard};
 use super::guarded_body::GuardedBody;
-use super::{Handler, refusal_answer};
+use super::{ConnectionLimit, Handler, refusal_answer};
 use crate::memory::MemoryBudget;
 use crate::outcome::{Reason, Refusal};
 
@@ -24,18 +25,23 @@
 /// A handler's response, whose request counts as in flight until it is complete.
 type GuardedResponse<H> = Response<GuardedBody<<H as Handler>::Body>>;
 
+/// Why a connection ended before its caller closed it.
+pub(super) type ConnectionError = Box<dyn Error + Send + Sync>;
+
 /// Passes the requests of one connection to a handler, as far as there is memory for their heads.
 pub(super) struct CallerService<H> {
     handler: Arc<H>,
     memory: MemoryBudget,
+    connections: ConnectionLimit,
     pub(super) turn: Arc<ConnectionTurn>,
 }
 
 impl<H: Handler> CallerService<H> {
     /// Makes the service of a connection.
     pub(super) fn new(handler: &Arc<H>, memory: &MemoryBudget, slot: &ConnectionSlot) -> Self {
-        let turn = Arc::clone(slot.turn());
-        Self { handler: Arc::clone(handler), memory: memory.clone(), turn }
+        let (handler, memory) = (Arc::clone(handler), memory.clone());
+        let (connections, turn) = (slot.limit().clone(), Arc::clone(slot.turn()));
+        Self { handler, memory, connections, turn }
     }
 
     /// Returns the service for the HTTP library.
@@ -47,7 +53,7 @@
         Error = Infallible,
         Future: Future<Output = Result<GuardedResponse<H>, Infallible>> + Send,
     > + use<H> {
-        let Self { handler, memory, turn } = self;
+        let Self { handler, memory, turn, .. } = self;
         let (handler, memory, turn) = (Arc::clone(handler), memory.clone(), Arc::clone(turn));
         service_fn(move |request| {
             let (handler, memory) = (Arc::clone(&handler), memory.clone());
@@ -57,6 +63,16 @@
     }
 }
 
+impl<H> CallerService<H> {
+    /// Counts the end of the connection if it was for the size of a head.
+    pub(super) fn record_end(&self, ended: &Result<(), ConnectionError>) {
+        let err = ended.as_ref().err().and_then(|err| err.downcast_ref::<hyper::Error>());
+        if err.is_some_and(hyper::Error::is_parse_too_large) {
+            self.connections.record_too_large();
+        }
+    }
+}
+
 async fn respond<H: Handler>(
     handler: &H,
     mut guard: RequestGuard,
--- a/src/net/caller_stream.rs
+++ b/src/net/caller_stream.rs
@@ -84,6 +84,7 @@
         loop {
             if self.stream.poll_write_ready(cx)?.is_pending() {
                 ready!(self.poll_blocked(cx));
+                self.slot.record_late();
                 return Poll::Ready(Err(ErrorKind::TimedOut.into()));
             }
             match send(&self.stream) {
@@ -171,6 +172,7 @@
             if this.stream.poll_read_ready(cx)?.is_pending() {
                 let Some(max_time) = this.times.head else { return Poll::Pending };
                 ready!(this.head.poll_late(cx, this.slot.turn(), max_time));
+                this.slot.record_late();
                 return Poll::Ready(Err(ErrorKind::TimedOut.into()));
             }
             match this.stream.try_read(buf.initialize_unfilled()) {
--- a/src/net/connection_limit.rs
+++ b/src/net/connection_limit.rs
@@ -26,6 +26,11 @@
     pub refused: u64,
     /// Number of connections that were closed for others, since they waited for their callers.
     pub displaced: u64,
+    /// Number of connections that were closed since a head did not end or an answer was not taken in
+    /// time.
+    pub late: u64,
+    /// Number of heads, and of calls from other processes, that were too large.
+    pub too_large: u64,
 }
 
 /// A connection that counts, until dropped.
@@ -47,8 +52,7 @@
 struct State {
     open: HashMap<u64, Arc<ConnectionTurn>>,
     next: u64,
-    refused: u64,
-    displaced: u64,
+    usage: ConnectionUse,
 }
 
 impl ConnectionLimit {
@@ -65,11 +69,11 @@
     /// ```
     pub fn usage(&self) -> ConnectionUse {
         let state = self.lock();
-        let State { refused, displaced, .. } = *state;
-        ConnectionUse { open: state.open.len(), refused, displaced }
+        ConnectionUse { open: state.open.len(), ..state.usage }
     }
 
-    /// Completes once there were more than allowed, since the last call.
+    /// Completes once there were more than allowed or one was closed for its caller, since the last
+    /// call.
     pub async fn used_up(&self) {
         self.0.used_up.notified().await;
     }
@@ -80,7 +84,7 @@
         if state.open.len() >= self.0.max {
             self.0.used_up.notify_one();
             if !state.displace_stalled() {
-                state.refused += 1;
+                state.usage.refused += 1;
                 return None;
             }
         }
@@ -90,6 +94,12 @@
         Some(ConnectionSlot { limit: self.clone(), id, turn })
     }
 
+    /// Counts a head, or a call from another process, that was too large.
+    pub fn record_too_large(&self) {
+        self.lock().usage.too_large += 1;
+        self.0.used_up.notify_one();
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -107,12 +117,23 @@
         if let Some(turn) = self.open.remove(&id) {
             turn.displace();
         }
-        self.displaced += 1;
+        self.usage.displaced += 1;
         true
     }
 }
 
 impl ConnectionSlot {
+    /// Counts the connection as closed since its caller took too long.
+    pub(super) fn record_late(&self) {
+        self.limit.lock().usage.late += 1;
+        self.limit.0.used_up.notify_one();
+    }
+
+    /// Returns the limit that it counts for.
+    pub(super) const fn limit(&self) -> &ConnectionLimit {
+        &self.limit
+    }
+
     /// Returns whose turn it is on the connection.
     pub(super) const fn turn(&self) -> &Arc<ConnectionTurn> {
         &self.turn
--- a/src/net/pressure.rs
+++ b/src/net/pressure.rs
@@ -16,4 +16,9 @@
     pub connections_refused: u64,
     /// Number of connections that were closed for others, since they waited for their callers.
     pub connections_closed: u64,
+    /// Number of connections that were closed since a head did not end or an answer was not taken in
+    /// time.
+    pub connections_late: u64,
+    /// Number of heads, and of calls from other processes, that were too large.
+    pub too_large: u64,
 }
--- a/src/net/serve.rs
+++ b/src/net/serve.rs
@@ -15,10 +15,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use super::caller_service::CallerService;
+use super::caller_service::{CallerService, ConnectionError};
 use super::caller_stream::{CallerStream, CallerTimes, PeerWatch};
 use super::connection_limit::ConnectionSlot;
-use super::connection_turn::ConnectionTurn;
 use super::{BodyError, CallerBounds, ConnectionLimit};
 
 /// Maximum wait for the first byte and for complete headers, and the interval of HTTP/2 keep-alive
@@ -113,7 +112,7 @@
         let times = CallerTimes { head: Some(limits.head_time), write: limits.idle_time };
         let (stream, peer) = CallerStream::new(stream, slot, memory.clone(), times);
         let conn = h1_builder(&limits).serve_connection(TokioIo::new(stream), service.hyper());
-        serve_until_ended(conn, peer, service.turn, graceful.clone())
+        serve_until_ended(conn, peer, service, graceful.clone())
     };
     accept(listener, on_connection, bounds.connections, stop, tasks).await;
 }
@@ -188,31 +187,33 @@
         return;
     }
     let conn = builder.serve_connection_with_upgrades(TokioIo::new(stream), service.hyper());
-    serve_until_ended(conn, peer, service.turn, stop).await;
+    serve_until_ended(conn, peer, service, stop).await;
 }
 
 /// Serves a connection until it ends, its peer closes it or it gives way to another one. Once
 /// stopped, the connection ends after its requests in flight.
-async fn serve_until_ended(
-    conn: impl GracefulConnection,
+async fn serve_until_ended<H, C>(
+    conn: C,
     peer: PeerWatch,
-    turn: Arc<ConnectionTurn>,
+    service: CallerService<H>,
     stop: CancellationToken,
-) {
+) where
+    C: GracefulConnection<Error: Into<ConnectionError>>,
+{
     let mut conn = std::pin::pin!(conn);
     let mut closed = std::pin::pin!(async {
         tokio::select! {
             () = peer.closed() => {}
-            () = turn.displaced() => {}
+            () = service.turn.displaced() => {}
         }
     });
     tokio::select! {
-        _ = conn.as_mut() => return,
+        ended = conn.as_mut() => return service.record_end(&ended.map_err(Into::into)),
         () = closed.as_mut() => return,
         () = stop.cancelled() => conn.as_mut().graceful_shutdown(),
     }
     tokio::select! {
-        _ = conn => {}
+        ended = conn => service.record_end(&ended.map_err(Into::into)),
         () = closed => {}
     }
 }
--- a/src/peer/rpc_handler.rs
+++ b/src/peer/rpc_handler.rs
@@ -11,9 +11,9 @@
 use jsonrpsee::server::HttpBody;
 use tower_service::Service;
 
-use crate::memory::MemoryBudget;
 use crate::net::{
-    BodyError, BodyLimits, CollectError, Handler, RequestBody, discard, receive, refusal_answer,
+    BodyError, BodyLimits, CallerBounds, CollectError, Handler, RequestBody, discard, receive,
+    refusal_answer,
 };
 use crate::outcome::{Reason, Refusal};
 
@@ -32,7 +32,7 @@
     pub(super) calls: F,
     /// Makes the service for a session.
     pub(super) sessions: F,
-    pub(super) memory: MemoryBudget,
+    pub(super) bounds: CallerBounds,
 }
 
 impl<F, S> Handler for RpcHandler<F>
@@ -47,11 +47,13 @@
         let is_session = head.headers.contains_key(UPGRADE);
         let mut body = RequestBody::new(body, &head.extensions);
         let limits = BodyLimits { max_bytes: MAX_MESSAGE_BYTES as u64, max_time: BODY_TIMEOUT };
-        let call = match receive(&mut body, limits, &self.memory).await {
+        let call = match receive(&mut body, limits, &self.bounds.memory).await {
             Ok(call) => call,
             Err(err) => {
-                if err == CollectError::NoMemory {
-                    tokio::spawn(discard(body, DISCARD_TIME));
+                match err {
+                    CollectError::NoMemory => drop(tokio::spawn(discard(body, DISCARD_TIME))),
+                    CollectError::TooLarge => self.bounds.connections.record_too_large(),
+                    _ => {}
                 }
                 return refusal_answer(&Refusal::not_run(err.into()).retry_after(RETRY_AFTER));
             }
--- a/src/peer/rpc_listener.rs
+++ b/src/peer/rpc_listener.rs
@@ -58,7 +58,7 @@
             move || builder.clone().build(methods.clone(), stop.clone())
         });
         let bounds = CallerBounds::of(machine);
-        let handler = Arc::new(RpcHandler { calls, sessions, memory: bounds.memory.clone() });
+        let handler = Arc::new(RpcHandler { calls, sessions, bounds: bounds.clone() });
         let (shutdown, tasks) = (Shutdown::default(), TaskTracker::new());
         tokio::spawn(serve(listener, handler, bounds.clone(), shutdown.clone(), tasks.clone()));
         Ok(Self { handle, shutdown, tasks, addr, bounds })
