review: case 6, one silent channel keeps a worker in use that leaves

Cause: the call that follows the list of workers is given up 3.75 s after it began, unless another call goes unanswered sooner; contact_ms is 3 s. Change: the case. The stand-ins can make single channels of the store silent, drain, exit and crash on a request.

--- a/review/standin-2/desk.rs
+++ b/review/standin-2/desk.rs
@@ -1,6 +1,7 @@
 //! The claims desk: a plain service with a safe and an unsafe route, its clients and the check of
 //! the bound on cold workers (RULES.md, FAILBACK).
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -18,19 +19,31 @@
 pub const COLD_START: Duration = Duration::from_secs(3);
 pub const BOUNDS: Bounds =
     Bounds { drain_ms: 3_000, contact_ms: 4_000, retry_slack: 120, evacuate_ms: Some(5_000) };
-const KEY: &str = "n2ctnfzs989anu6wsjnb";
+/// Bounds of akwaaba-kites.
+pub const KITES_BOUNDS: Bounds =
+    Bounds { drain_ms: 2_000, contact_ms: 3_000, retry_slack: 94, evacuate_ms: None };
+pub const KEY: &str = "n2ctnfzs989anu6wsjnb";
 
-/// The operator's config.
+/// The operator's config, with cold starts.
 pub fn config() -> String {
+    let cold_s = COLD_START.as_secs();
+    config_with(&format!(r#","cold_start_s":{cold_s},"cold_per_s":{COLD_PER_S}"#))
+}
+
+/// The operator's config for a service whose workers are never cold.
+pub fn config_without_cold() -> String {
+    config_with("")
+}
+
+fn config_with(cold: &str) -> String {
     let route = |name: &str, prefix: &str, kind: &str| {
         format!(
             r#"{{"name":"{name}","hostname":"desk.example","prefix":"{prefix}","kind":"{kind}","timeout_ms":1200,"target_latency_ms":120,"priority":2,"service":"claims","max_attempts":2,"anonymous":false}}"#
         )
     };
     let (status, release) = (route("r-1", "/status/", "safe"), route("r-2", "/release/", "unsafe"));
-    let cold_s = COLD_START.as_secs();
     format!(
-        r#"{{"version":3,"route_table":[{status},{release}],"backends":[{{"name":"claims","health_path":"/healthz","max_connections":210,"cold_start_s":{cold_s},"cold_per_s":{COLD_PER_S}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":20000}},"tenants":[{{"name":"desk","api_keys":["{KEY}"]}}]}}"#
+        r#"{{"version":3,"route_table":[{status},{release}],"backends":[{{"name":"claims","health_path":"/healthz","max_connections":210{cold}}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":20000}},"tenants":[{{"name":"desk","api_keys":["{KEY}"]}}]}}"#
     )
 }
 
@@ -51,6 +64,8 @@
 /// What became of the requests of clients.
 #[derive(Default)]
 pub struct Tally {
+    /// When requests were sent, by id.
+    pub sent: HashMap<String, Duration>,
     pub served: usize,
     pub lost_orders: usize,
     pub others: usize,
@@ -111,6 +126,7 @@
             body.len()
         );
         record.line(&format!("{id} sent: {line}"));
+        tally.lock().expect("the tally").sent.insert(id.clone(), record.now());
         let answer = call(addr, &text, body.as_bytes(), Duration::from_millis(1_200));
         let status = answer.as_ref().map_or(0, |answer| answer.status());
         record.line(&format!("{id} answered: {status}"));
@@ -127,7 +143,7 @@
 pub fn exceeds_bound(worker: &Worker, (from, to): (Duration, Duration), record: &Record) -> bool {
     let state = worker.lock();
     let times: Vec<Duration> =
-        state.arrivals.iter().copied().filter(|at| *at >= from && *at < to).collect();
+        state.arrivals.iter().map(|it| it.at).filter(|at| *at >= from && *at < to).collect();
     let in_span = |from: &Duration| {
         times.iter().filter(|at| **at >= *from && **at < *from + Duration::from_secs(1)).count()
     };
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,8 +7,10 @@
 mod cold_return;
 mod desk;
 mod evacuated_zone;
+mod fatal_request;
 mod http;
 mod json;
+mod leaving_worker;
 mod process;
 mod record;
 mod store;
@@ -42,6 +44,8 @@
     let verdict = match name.as_str() {
         "cold-return" => cold_return::play(&record, &dir, is_troubled),
         "evacuated-zone" => evacuated_zone::play(&record, &dir, is_troubled),
+        "fatal-request" => fatal_request::play(&record, &dir, is_troubled),
+        "leaving-worker" => leaving_worker::play(&record, &dir, is_troubled),
         "turned-away" => turned_away::play(&record, &dir, is_troubled),
         _ => Verdict::NotRun(format!("no case {name}")),
     };
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the platform's store (PROTOCOL.md, "The platform's metadata store"): rows in tables,
 //! transactions under conditions, reads and feeds.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Shutdown, SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
@@ -18,6 +18,12 @@
     /// Version and value (base64) of each row; without a value the row was dropped.
     rows: BTreeMap<Key, (u64, Option<String>)>,
     version: u64,
+    /// The address that each channel with a call under way came to, and the table that the call
+    /// follows, by the channel's number.
+    following: BTreeMap<u64, (SocketAddr, String)>,
+    next_channel: u64,
+    /// Channels on which nothing is answered any more.
+    silent: BTreeSet<u64>,
 }
 
 /// An address of the store that can turn its callers away while the others are served.
@@ -47,7 +53,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let (store, is_shut) = (store.clone(), Arc::clone(&is_shut));
-                thread::spawn(move || store.serve(Conn::new(stream), &is_shut));
+                thread::spawn(move || store.serve(Conn::new(stream), addr, &is_shut));
             }
         });
         door
@@ -81,10 +87,38 @@
         self.state.1.notify_all();
     }
 
-    fn serve(&self, mut conn: Conn, is_shut: &AtomicBool) {
+    /// Makes the open channels of an address silent for good on which a call follows this table. New
+    /// channels work. Returns how many these are.
+    pub fn silence(&self, door: &Door, table: &str) -> usize {
+        let mut state = self.lock();
+        let meant = state
+            .following
+            .iter()
+            .filter(|(_, (addr, followed))| *addr == door.addr && followed == table);
+        let meant: Vec<u64> = meant.map(|(channel, _)| *channel).collect();
+        state.silent.extend(meant.iter().copied());
+        meant.len()
+    }
+
+    fn serve(&self, mut conn: Conn, addr: SocketAddr, is_shut: &AtomicBool) {
+        let channel = {
+            let mut state = self.lock();
+            state.next_channel += 1;
+            state.next_channel
+        };
         while let Ok(request) = conn.read_message(false) {
             thread::sleep(Duration::from_millis(4));
+            if request.target().starts_with("/v1/rows-feed") {
+                let table = request.query("table").unwrap_or_default();
+                self.lock().following.insert(channel, (addr, table));
+            }
             let (status, body) = self.answer(&request, is_shut);
+            self.lock().following.remove(&channel);
+            if self.lock().silent.contains(&channel) {
+                // The channel stays open, and what is sent on it is neither read nor answered.
+                thread::sleep(Duration::from_secs(120));
+                break;
+            }
             let head = format!(
                 "HTTP/1.1 {status} -\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
                 body.len()
@@ -93,6 +127,7 @@
                 break;
             }
         }
+        self.lock().following.remove(&channel);
         conn.stream.shutdown(Shutdown::Both).ok();
     }
 
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -10,8 +10,17 @@
 use crate::record::Record;
 use crate::store::Store;
 
+/// A request that reached a worker.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Duration,
+    pub id: String,
+    pub is_fatal: bool,
+}
+
 pub struct WorkerState {
     pub is_up: bool,
+    is_draining: bool,
     boot: u64,
     born: u64,
     running: usize,
@@ -21,8 +30,8 @@
     cold_until: Option<Instant>,
     /// When it last became cold.
     cold_from: Duration,
-    /// When requests reached it.
-    pub arrivals: Vec<Duration>,
+    pub arrivals: Vec<Arrival>,
+    /// When it ended.
     pub crashes: Vec<Duration>,
 }
 
@@ -40,6 +49,9 @@
     pub cold_crash: usize,
 }
 
+/// End of the paths of requests that crash the worker that begins to run them.
+pub const FATAL: &str = "/fatal";
+
 #[derive(Clone)]
 pub struct Worker {
     pub kind: WorkerKind,
@@ -56,9 +68,14 @@
 impl Worker {
     /// Starts a worker and registers it in the store.
     pub fn start(kind: WorkerKind, store: &Store, record: &Record) -> Self {
-        let addr = crate::http::free_addr();
+        Self::start_at(crate::http::free_addr(), kind, store, record)
+    }
+
+    /// The same, at an address.
+    pub fn start_at(addr: SocketAddr, kind: WorkerKind, store: &Store, record: &Record) -> Self {
         let state = WorkerState {
             is_up: false,
+            is_draining: false,
             boot: 0,
             born: 0,
             running: 0,
@@ -108,15 +125,17 @@
             .cold_until
             .map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()));
         let WorkerKind { id, service, zone, slots, .. } = &self.kind;
+        let phase = if state.is_draining { "draining" } else { "ready" };
         let row = format!(
-            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","slots":{slots},"phase":"ready","cold_remaining_ms":{},"call_seq":0,"born":{}}}"#,
+            r#"{{"service":"{service}","address":"{}","zone":"{zone}","version":"v1","slots":{slots},"phase":"{phase}","cold_remaining_ms":{},"call_seq":0,"born":{}}}"#,
             self.addr,
             left.as_millis(),
             state.born
         );
         drop(state);
         self.store.put("servers", id, &row);
-        self.record.line(&format!("worker {id} writes its row, cold for {} ms", left.as_millis()));
+        let left = left.as_millis();
+        self.record.line(&format!("worker {id} writes its row: {phase}, cold for {left} ms"));
     }
 
     /// Becomes cold again, without a start.
@@ -128,8 +147,24 @@
         self.record.line(&format!("worker {} becomes cold", self.kind.id));
     }
 
+    /// Reports that it drains. Returns when the store had accepted that.
+    pub fn drain(&self) -> Duration {
+        self.lock().is_draining = true;
+        self.register();
+        self.record.now()
+    }
+
     /// Ends as a crashed process does: the listener and all connections close at once.
     pub fn crash(&self) {
+        self.end("crashes");
+    }
+
+    /// Exits, with what still runs.
+    pub fn exit(&self) {
+        self.end("exits");
+    }
+
+    fn end(&self, how: &str) {
         let mut state = self.lock();
         if !state.is_up {
             return;
@@ -140,7 +175,7 @@
             stream.shutdown(Shutdown::Both).ok();
         }
         self.shared.1.notify_all();
-        self.record.line(&format!("worker {} crashes", self.kind.id));
+        self.record.line(&format!("worker {} {how}", self.kind.id));
     }
 
     fn is_boot(state: &WorkerState, boot: u64) -> bool {
@@ -191,9 +226,10 @@
             self.record.line(&format!("{id} reaches {}, misdirected", self.kind.id));
             return Some((self.head(421, &id, "", 0), String::new()));
         }
-        state.arrivals.push(at);
+        let is_fatal = request.target().ends_with(FATAL);
+        state.arrivals.push(Arrival { at, id: id.clone(), is_fatal });
         let second = at.saturating_sub(Duration::from_secs(1)).max(state.cold_from);
-        let recent = state.arrivals.iter().rev().take_while(|other| **other > second).count();
+        let recent = state.arrivals.iter().rev().take_while(|other| other.at > second).count();
         let is_cold = state.cold_until.is_some_and(|until| Instant::now() < until);
         self.record.line(&format!("{id} reaches {}", self.kind.id));
         if is_cold && recent > self.kind.cold_crash {
@@ -219,6 +255,10 @@
         state.running += 1;
         drop(state);
         self.record.line(&format!("{id} runs at {}", self.kind.id));
+        if is_fatal {
+            self.crash();
+            return None;
+        }
         thread::sleep(self.kind.work);
         let mut state = self.lock();
         if !Self::is_boot(&state, boot) {
@@ -229,7 +269,8 @@
         let load = format!("{},{},{}", state.running, state.waiting, self.kind.slots);
         drop(state);
         let body = format!("{{\"done\":\"{id}\"}}");
-        let headers = format!("x-ebonyusher-server-load: {load}\r\n");
+        let close = if self.lock().is_draining { "connection: close\r\n" } else { "" };
+        let headers = format!("x-ebonyusher-server-load: {load}\r\n{close}");
         Some((self.head(200, &id, &headers, body.len()), body))
     }
 
