review: an interrupted case ends the processes that it started

Cause: job control is not there without a terminal, so that a case that was interrupted left the entries running.

--- a/review/standin-2/process.rs
+++ b/review/standin-2/process.rs
@@ -1,6 +1,7 @@
 //! The project's own programs, started as the deploy file says.
 
 use std::fs;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -26,6 +27,9 @@
             .stderr(Stdio::inherit())
             .spawn()
             .expect("a program of the deploy file");
+        // For run.sh, if it is interrupted.
+        let pids = fs::OpenOptions::new().create(true).append(true).open(dir.join("pids"));
+        pids.and_then(|mut pids| writeln!(pids, "{}", child.id())).ok();
         Self { child }
     }
 }
