review: case 14, copies of an order that crash both workers of a zone are counted as one crash (BUDGET)

Cause: whether a crash was alone is asked of upstreams of the same service in the failure domain, and of others only where there is none of these. Two workers of a zone that crash together are each other's only witness. Nothing is fixed.

--- a/review/standin-3/desk.rs
+++ b/review/standin-3/desk.rs
@@ -44,6 +44,7 @@
         work: Duration::from_millis(60),
         cold_time: Duration::ZERO,
         cold_crash: usize::MAX,
+        fatal_work: Duration::ZERO,
         goes_dark,
     }
 }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -12,6 +12,7 @@
 #[path = "../standin-2/json.rs"]
 mod json;
 mod keeper;
+mod paired_copies;
 #[path = "../standin-2/process.rs"]
 mod process;
 mod rank;
@@ -49,6 +50,7 @@
     };
     let dir = PathBuf::from(dir);
     let verdict = match name.as_str() {
+        "paired-copies" => paired_copies::play(&record, &dir, is_troubled),
         "silent-copies" => silent_copies::play(&record, &dir, is_troubled),
         "silent-leavers" => silent_leavers::play(&record, &dir, is_troubled),
         "silent-ranks" => silent_ranks::play(&record, &dir, is_troubled),
--- a/review/standin-3/rank.rs
+++ b/review/standin-3/rank.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use crate::http::{free_addr, Conn, Message};
+use crate::http::{Conn, Message};
 use crate::record::Record;
 use crate::store::Store;
 
@@ -139,8 +139,8 @@
 
     /// Starts a rank and registers it.
     fn boot(&self, place: usize, zone: &str, boot: usize) {
-        let addr = free_addr();
-        let listener = TcpListener::bind(addr).expect("the rank's address");
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("its address");
         let rank = Rank {
             id: format!("i-{place:02}-{boot}"),
             zone: zone.to_owned(),
--- a/review/standin-3/worker.rs
+++ b/review/standin-3/worker.rs
@@ -49,6 +49,8 @@
     pub cold_time: Duration,
     /// Requests in a second at which it crashes while it is cold.
     pub cold_crash: usize,
+    /// Time for which a request runs that crashes it.
+    pub fatal_work: Duration,
     /// Whether it goes dark when a request crashes it: it sends nothing any more, and its channels hang.
     pub goes_dark: bool,
 }
@@ -72,11 +74,8 @@
 impl Worker {
     /// Starts a worker and registers it in the store.
     pub fn start(kind: WorkerKind, store: &Store, record: &Record) -> Self {
-        Self::start_at(crate::http::free_addr(), kind, store, record)
-    }
-
-    /// The same, at an address.
-    pub fn start_at(addr: SocketAddr, kind: WorkerKind, store: &Store, record: &Record) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("its address");
         let state = WorkerState {
             is_up: false,
             is_draining: false,
@@ -94,7 +93,7 @@
         };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let worker = Self { kind, addr, shared, record: record.clone(), store: store.clone() };
-        worker.boot(false);
+        worker.boot(listener, false);
         worker.register();
         worker
     }
@@ -103,9 +102,7 @@
         self.shared.0.lock().expect("the worker's state")
     }
 
-    /// Starts the worker, again with the id and the address that it had.
-    pub fn boot(&self, is_cold: bool) {
-        let listener = TcpListener::bind(self.addr).expect("the worker's address");
+    fn boot(&self, listener: TcpListener, is_cold: bool) {
         listener.set_nonblocking(true).expect("a socket");
         let boot = {
             let mut state = self.lock();
@@ -282,6 +279,7 @@
         drop(state);
         self.record.line(&format!("{id} runs at {}", self.kind.id));
         if is_fatal {
+            thread::sleep(self.kind.fatal_work);
             if self.kind.goes_dark {
                 self.go_dark();
             } else {
